--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -4,7 +4,7 @@
 //! actions and settings are in `api.rs`; docs/design.md tells where each rule comes from.
 
 use crate::api::*;
-use std::collections::{HashMap, VecDeque};
+use crate::state::*;
 
 const BEAT: Ms = 5.0;
 const PROBE_EVERY: Ms = 1000.0;
@@ -17,29 +17,6 @@
 const CREDIT_START: f64 = 3.0;
 const CREDIT_TOP: f64 = 12.0;
 const IDLE: Ms = 90_000.0;
-const MOST_FORWARDS: usize = 8;
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Breaker {
-    Closed,
-    Open,
-    Replaying,
-}
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Signal {
-    Failures,
-    ProbeAnswered,
-    Settled,
-    ReplayLost,
-}
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Effect {
-    ProbeSoon,
-    Replay,
-    Nothing,
-}
 
 const BREAKER: [(Breaker, Signal, Breaker, Effect); 4] = [
     (Breaker::Closed, Signal::Failures, Breaker::Open, Effect::ProbeSoon),
@@ -48,20 +25,6 @@
     (Breaker::Replaying, Signal::ReplayLost, Breaker::Open, Effect::ProbeSoon),
 ];
 
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Standing {
-    Ready,
-    Aside,
-    Trial,
-}
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Mark {
-    Good,
-    Bad,
-    Probes,
-}
-
 /// Aside on bad marks, back on trial by probes, ready again by an answer: a probe shows only that the
 /// process runs, so a hung server passes probes and must not get more than one query to prove itself.
 const STANDING: [(Standing, Mark, Standing); 5] = [
@@ -72,30 +35,6 @@
     (Standing::Aside, Mark::Good, Standing::Trial),
 ];
 
-/// What is known of a query's earlier forwards.
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Known {
-    NeverRan,
-    MayHaveRun,
-    StillOut,
-}
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Resend {
-    Anywhere,
-    Copy,
-    InGroup,
-    GroupCopy,
-    No,
-}
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum May {
-    Shed,
-    ShedIfAll,
-    Drop,
-}
-
 /// Rules 1 and 2: the only place that says whether a query may be sent on again or shed.
 const RULES: [(Semantics, Known, Resend, May); 9] = [
     (Semantics::Repeatable, Known::NeverRan, Resend::Anywhere, May::Shed),
@@ -109,242 +48,103 @@
     (Semantics::Mutating, Known::StillOut, Resend::No, May::Drop),
 ];
 
-struct Server {
-    id: ServerId,
-    health: Health,
-    standing: Standing,
-    cell: u16,
-    zone: u8,
-    size: f64,
-    started: Ms,
-    credits: f64,
-    out: u32,
-    rtt: f64,
-    answered_at: Ms,
-    sent_at: Ms,
-    bad: u32,
-    probed_at: Ms,
-    probing: bool,
-    probes: u32,
-    aside_for: Ms,
-    aside_at: Ms,
-    busy: f64,
-    cold_left: f64,
-    cold_at: Ms,
-}
-
-#[derive(Clone, Copy)]
-enum Asker {
-    Query(u32),
-    Replay(f64),
-    Probe,
-}
-
-struct Call {
-    asker: Asker,
-    add: f64,
-}
-
-struct Acct {
-    id: AcctId,
-    plan: usize,
-    spread: f64,
-    level: f64,
-    at: Ms,
-    total: f64,
-    seen: bool,
-    carry: f64,
-    unsure: f64,
-    local: f64,
-    local_at: Ms,
-    over: f64,
-    over_at: Ms,
-    log: VecDeque<(Ms, f64)>,
-    calls: VecDeque<Call>,
-    out: u32,
-    hands: u32,
-    used_at: Ms,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    Counting,
-    Waiting,
-    Out,
-    Over,
-}
-
-#[derive(Clone, Copy)]
-struct Try {
-    server: u32,
-    sent: Ms,
-    end: Option<Outcome>,
-}
-
-struct Query {
-    id: QueryId,
-    group: usize,
-    acct: u32,
-    units: f64,
-    stage: Stage,
-    since: Ms,
-    until: Ms,
-    slo_at: Ms,
-    counting: bool,
-    inside: bool,
-    streaming: bool,
-    tries: [Try; MOST_FORWARDS],
-    sent: usize,
-    worth: f64,
-}
-
-struct GroupFig {
-    slo: Ms,
-    semantics: Semantics,
-    repeat_group: RepeatGroup,
-    window: Ms,
-    importance: f64,
-}
-
-struct PlanFig {
-    rate: f64,
-    burst: f64,
-    window: Ms,
-    price: f64,
-    over_worth: f64,
-    open: u32,
-    over_rate: f64,
-    over_burst: f64,
-    ceiling: bool,
-}
-
 pub struct Control {
     now: Ms,
     acts: Vec<Action>,
-    groups: Vec<GroupFig>,
-    plans: Vec<PlanFig>,
-    report_busy: Option<usize>,
-    report_probes: bool,
-    asks: bool,
-    counter: bool,
-    counter_wait: Ms,
-    may_cancel: bool,
-    may_probe: bool,
-    copies: bool,
-    most: usize,
-    advice: Ms,
-    zone: u8,
-    cross: f64,
-    units_top: f64,
-    settles: bool,
-    cold_budget: f64,
-    cold_share: f64,
-    cold_time: Ms,
-    fall_window: Ms,
-    chance: u64,
+    fig: Figures,
+    chance: Chance,
     breaker: Breaker,
     failures: u32,
-    probe_acct: u32,
+    probe_acct: usize,
     counter_probe_at: Ms,
     counter_probing: bool,
     replays: u32,
-    servers: Vec<Server>,
-    server_at: HashMap<ServerId, u32>,
-    accts: Vec<Acct>,
-    acct_at: HashMap<AcctId, u32>,
-    acct_free: Vec<u32>,
-    queries: Vec<Query>,
-    query_at: HashMap<QueryId, u32>,
-    query_free: Vec<u32>,
-    waiting: Vec<u32>,
-    live: Vec<u32>,
+    servers: Slab<Server>,
+    accts: Slab<Acct>,
+    queries: Slab<Query>,
+    waiting: Vec<usize>,
+    live: Vec<usize>,
     typical: Ms,
     answered_rate: f64,
     answered_at: Ms,
     swept_at: Ms,
 }
 
+fn figures(s: &Settings) -> Figures {
+    let group = |g: &Group| GroupFig {
+        slo: g.slo,
+        semantics: g.semantics,
+        repeat_group: g.repeat_group,
+        window: g.repeat_window - 2.0 * BEAT,
+        importance: g.importance,
+    };
+    let plan = |p: &Plan| {
+        let ceiling = p.ceiling_rate > 0.0;
+        let part = |top: f64, quota: f64| (top - quota).max(0.0) * OVER_SHARE;
+        PlanFig {
+            rate: p.rate / 1000.0,
+            burst: p.burst,
+            window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
+            price: p.price,
+            over_worth: if p.over_cost > 0.0 { 0.0 } else { p.over_worth },
+            open: p.open,
+            over_rate: part(p.ceiling_rate, p.rate) / 1000.0,
+            over_burst: part(p.ceiling_burst, p.burst),
+            ceiling,
+        }
+    };
+    Figures {
+        groups: s.groups.iter().map(group).collect(),
+        plans: s.plans.iter().map(plan).collect(),
+        report_busy: s.load_values.iter().position(|v| *v == LoadValue::CpuShare),
+        report_probes: s.reports == ReportsVia::Probes,
+        asks: s.discovery_asks,
+        counter: s.counter,
+        counter_wait: s.counter_wait,
+        may_cancel: s.may_cancel,
+        may_probe: s.may_probe,
+        copies: s.second_copies,
+        most: (s.send_cap as usize).clamp(1, MOST_FORWARDS),
+        advice: if s.retry_after { s.max_retry_after } else { 0.0 },
+        zone: s.zone,
+        cross: 1.0 + 5.0 * s.cross_zone_price,
+        units_top: s.units_top,
+        settles: s.cost_after,
+        credit_start: CREDIT_START,
+        cold_budget: s.fall_multiple * s.fall_window,
+        cold_share: s.cold_share,
+        cold_time: s.cold_time,
+        fall_window: s.fall_window,
+    }
+}
+
 impl Control {
     pub fn new(now: Ms, seed: u64, s: &Settings, out: &mut Vec<Action>) -> Self {
-        let groups = s.groups.iter().map(|g| GroupFig {
-            slo: g.slo,
-            semantics: g.semantics,
-            repeat_group: g.repeat_group,
-            window: g.repeat_window - 2.0 * BEAT,
-            importance: g.importance,
-        });
-        let plans = s.plans.iter().map(|p| {
-            let ceiling = p.ceiling_rate > 0.0;
-            let left = |top: f64, quota: f64| {
-                if ceiling {
-                    (top - quota).max(0.0) * OVER_SHARE
-                } else {
-                    f64::INFINITY
-                }
-            };
-            PlanFig {
-                rate: p.rate / 1000.0,
-                burst: p.burst,
-                window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
-                price: p.price,
-                over_worth: if p.over_cost > 0.0 { 0.0 } else { p.over_worth },
-                open: p.open,
-                over_rate: left(p.ceiling_rate, p.rate) / 1000.0,
-                over_burst: left(p.ceiling_burst, p.burst),
-                ceiling,
-            }
-        });
-        let slo = s.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min);
-        let control = Control {
+        out.push(Action::Timer { token: 0, wait: BEAT });
+        if s.discovery_asks {
+            out.push(Action::Watch { on: true });
+        }
+        Control {
             now,
             acts: Vec::new(),
-            groups: groups.collect(),
-            plans: plans.collect(),
-            report_busy: s.load_values.iter().position(|v| *v == LoadValue::CpuShare),
-            report_probes: s.reports == ReportsVia::Probes,
-            asks: s.discovery_asks,
-            counter: s.counter,
-            counter_wait: s.counter_wait,
-            may_cancel: s.may_cancel,
-            may_probe: s.may_probe,
-            copies: s.second_copies,
-            most: (s.send_cap as usize).clamp(1, MOST_FORWARDS),
-            advice: if s.retry_after { s.max_retry_after } else { 0.0 },
-            zone: s.zone,
-            cross: 1.0 + 5.0 * s.cross_zone_price,
-            units_top: s.units_top,
-            settles: s.cost_after,
-            cold_budget: s.fall_multiple * s.fall_window,
-            cold_share: s.cold_share,
-            cold_time: s.cold_time,
-            fall_window: s.fall_window,
-            chance: (seed | 1) & 0x7fff_ffff_ffff_ffff,
+            fig: figures(s),
+            chance: Chance((seed | 1) & 0x7fff_ffff_ffff_ffff),
             breaker: Breaker::Closed,
             failures: 0,
             probe_acct: 0,
             counter_probe_at: 0.0,
             counter_probing: false,
             replays: 0,
-            servers: Vec::new(),
-            server_at: HashMap::new(),
-            accts: Vec::new(),
-            acct_at: HashMap::new(),
-            acct_free: Vec::new(),
-            queries: Vec::new(),
-            query_at: HashMap::new(),
-            query_free: Vec::new(),
+            servers: Slab::default(),
+            accts: Slab::default(),
+            queries: Slab::default(),
             waiting: Vec::new(),
             live: Vec::new(),
-            typical: slo / 4.0,
+            typical: s.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min) / 4.0,
             answered_rate: 0.0,
             answered_at: now,
             swept_at: now,
-        };
-        out.push(Action::Timer { token: 0, wait: BEAT });
-        if control.asks {
-            out.push(Action::Watch { on: true });
         }
-        control
     }
 
     pub fn handle(&mut self, now: Ms, event: &Event, out: &mut Vec<Action>) {
@@ -357,12 +157,12 @@
                 self.ended(id, usize::from(forward), outcome, rtt, over, f64::from(actual), &load);
             }
             Event::StreamStarted { id, .. } => {
-                if let Some(&slot) = self.query_at.get(&id) {
-                    self.queries[slot as usize].streaming = true;
+                if let Some(slot) = self.queries.find(id) {
+                    self.queries[slot].streaming = true;
                 }
             }
             Event::ClientLeft { id } => {
-                if let Some(&slot) = self.query_at.get(&id) {
+                if let Some(slot) = self.queries.find(id) {
                     self.close(slot);
                 }
             }
@@ -374,122 +174,73 @@
         std::mem::swap(&mut self.acts, out);
     }
 
-    fn roll(&mut self) -> f64 {
-        self.chance = 4_294_957_665 * (self.chance & 0xffff_ffff) + (self.chance >> 32);
-        (self.chance & 0xffff_ffff) as f64 / 4_294_967_296.0
-    }
-
     // ---- admission: counter, breaker, local count
 
     fn take(&mut self, new: &NewQuery) {
         let (group, plan) = (usize::from(new.group), new.plan as usize);
-        if group >= self.groups.len() || plan >= self.plans.len() || self.query_at.contains_key(&new.id) {
-            self.acts.push(Action::Drop { id: new.id });
-            return;
+        if group >= self.fig.groups.len()
+            || plan >= self.fig.plans.len()
+            || self.queries.find(new.id).is_some()
+        {
+            return self.acts.push(Action::Drop { id: new.id });
         }
         let acct = self.acct(new.acct, plan, f64::from(new.spread).max(1.0));
         let units = f64::from(new.units).max(0.0);
-        let worth = self.groups[group].importance * self.plans[plan].price;
-        let blank = Try { server: 0, sent: 0.0, end: None };
         let query = Query {
             id: new.id,
             group,
             acct,
             units,
-            stage: Stage::Counting,
             since: self.now,
             until: new.until,
-            slo_at: self.now + self.groups[group].slo,
-            counting: false,
+            slo_at: self.now + self.fig.groups[group].slo,
             inside: true,
-            streaming: false,
-            tries: [blank; MOST_FORWARDS],
-            sent: 0,
-            worth,
-        };
-        let slot = match self.query_free.pop() {
-            Some(slot) => {
-                self.queries[slot as usize] = query;
-                slot
-            }
-            None => {
-                self.queries.push(query);
-                self.queries.len() as u32 - 1
-            }
+            worth: self.fig.groups[group].importance * self.fig.plans[plan].price,
+            ..Query::default()
         };
-        self.query_at.insert(new.id, slot);
+        let slot = self.queries.add(new.id, query);
         self.live.push(slot);
-        let a = &mut self.accts[acct as usize];
-        a.hands += 1;
+        let a = &mut self.accts[acct];
+        a.in_hand += 1;
         a.used_at = self.now;
-        if self.plans[plan].rate <= 0.0 {
+        if self.fig.plans[plan].rate <= 0.0 {
             self.admit(slot, true);
-        } else if self.counter && self.breaker == Breaker::Closed {
-            let add = units + a.carry;
-            a.carry = 0.0;
-            self.queries[slot as usize].counting = true;
+        } else if self.fig.counter && self.breaker == Breaker::Closed {
+            let add = units + std::mem::take(&mut a.carry);
+            self.queries[slot].counting = true;
             self.call(acct, Asker::Query(slot), add);
         } else {
             self.decide_locally(slot, true);
         }
     }
 
-    fn acct(&mut self, id: AcctId, plan: usize, spread: f64) -> u32 {
-        if let Some(&at) = self.acct_at.get(&id) {
-            self.accts[at as usize].spread = spread;
+    fn acct(&mut self, id: AcctId, plan: usize, spread: f64) -> usize {
+        if let Some(at) = self.accts.find(id) {
+            self.accts[at].spread = spread;
             return at;
         }
-        let fig = &self.plans[plan];
-        let acct = Acct {
-            id,
-            plan,
-            spread,
-            level: fig.burst,
-            at: self.now,
-            total: 0.0,
-            seen: false,
-            carry: 0.0,
-            unsure: 0.0,
-            // An instance cannot know that it is the first: under a ceiling it starts with nothing.
-            local: if fig.ceiling { 0.0 } else { fig.burst / spread },
-            local_at: self.now,
-            over: 0.0,
-            over_at: self.now,
-            log: VecDeque::new(),
-            calls: VecDeque::new(),
-            out: 0,
-            hands: 0,
-            used_at: self.now,
-        };
-        let at = match self.acct_free.pop() {
-            Some(at) => {
-                self.accts[at as usize] = acct;
-                at
-            }
-            None => {
-                self.accts.push(acct);
-                self.accts.len() as u32 - 1
-            }
-        };
-        self.acct_at.insert(id, at);
-        at
+        let fig = &self.fig.plans[plan];
+        // An instance cannot know that it is the first: under a ceiling it starts with nothing.
+        let local = if fig.ceiling { 0.0 } else { fig.burst / spread };
+        let (level, at, local_at, over_at) = (fig.burst, self.now, self.now, self.now);
+        self.accts.add(id, Acct { id, plan, spread, level, at, local, local_at, over_at, ..Acct::default() })
     }
 
-    fn call(&mut self, acct: u32, asker: Asker, add: f64) {
-        let a = &mut self.accts[acct as usize];
+    fn call(&mut self, acct: usize, asker: Asker, add: f64) {
+        let a = &mut self.accts[acct];
         a.calls.push_back(Call { asker, add });
         self.acts.push(Action::Count { name: a.id, add: add as f32, ttl: NAME_TTL });
     }
 
     fn counted(&mut self, name: u64, outcome: Outcome, total: f64) {
-        let Some(&at) = self.acct_at.get(&name) else { return };
-        let Some(call) = self.accts[at as usize].calls.pop_front() else { return };
+        let Some(at) = self.accts.find(name) else { return };
+        let Some(call) = self.accts[at].calls.pop_front() else { return };
         let answered = outcome == Outcome::Ok;
         if answered {
             self.failures = 0;
             self.read(at, total, call.add);
         } else {
-            let a = &mut self.accts[at as usize];
+            let a = &mut self.accts[at];
             if outcome == Outcome::TimedOut {
                 a.unsure += call.add;
             } else {
@@ -503,7 +254,7 @@
         }
         match call.asker {
             Asker::Query(slot) => {
-                let q = &mut self.queries[slot as usize];
+                let q = &mut self.queries[slot];
                 q.counting = false;
                 match q.stage {
                     Stage::Counting if answered => self.decide(slot),
@@ -513,7 +264,7 @@
             }
             Asker::Replay(sum) => {
                 self.replays = self.replays.saturating_sub(1);
-                self.accts[at as usize].level -= if answered { sum } else { 0.0 };
+                self.accts[at].level -= if answered { sum } else { 0.0 };
                 if !answered {
                     self.signal(Signal::ReplayLost);
                 } else if self.replays == 0 {
@@ -541,14 +292,14 @@
 
     fn replay(&mut self) {
         self.failures = 0;
-        for at in 0..self.accts.len() {
-            let window = self.plans[self.accts[at].plan].window;
+        for at in 0..self.accts.items.len() {
+            let window = self.fig.plans[self.accts[at].plan].window;
             let since = self.now - window;
             let sum: f64 = self.accts[at].log.drain(..).filter(|g| g.0 >= since).map(|g| g.1).sum();
             if sum > 0.0 {
                 let add = sum + std::mem::take(&mut self.accts[at].carry);
                 self.replays += 1;
-                self.call(at as u32, Asker::Replay(sum), add);
+                self.call(at, Asker::Replay(sum), add);
             }
         }
         if self.replays == 0 {
@@ -558,13 +309,13 @@
 
     /// Follows the customer's store from the totals. What others added since the last read is taken at
     /// its latest possible moment, so the level never runs above the true one.
-    fn read(&mut self, at: u32, total: f64, add: f64) {
-        let a = &mut self.accts[at as usize];
-        let fig = &self.plans[a.plan];
+    fn read(&mut self, at: usize, total: f64, add: f64) {
+        let a = &mut self.accts[at];
+        let fig = &self.fig.plans[a.plan];
         let mut others = total - a.total - add;
         // A total far below what this limiter has read betrays a lost name (flush, empty return, end of
         // its time): the level goes on, so nobody is handed a fresh burst. Refunds only lower it a little.
-        let noise = self.units_top * a.spread;
+        let noise = self.fig.units_top * a.spread;
         if !a.seen || others < -noise - a.unsure.abs() {
             others = (total - add).max(0.0);
         }
@@ -585,9 +336,9 @@
         a.local_at = self.now;
     }
 
-    fn decide(&mut self, slot: u32) {
-        let q = &self.queries[slot as usize];
-        let a = &mut self.accts[q.acct as usize];
+    fn decide(&mut self, slot: usize) {
+        let q = &self.queries[slot];
+        let a = &mut self.accts[q.acct];
         let inside = a.level >= q.units;
         if inside {
             a.level -= q.units;
@@ -599,10 +350,10 @@
 
     /// The local count. `log`: the add was never sent (breaker open); else the call failed and `carry` or
     /// `unsure` already holds its units.
-    fn decide_locally(&mut self, slot: u32, log: bool) {
-        let q = &self.queries[slot as usize];
-        let a = &mut self.accts[q.acct as usize];
-        let fig = &self.plans[a.plan];
+    fn decide_locally(&mut self, slot: usize, log: bool) {
+        let q = &self.queries[slot];
+        let a = &mut self.accts[q.acct];
+        let fig = &self.fig.plans[a.plan];
         let (cap, rate) = (fig.burst / a.spread, fig.rate / a.spread);
         a.local = (a.local + rate * (self.now - a.local_at)).min(cap.max(q.units));
         a.local_at = self.now;
@@ -623,21 +374,21 @@
         self.admit(slot, inside);
     }
 
-    fn admit(&mut self, slot: u32, inside: bool) {
-        let q = &mut self.queries[slot as usize];
-        let fig = &self.plans[self.accts[q.acct as usize].plan];
+    fn admit(&mut self, slot: usize, inside: bool) {
+        let q = &mut self.queries[slot];
+        let fig = &self.fig.plans[self.accts[q.acct].plan];
         q.inside = inside;
         if !inside {
             q.worth *= fig.over_worth;
             if fig.over_worth <= 0.0 || self.breaker != Breaker::Closed || !self.spend_over(slot) {
-                let a = &self.accts[self.queries[slot as usize].acct as usize];
-                let fig = &self.plans[a.plan];
-                let wait = (self.queries[slot as usize].units - a.level).max(0.0) / fig.rate.max(1e-9);
+                let a = &self.accts[self.queries[slot].acct as usize];
+                let fig = &self.fig.plans[a.plan];
+                let wait = (self.queries[slot].units - a.level).max(0.0) / fig.rate.max(1e-9);
                 self.give_up(slot, wait);
                 return;
             }
         }
-        let q = &mut self.queries[slot as usize];
+        let q = &mut self.queries[slot];
         q.stage = Stage::Waiting;
         q.since = self.now;
         self.waiting.push(slot);
@@ -646,10 +397,10 @@
 
     /// A ceiling is held without the others' word: each limiter keeps to its part of what lies between
     /// quota and ceiling, starting with none of it, so a restart or a swing of traffic adds nothing.
-    fn spend_over(&mut self, slot: u32) -> bool {
-        let q = &self.queries[slot as usize];
-        let a = &mut self.accts[q.acct as usize];
-        let fig = &self.plans[a.plan];
+    fn spend_over(&mut self, slot: usize) -> bool {
+        let q = &self.queries[slot];
+        let a = &mut self.accts[q.acct];
+        let fig = &self.fig.plans[a.plan];
         if !fig.ceiling {
             return true;
         }
@@ -664,7 +415,7 @@
     // ---- choice of server
 
     fn cold(&self, s: &Server) -> bool {
-        s.started > 0.0 && self.now - s.started < self.cold_time
+        s.started > 0.0 && self.now - s.started < self.fig.cold_time
     }
 
     fn credit(&self, s: &Server) -> f64 {
@@ -685,19 +436,19 @@
     /// Seen from here, a server that holds a query for long is as slow as that query says.
     fn cost(&self, s: &Server) -> f64 {
         let silent = if s.out > 0 { self.now - s.answered_at.max(s.sent_at) } else { 0.0 };
-        let zone = if s.zone == self.zone { 1.0 } else { self.cross };
+        let zone = if s.zone == self.fig.zone { 1.0 } else { self.fig.cross };
         s.rtt.max(silent) * (1.0 + f64::from(s.out)) * zone * (1.0 + s.busy * s.busy)
     }
 
-    fn pick(&mut self, slot: u32) -> Option<u32> {
-        let mut best: Option<(f64, u32)> = None;
-        for i in 0..self.servers.len() {
-            let jitter = 0.95 + 0.1 * self.roll();
+    fn pick(&mut self, slot: usize) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for i in 0..self.servers.items.len() {
+            let jitter = 0.95 + 0.1 * self.chance.roll();
             let s = &self.servers[i];
-            if self.usable(s) && self.reaches(slot, i as u32) {
+            if self.usable(s) && self.reaches(slot, i) {
                 let cost = self.cost(s) * jitter;
                 if best.is_none_or(|b| cost < b.0) {
-                    best = Some((cost, i as u32));
+                    best = Some((cost, i));
                 }
             }
         }
@@ -706,7 +457,7 @@
 
     fn known(&self, q: &Query) -> Known {
         let mut known = Known::NeverRan;
-        for t in &q.tries[..q.sent] {
+        for t in q.tries() {
             match t.end {
                 None => return Known::StillOut,
                 Some(Outcome::Full | Outcome::ConnectFailed | Outcome::Moot) => {}
@@ -717,25 +468,25 @@
     }
 
     fn rule(&self, q: &Query) -> (Resend, May) {
-        let (semantics, known) = (self.groups[q.group].semantics, self.known(q));
+        let (semantics, known) = (self.fig.groups[q.group].semantics, self.known(q));
         let row = RULES.iter().find(|r| r.0 == semantics && r.1 == known);
         row.map_or((Resend::No, May::Drop), |r| (r.2, r.3))
     }
 
     /// May this query go to this server now, by rules 1 and 2?
-    fn reaches(&self, slot: u32, server: u32) -> bool {
-        let q = &self.queries[slot as usize];
-        if q.stage == Stage::Over || q.streaming || q.sent >= self.most || self.now >= q.until - BEAT {
+    fn reaches(&self, slot: usize, server: usize) -> bool {
+        let q = &self.queries[slot];
+        if q.stage == Stage::Over || q.streaming || q.sent >= self.fig.most || self.now >= q.until - BEAT {
             return false;
         }
-        let tried = q.tries[..q.sent].iter().any(|t| t.server == server);
+        let tried = q.tries().iter().any(|t| t.server == server);
         let (resend, _) = self.rule(q);
         let in_group = || {
-            let g = &self.groups[q.group];
+            let g = &self.fig.groups[q.group];
             let ran =
                 |t: &&Try| !matches!(t.end, Some(Outcome::Full | Outcome::ConnectFailed | Outcome::Moot));
-            q.tries[..q.sent].iter().filter(ran).all(|t| {
-                let (home, there) = (&self.servers[t.server as usize], &self.servers[server as usize]);
+            q.tries().iter().filter(ran).all(|t| {
+                let (home, there) = (&self.servers[t.server], &self.servers[server]);
                 self.now < t.sent + g.window
                     && match g.repeat_group {
                         RepeatGroup::All => true,
@@ -746,23 +497,23 @@
         };
         match resend {
             Resend::Anywhere => !tried,
-            Resend::Copy => self.copies && !tried,
+            Resend::Copy => self.fig.copies && !tried,
             Resend::InGroup => in_group(),
-            Resend::GroupCopy => self.copies && !tried && in_group(),
+            Resend::GroupCopy => self.fig.copies && !tried && in_group(),
             Resend::No => false,
         }
     }
 
-    fn send(&mut self, slot: u32, server: u32) {
-        let cold = self.cold(&self.servers[server as usize]);
-        let q = &mut self.queries[slot as usize];
+    fn send(&mut self, slot: usize, server: usize) {
+        let cold = self.cold(&self.servers[server]);
+        let q = &mut self.queries[slot];
         q.tries[q.sent] = Try { server, sent: self.now, end: None };
         q.sent += 1;
         q.stage = Stage::Out;
         if q.sent == 1 {
-            self.accts[q.acct as usize].out += 1;
+            self.accts[q.acct].out += 1;
         }
-        let s = &mut self.servers[server as usize];
+        let s = &mut self.servers[server];
         s.cold_left -= if cold { 1.0 } else { 0.0 };
         s.sent_at = if s.out == 0 { self.now } else { s.sent_at };
         s.out += 1;
@@ -775,9 +526,9 @@
             let spare = self.spare();
             let mut order: Option<(f64, usize)> = None;
             for (i, &slot) in self.waiting.iter().enumerate() {
-                let q = &self.queries[slot as usize];
-                let a = &self.accts[q.acct as usize];
-                let open = self.plans[a.plan].open;
+                let q = &self.queries[slot];
+                let a = &self.accts[q.acct];
+                let open = self.fig.plans[a.plan].open;
                 let held =
                     q.sent == 0 && open > 0 && a.out >= (open as f64 / a.spread).ceil().max(1.0) as u32;
                 if !held && (q.inside || spare > 0.5) && order.is_none_or(|o| q.worth > o.0) {
@@ -794,7 +545,9 @@
 
     fn spare(&self) -> f64 {
         let (mut all, mut left) = (0.0, 0.0);
-        for s in self.servers.iter().filter(|s| s.health == Health::Ready && s.standing != Standing::Aside) {
+        for s in
+            self.servers.items.iter().filter(|s| s.health == Health::Ready && s.standing != Standing::Aside)
+        {
             let credit = self.credit(s);
             all += credit;
             left += (credit - f64::from(s.out)).max(0.0);
@@ -810,25 +563,25 @@
 
     #[allow(clippy::too_many_arguments)]
     fn ended(&mut self, id: QueryId, n: usize, how: Outcome, rtt: Ms, over: bool, actual: f64, load: &Load) {
-        let Some(&slot) = self.query_at.get(&id) else { return };
-        let q = &mut self.queries[slot as usize];
+        let Some(slot) = self.queries.find(id) else { return };
+        let q = &mut self.queries[slot];
         if n >= q.sent || q.tries[n].end.is_some() {
             return;
         }
         q.tries[n].end = Some(how);
-        let (server, acct, slo) = (q.tries[n].server, q.acct, self.groups[q.group].slo);
-        if self.settles && how == Outcome::Ok && q.inside && q.stage != Stage::Over {
-            self.accts[acct as usize].carry += actual - q.units;
-            self.accts[acct as usize].level -= actual - q.units;
+        let (server, acct, slo) = (q.tries[n].server, q.acct, self.fig.groups[q.group].slo);
+        if self.fig.settles && how == Outcome::Ok && q.inside && q.stage != Stage::Over {
+            self.accts[acct].carry += actual - q.units;
+            self.accts[acct].level -= actual - q.units;
         }
         self.report(server, load);
         self.learn(server, how, rtt, slo);
         if over {
             self.close(slot);
-        } else if self.queries[slot as usize].stage != Stage::Over {
-            let known = self.known(&self.queries[slot as usize]);
+        } else if self.queries[slot].stage != Stage::Over {
+            let known = self.known(&self.queries[slot]);
             if known != Known::StillOut {
-                let q = &mut self.queries[slot as usize];
+                let q = &mut self.queries[slot];
                 q.stage = Stage::Waiting;
                 self.waiting.push(slot);
             }
@@ -837,9 +590,9 @@
         self.dispatch();
     }
 
-    fn learn(&mut self, server: u32, how: Outcome, rtt: Ms, slo: Ms) {
+    fn learn(&mut self, server: usize, how: Outcome, rtt: Ms, slo: Ms) {
         let spare = self.spare();
-        let s = &mut self.servers[server as usize];
+        let s = &mut self.servers[server];
         s.out = s.out.saturating_sub(1);
         let used = f64::from(s.out) + 1.0 >= s.credits.floor();
         match how {
@@ -872,9 +625,9 @@
         }
     }
 
-    fn mark(&mut self, server: u32, mark: Mark) {
+    fn mark(&mut self, server: usize, mark: Mark) {
         let now = self.now;
-        let s = &mut self.servers[server as usize];
+        let s = &mut self.servers[server];
         let Some(row) = STANDING.iter().find(|r| r.0 == s.standing && r.1 == mark) else { return };
         s.standing = row.2;
         s.bad = 0;
@@ -893,16 +646,16 @@
         }
     }
 
-    fn report(&mut self, server: u32, load: &Load) {
-        if let Some(at) = self.report_busy.filter(|at| *at < usize::from(load.n)) {
-            self.servers[server as usize].busy = f64::from(load.values[at]).clamp(0.0, 1.0);
+    fn report(&mut self, server: usize, load: &Load) {
+        if let Some(at) = self.fig.report_busy.filter(|at| *at < usize::from(load.n)) {
+            self.servers[server].busy = f64::from(load.values[at]).clamp(0.0, 1.0);
         }
     }
 
     fn probed(&mut self, id: ServerId, outcome: Outcome, load: &Load) {
-        let Some(&at) = self.server_at.get(&id) else { return };
+        let Some(at) = self.servers.find(u64::from(id)) else { return };
         self.report(at, load);
-        let s = &mut self.servers[at as usize];
+        let s = &mut self.servers[at];
         s.probing = false;
         s.probes = if outcome == Outcome::Ok { s.probes + 1 } else { 0 };
         if s.probes >= 2 && self.now - s.aside_at >= s.aside_for {
@@ -912,15 +665,15 @@
 
     // ---- ends
 
-    fn outstanding(&self, slot: u32) -> bool {
-        let q = &self.queries[slot as usize];
-        q.tries[..q.sent].iter().any(|t| t.end.is_none())
+    fn outstanding(&self, slot: usize) -> bool {
+        let q = &self.queries[slot];
+        q.tries().iter().any(|t| t.end.is_none())
     }
 
     /// The one place for final answers given here.
-    fn give_up(&mut self, slot: u32, advice: Ms) {
-        let q = &self.queries[slot as usize];
-        let all = self.groups[q.group].repeat_group == RepeatGroup::All;
+    fn give_up(&mut self, slot: usize, advice: Ms) {
+        let q = &self.queries[slot];
+        let all = self.fig.groups[q.group].repeat_group == RepeatGroup::All;
         let shed = match self.rule(q).1 {
             May::Shed => true,
             May::ShedIfAll => all,
@@ -928,27 +681,27 @@
         };
         let id = q.id;
         if shed {
-            self.acts.push(Action::Shed { id, retry_after: advice.min(self.advice) });
+            self.acts.push(Action::Shed { id, retry_after: advice.min(self.fig.advice) });
         } else {
             self.acts.push(Action::Drop { id });
         }
         if q.sent == 0 && q.stage == Stage::Waiting && q.inside {
-            let a = &mut self.accts[q.acct as usize];
+            let a = &mut self.accts[q.acct];
             a.carry -= q.units;
             a.level += q.units;
         }
         self.close(slot);
     }
 
-    fn close(&mut self, slot: u32) {
-        let q = &mut self.queries[slot as usize];
+    fn close(&mut self, slot: usize) {
+        let q = &mut self.queries[slot];
         if q.stage == Stage::Over {
             return;
         }
         q.stage = Stage::Over;
         self.waiting.retain(|w| *w != slot);
-        if self.may_cancel && !q.streaming {
-            for (n, t) in q.tries[..q.sent].iter().enumerate() {
+        if self.fig.may_cancel && !q.streaming {
+            for (n, t) in q.tries().iter().enumerate() {
                 if t.end.is_none() {
                     self.acts.push(Action::Cancel { id: q.id, forward: n as u8 });
                 }
@@ -958,47 +711,42 @@
     }
 
     /// Frees the place once nothing can come for it any more.
-    fn let_go(&mut self, slot: u32) {
-        let q = &self.queries[slot as usize];
+    fn let_go(&mut self, slot: usize) {
+        let q = &self.queries[slot];
         if q.stage != Stage::Over || q.counting || self.outstanding(slot) {
             return;
         }
-        if self.query_at.remove(&q.id).is_none() {
+        let (id, acct, sent) = (q.id, q.acct, q.sent);
+        if !self.queries.remove(id) {
             return;
         }
-        let a = &mut self.accts[q.acct as usize];
-        a.hands -= 1;
-        a.out -= u32::from(q.sent > 0);
+        self.accts[acct].in_hand -= 1;
+        self.accts[acct].out -= u32::from(sent > 0);
         self.live.retain(|l| *l != slot);
-        self.query_free.push(slot);
     }
 
     // ---- servers come and go
 
     fn members(&mut self, list: ListKind, entries: &[Member]) {
         if list == ListKind::Failed {
-            if self.asks {
+            if self.fig.asks {
                 self.acts.push(Action::Watch { on: true });
             }
             return;
         }
         if list != ListKind::Delta {
-            for s in &mut self.servers {
+            for s in &mut self.servers.items {
                 if !entries.iter().any(|m| m.server == s.id) {
                     s.health = Health::Gone;
                 }
             }
         }
         for m in entries {
-            let at = match self.server_at.get(&m.server) {
-                Some(&at) => at as usize,
-                None => {
-                    self.servers.push(self.fresh(m));
-                    let at = self.servers.len() - 1;
-                    self.server_at.insert(m.server, at as u32);
-                    at
-                }
-            };
+            let known = self.servers.find(u64::from(m.server));
+            let at = known.unwrap_or_else(|| {
+                let s = self.fresh(m);
+                self.servers.add(u64::from(m.server), s)
+            });
             if m.started > self.servers[at].started {
                 let out = self.servers[at].out;
                 self.servers[at] = Server { out, ..self.fresh(m) };
@@ -1011,7 +759,7 @@
     }
 
     fn fresh(&self, m: &Member) -> Server {
-        let cold = m.started > 0.0 && self.now - m.started < self.cold_time;
+        let cold = m.started > 0.0 && self.now - m.started < self.fig.cold_time;
         Server {
             id: m.server,
             health: m.health,
@@ -1020,7 +768,7 @@
             zone: m.zone,
             size: f64::from(m.size),
             started: m.started,
-            credits: if cold { 1.0 } else { CREDIT_START },
+            credits: if cold { 1.0 } else { self.fig.credit_start },
             out: 0,
             rtt: self.typical,
             answered_at: self.now,
@@ -1041,22 +789,23 @@
     /// warm ones are seen to carry from here. The parts add up to less than the rule's budget.
     fn refill_cold(&mut self) {
         let (mut ready, mut sizes) = (0.0, 0.0);
-        for s in self.servers.iter().filter(|s| s.health == Health::Ready) {
+        for s in self.servers.items.iter().filter(|s| s.health == Health::Ready) {
             ready += 1.0;
             sizes += s.size;
         }
         let fade = (-(self.now - self.answered_at) / 5000.0).exp();
         let carried = self.answered_rate * fade / f64::max(ready, 1.0);
         let mean = if sizes > 0.0 { sizes / ready } else { 1.0 };
-        for i in 0..self.servers.len() {
+        for i in 0..self.servers.items.len() {
             if !self.cold(&self.servers[i]) {
                 continue;
             }
             let s = &mut self.servers[i];
-            let age = ((self.now - s.started) / self.cold_time).clamp(0.0, 1.0);
-            let share = self.cold_share + (1.0 - self.cold_share) * age;
-            let half = self.cold_budget * share * carried * (s.size / mean).min(1.0) * 0.35;
-            s.cold_left = (s.cold_left + half * (self.now - s.cold_at) / self.fall_window).min(half.max(1.0));
+            let age = ((self.now - s.started) / self.fig.cold_time).clamp(0.0, 1.0);
+            let share = self.fig.cold_share + (1.0 - self.fig.cold_share) * age;
+            let half = self.fig.cold_budget * share * carried * (s.size / mean).min(1.0) * 0.35;
+            s.cold_left =
+                (s.cold_left + half * (self.now - s.cold_at) / self.fig.fall_window).min(half.max(1.0));
             s.cold_at = self.now;
         }
     }
@@ -1067,7 +816,7 @@
         self.acts.push(Action::Timer { token: 0, wait: BEAT });
         let probe =
             self.breaker == Breaker::Open && !self.counter_probing && self.now >= self.counter_probe_at;
-        if probe && (self.probe_acct as usize) < self.accts.len() {
+        if probe && (self.probe_acct) < self.accts.items.len() {
             self.counter_probing = true;
             self.counter_probe_at = self.now + PROBE_EVERY;
             self.call(self.probe_acct, Asker::Probe, 0.0);
@@ -1089,17 +838,17 @@
 
     fn watch_servers(&mut self) {
         let spare = self.spare();
-        for i in 0..self.servers.len() {
+        for i in 0..self.servers.items.len() {
             let s = &self.servers[i];
             let silent = if s.out > 0 { self.now - s.answered_at.max(s.sent_at) } else { 0.0 };
             // A hang answers nothing while the fleet goes on; when all are silent none is set aside.
             if s.standing != Standing::Aside && silent > 8.0 * self.typical && spare > 0.0 {
-                self.mark(i as u32, Mark::Bad);
+                self.mark(i, Mark::Bad);
             }
             let s = &mut self.servers[i];
             let every = if s.standing == Standing::Aside { 250.0 } else { 2.0 * PROBE_EVERY };
-            let wanted = s.standing == Standing::Aside || self.report_probes;
-            if self.may_probe
+            let wanted = s.standing == Standing::Aside || self.fig.report_probes;
+            if self.fig.may_probe
                 && wanted
                 && !s.probing
                 && s.health == Health::Ready
@@ -1112,8 +861,8 @@
         }
     }
 
-    fn watch_query(&mut self, slot: u32) {
-        let q = &self.queries[slot as usize];
+    fn watch_query(&mut self, slot: usize) {
+        let q = &self.queries[slot];
         if q.stage == Stage::Over || q.streaming {
             return;
         }
@@ -1121,7 +870,7 @@
             return self.give_up(slot, 0.0);
         }
         match q.stage {
-            Stage::Counting if self.now - q.since > self.counter_wait + 4.0 * BEAT => {
+            Stage::Counting if self.now - q.since > self.fig.counter_wait + 4.0 * BEAT => {
                 self.decide_locally(slot, true);
             }
             Stage::Waiting => {
@@ -1133,7 +882,7 @@
             }
             Stage::Out => {
                 let age = self.now - q.tries[q.sent - 1].sent;
-                let late = age > (3.0 * self.typical).max(self.groups[q.group].slo * 0.3);
+                let late = age > (3.0 * self.typical).max(self.fig.groups[q.group].slo * 0.3);
                 if late && q.sent < 2 && self.now < q.slo_at - self.typical && self.spare() > 0.5 {
                     if let Some(server) = self.pick(slot) {
                         self.send(slot, server);
@@ -1145,13 +894,13 @@
     }
 
     fn sweep(&mut self) {
-        for at in 0..self.accts.len() {
+        for at in 0..self.accts.items.len() {
             let a = &self.accts[at];
             let quiet =
-                a.hands == 0 && a.calls.is_empty() && a.log.is_empty() && self.breaker == Breaker::Closed;
-            if quiet && self.now - a.used_at > IDLE && self.acct_at.get(&a.id) == Some(&(at as u32)) {
-                self.acct_at.remove(&a.id);
-                self.acct_free.push(at as u32);
+                a.in_hand == 0 && a.calls.is_empty() && a.log.is_empty() && self.breaker == Breaker::Closed;
+            if quiet && self.now - a.used_at > IDLE && self.accts.find(a.id) == Some(at) {
+                let id = a.id;
+                self.accts.remove(id);
             }
         }
     }
--- a/crates/aspendrum-core/src/lib.rs
+++ b/crates/aspendrum-core/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod api;
 pub mod control;
+mod state;
