--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -307,8 +307,9 @@
         }
     }
 
-    /// Follows the customer's store from the totals. What others added since the last read is taken at
-    /// its latest possible moment, so the level never runs above the true one.
+    /// Follows the customer's store from the totals, as if others had added evenly since the last read:
+    /// taken all at once at the end, use that refill has long made good would empty the store of a limiter
+    /// that reads seldom.
     fn read(&mut self, at: usize, total: f64, add: f64) {
         let a = &mut self.accts[at];
         let fig = &self.fig.plans[a.plan];
@@ -319,7 +320,7 @@
         if !a.seen || others < -noise - a.unsure.abs() {
             others = (total - add).max(0.0);
         }
-        a.level = (a.level + fig.rate * (self.now - a.at)).min(fig.burst);
+        let filled = fig.rate * (self.now - a.at);
         if !a.seen && others > fig.burst {
             // A name older than this instance tells use but not its time.
             others = if fig.ceiling { fig.burst } else { fig.burst / 2.0 };
@@ -328,7 +329,7 @@
         let absorbed = a.unsure.min(others.max(0.0));
         a.carry += a.unsure - absorbed;
         a.unsure = 0.0;
-        a.level = (a.level - others + absorbed).clamp(-noise, fig.burst);
+        a.level = (a.level + filled - others + absorbed).clamp(-noise, fig.burst);
         a.at = self.now;
         a.total = total;
         a.seen = true;
