Credits follow rtt over SLO time; the fleet's sum of credits bounds what is out

Also meant against shared slowdowns and a lost part of the fleet; may hurt where one endpoint group's work is long against its SLO time.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -14,8 +14,13 @@
 /// Share of what lies between quota and ceiling that is ever given away: the rest pays for grants that
 /// the counter has not seen (outages, restarts, timed-out adds, queries that wait after their add).
 const OVER_SHARE: f64 = 0.5;
-const CREDIT_START: f64 = 3.0;
+/// Credits on one server at the start, over all limiters, and what one limiter may come to hold.
+const CREDIT_START: f64 = 6.0;
 const CREDIT_TOP: f64 = 12.0;
+/// The share of the SLO time that an answer should take: less earns credit, more costs it.
+const AIM_SHARE: f64 = 0.3;
+const CREDIT_GAIN: f64 = 0.3;
+const CREDIT_LEAST: f64 = 0.2;
 const IDLE: Ms = 90_000.0;
 
 const BREAKER: [(Breaker, Signal, Breaker, Effect); 4] = [
@@ -110,7 +115,7 @@
         cross: 1.0 + 5.0 * s.cross_zone_price,
         units_top: s.units_top,
         settles: s.cost_after,
-        credit_start: CREDIT_START,
+        credit_start: CREDIT_START / f64::from(s.instances),
         cold_budget: s.fall_multiple * s.fall_window,
         cold_share: s.cold_share,
         cold_time: s.cold_time,
@@ -423,7 +428,7 @@
         if s.standing == Standing::Trial {
             1.0
         } else {
-            s.credits.floor()
+            s.credits.max(1.0)
         }
     }
 
@@ -536,7 +541,7 @@
                     order = Some((q.worth, i));
                 }
             }
-            let Some((_, i)) = order else { return };
+            let Some((_, i)) = order.filter(|_| spare > 0.0) else { return };
             let slot = self.waiting[i];
             let Some(server) = self.pick(slot) else { return };
             self.waiting.remove(i);
@@ -544,20 +549,17 @@
         }
     }
 
+    /// The free share of the fleet's credits. Single servers keep a whole credit each, so many limiters
+    /// could crowd few servers; the sum of the fractions is what bounds them together.
     fn spare(&self) -> f64 {
-        let (mut all, mut left) = (0.0, 0.0);
-        for s in
-            self.servers.items.iter().filter(|s| s.health == Health::Ready && s.standing != Standing::Aside)
-        {
-            let credit = self.credit(s);
-            all += credit;
-            left += (credit - f64::from(s.out)).max(0.0);
-        }
-        if all > 0.0 {
-            left / all
-        } else {
-            0.0
+        let (mut all, mut out) = (0.0, 0.0);
+        for s in self.servers.items.iter() {
+            if s.health == Health::Ready && s.standing != Standing::Aside {
+                all += s.credits;
+                out += f64::from(s.out);
+            }
         }
+        1.0 - out / f64::max(all, 1.0)
     }
 
     // ---- how forwards end
@@ -595,16 +597,15 @@
         let spare = self.spare();
         let s = &mut self.servers[server];
         s.out = s.out.saturating_sub(1);
-        let used = f64::from(s.out) + 1.0 >= s.credits.floor();
+        let used = f64::from(s.out) + 1.0 >= s.credits.floor() && s.busy < 0.98;
         match how {
             Outcome::Ok => {
                 s.answered_at = self.now;
                 s.rtt += 0.1 * (rtt - s.rtt);
                 self.typical += 0.02 * (rtt - self.typical);
-                if rtt > 0.7 * slo {
-                    s.credits = (s.credits * 0.85).max(1.0);
-                } else if used && rtt < 0.4 * slo && s.busy < 0.95 {
-                    s.credits = (s.credits + 0.5 / s.credits).min(CREDIT_TOP);
+                let step = AIM_SHARE - (rtt / slo).min(1.0);
+                if used || step < 0.0 {
+                    s.credits = (s.credits + CREDIT_GAIN * step).clamp(CREDIT_LEAST, CREDIT_TOP);
                 }
                 s.bad = 0;
                 let fade = (-(self.now - self.answered_at) / 5000.0).exp();
@@ -613,11 +614,11 @@
                 self.mark(server, Mark::Good);
             }
             Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Full => s.credits = (s.credits * 0.7).max(1.0),
+            Outcome::Full => s.credits = (s.credits * 0.7).max(CREDIT_LEAST),
             Outcome::TimedOut | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
                 // A server that fails quickly must not look quick.
                 s.rtt = s.rtt.max(slo / 4.0);
-                s.credits = (s.credits * 0.7).max(1.0);
+                s.credits = (s.credits * 0.7).max(CREDIT_LEAST);
                 s.bad += 1;
                 if s.bad >= 3 && spare > 0.0 {
                     self.mark(server, Mark::Bad);
