One fleet-wide ease shrinks all credits within a few answers

Cause: after capacity was lost every server was overdriven and each got too few answers for its own credits to fall. Also meant against shared slowdowns; may hurt where a few very slow answers are not the fleet's fault.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -20,6 +20,10 @@
 /// The share of the SLO time that an answer should take: less earns credit, more costs it.
 const AIM_SHARE: f64 = 0.3;
 const CREDIT_GAIN: f64 = 0.3;
+/// All credits shrink together within a few answers: a fleet that is overdriven as a whole (capacity lost,
+/// a shared slowdown, work piled up) gives each server too few answers for its own credits to follow.
+const EASE_GAIN: f64 = 0.1;
+const EASE_LEAST: f64 = 0.05;
 const CREDIT_LEAST: f64 = 0.2;
 const IDLE: Ms = 90_000.0;
 
@@ -70,6 +74,7 @@
     waiting: Vec<usize>,
     live: Vec<usize>,
     typical: Ms,
+    ease: f64,
     answered_rate: f64,
     answered_at: Ms,
     swept_at: Ms,
@@ -146,6 +151,7 @@
             waiting: Vec::new(),
             live: Vec::new(),
             typical: s.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min) / 4.0,
+            ease: 1.0,
             answered_rate: 0.0,
             answered_at: now,
             swept_at: now,
@@ -559,7 +565,7 @@
                 out += f64::from(s.out);
             }
         }
-        1.0 - out / f64::max(all, 1.0)
+        1.0 - out / f64::max(all * self.ease, 1.0)
     }
 
     // ---- how forwards end
@@ -604,6 +610,7 @@
                 s.rtt += 0.1 * (rtt - s.rtt);
                 self.typical += 0.02 * (rtt - self.typical);
                 let step = AIM_SHARE - (rtt / slo).min(1.0);
+                self.ease = (self.ease * (1.0 + EASE_GAIN * step)).clamp(EASE_LEAST, 1.0);
                 if used || step < 0.0 {
                     s.credits = (s.credits + CREDIT_GAIN * step).clamp(CREDIT_LEAST, CREDIT_TOP);
                 }
