--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -5,6 +5,7 @@
 
 use crate::api::*;
 use crate::state::*;
+use std::collections::VecDeque;
 
 const BEAT: Ms = 5.0;
 const PROBE_EVERY: Ms = 1000.0;
@@ -24,6 +25,7 @@
 /// a shared slowdown, work piled up) gives each server too few answers for its own credits to follow.
 const EASE_GAIN: f64 = 0.1;
 const EASE_LEAST: f64 = 0.05;
+const SETTLE_AFTER: Ms = 200.0;
 const SHARE_TIME: Ms = 10_000.0;
 const CREDIT_LEAST: f64 = 0.2;
 const IDLE: Ms = 90_000.0;
@@ -72,6 +74,7 @@
     servers: Slab<Server>,
     accts: Slab<Acct>,
     queries: Slab<Query>,
+    owed: VecDeque<(usize, Ms)>,
     waiting: Vec<usize>,
     live: Vec<usize>,
     typical: Ms,
@@ -149,6 +152,7 @@
             servers: Slab::default(),
             accts: Slab::default(),
             queries: Slab::default(),
+            owed: VecDeque::new(),
             waiting: Vec::new(),
             live: Vec::new(),
             typical: s.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min) / 4.0,
@@ -284,6 +288,7 @@
                     self.signal(Signal::Settled);
                 }
             }
+            Asker::Settle => {}
             Asker::Probe => {
                 self.counter_probing = false;
                 if answered {
@@ -363,7 +368,8 @@
         if inside {
             a.level -= q.units;
         } else {
-            a.carry -= q.units;
+            let (at, units) = (q.acct, q.units);
+            self.owe(at, -units);
         }
         self.admit(slot, inside);
     }
@@ -389,7 +395,8 @@
                 a.level -= q.units;
             }
         } else if !log {
-            a.carry -= q.units;
+            let (at, units) = (q.acct, q.units);
+            self.owe(at, -units);
         }
         self.admit(slot, inside);
     }
@@ -703,9 +710,9 @@
             self.acts.push(Action::Drop { id });
         }
         if q.sent == 0 && q.stage == Stage::Waiting && q.inside {
-            let a = &mut self.accts[q.acct];
-            a.carry -= q.units;
-            a.level += q.units;
+            let (at, units) = (q.acct, q.units);
+            self.accts[at].level += units;
+            self.owe(at, -units);
         }
         self.close(slot);
     }
@@ -838,6 +845,7 @@
             self.counter_probe_at = self.now + PROBE_EVERY;
             self.call(self.probe_acct, Asker::Probe, 0.0);
         }
+        self.settle();
         self.refill_cold();
         self.watch_servers();
         let mut i = 0;
@@ -853,6 +861,26 @@
         }
     }
 
+    /// A refund waits a moment for the customer's next add; if none comes it goes by itself, lest the other
+    /// limiters take refused units for use for as long as this one hears nothing of the customer.
+    fn settle(&mut self) {
+        while let Some(&(at, due)) = self.owed.front().filter(|o| o.1 <= self.now) {
+            self.owed.pop_front();
+            let a = &mut self.accts[at];
+            if self.breaker == Breaker::Closed && a.carry != 0.0 && a.carry_at + SETTLE_AFTER <= due {
+                let add = std::mem::take(&mut a.carry);
+                self.call(at, Asker::Settle, add);
+            }
+        }
+    }
+
+    fn owe(&mut self, at: usize, units: f64) {
+        let a = &mut self.accts[at];
+        a.carry += units;
+        a.carry_at = self.now;
+        self.owed.push_back((at, self.now + SETTLE_AFTER));
+    }
+
     fn watch_servers(&mut self) {
         let spare = self.spare();
         for i in 0..self.servers.items.len() {
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -101,6 +101,7 @@
 pub enum Asker {
     Query(usize),
     Replay(f64),
+    Settle,
     Probe,
 }
 
@@ -119,6 +120,7 @@
     pub total: f64,
     pub seen: bool,
     pub carry: f64,
+    pub carry_at: Ms,
     pub unsure: f64,
     pub mine: f64,
     pub all: f64,
