Replay is paced: four sums out at a time

Also meant against any slow counter; hurts only by keeping the breaker local some round trips longer.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -25,6 +25,7 @@
 /// a shared slowdown, work piled up) gives each server too few answers for its own credits to follow.
 const EASE_GAIN: f64 = 0.1;
 const EASE_LEAST: f64 = 0.05;
+const REPLAYS_OUT: u32 = 4;
 const SETTLE_AFTER: Ms = 200.0;
 const SHARE_TIME: Ms = 10_000.0;
 const CREDIT_LEAST: f64 = 0.2;
@@ -74,6 +75,7 @@
     servers: Slab<Server>,
     accts: Slab<Acct>,
     queries: Slab<Query>,
+    logged: Vec<usize>,
     owed: VecDeque<(usize, Ms)>,
     waiting: Vec<usize>,
     live: Vec<usize>,
@@ -152,6 +154,7 @@
             servers: Slab::default(),
             accts: Slab::default(),
             queries: Slab::default(),
+            logged: Vec::new(),
             owed: VecDeque::new(),
             waiting: Vec::new(),
             live: Vec::new(),
@@ -281,11 +284,11 @@
             }
             Asker::Replay(sum) => {
                 self.replays = self.replays.saturating_sub(1);
-                self.accts[at].level -= if answered { sum } else { 0.0 };
-                if !answered {
+                self.accts[at].level -= sum;
+                if answered {
+                    self.replay();
+                } else {
                     self.signal(Signal::ReplayLost);
-                } else if self.replays == 0 {
-                    self.signal(Signal::Settled);
                 }
             }
             Asker::Settle => {}
@@ -308,14 +311,17 @@
         }
     }
 
+    /// A few sums at a time: all customers' at once would fill the counter's line, fail, and open the
+    /// breaker again, for ever.
     fn replay(&mut self) {
         self.failures = 0;
-        for at in 0..self.accts.items.len() {
-            let window = self.fig.plans[self.accts[at].plan].window;
-            let since = self.now - window;
-            let sum: f64 = self.accts[at].log.drain(..).filter(|g| g.0 >= since).map(|g| g.1).sum();
-            if sum > 0.0 {
-                let add = sum + std::mem::take(&mut self.accts[at].carry);
+        while self.breaker == Breaker::Replaying && self.replays < REPLAYS_OUT {
+            let Some(at) = self.logged.pop() else { break };
+            let since = self.now - self.fig.plans[self.accts[at].plan].window;
+            let a = &mut self.accts[at];
+            let sum: f64 = a.log.drain(..).filter(|g| g.0 >= since).map(|g| g.1).sum();
+            let add = sum + std::mem::take(&mut a.carry);
+            if add != 0.0 {
                 self.replays += 1;
                 self.call(at, Asker::Replay(sum), add);
             }
@@ -387,6 +393,9 @@
         if inside {
             a.local -= q.units;
             if log {
+                if a.log.is_empty() {
+                    self.logged.push(q.acct);
+                }
                 a.log.push_back((self.now, q.units));
                 while a.log.front().is_some_and(|g| g.0 < self.now - fig.window) {
                     a.log.pop_front();
