--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -225,13 +225,7 @@
         if self.fig.plans[plan].rate <= 0.0 {
             self.admit(slot, true);
         } else if self.fig.counter && self.breaker == Breaker::Closed {
-            // Units that the last total leaves no room for are asked about first and added if admitted:
-            // left counted until refunded, they would shut out the customer at the other limiters.
-            let fig = &self.fig.plans[plan];
-            let room = (a.level + fig.rate * (self.now - a.at)).min(fig.burst);
-            let adds = if room >= units { units } else { 0.0 };
-            let add = adds + std::mem::take(&mut a.carry);
-            self.queries[slot].added = adds;
+            let add = units + std::mem::take(&mut a.carry);
             self.queries[slot].counting = true;
             self.call(acct, Asker::Query(slot), add);
         } else {
@@ -375,13 +369,13 @@
 
     fn decide(&mut self, slot: usize) {
         let q = &self.queries[slot];
-        let (at, units, added) = (q.acct, q.units, q.added);
-        let a = &mut self.accts[at];
-        let inside = a.level >= units;
-        let takes = if inside { units } else { 0.0 };
-        a.level -= takes;
-        if takes != added {
-            self.owe(at, takes - added);
+        let a = &mut self.accts[q.acct];
+        let inside = a.level >= q.units;
+        if inside {
+            a.level -= q.units;
+        } else {
+            let (at, units) = (q.acct, q.units);
+            self.owe(at, -units);
         }
         self.admit(slot, inside);
     }
@@ -409,10 +403,9 @@
             } else {
                 a.level -= q.units;
             }
-        }
-        if !log {
-            let (at, takes) = (q.acct, if inside { q.units } else { 0.0 } - q.added);
-            self.owe(at, takes);
+        } else if !log {
+            let (at, units) = (q.acct, q.units);
+            self.owe(at, -units);
         }
         self.admit(slot, inside);
     }
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -156,7 +156,6 @@
     pub until: Ms,
     pub slo_at: Ms,
     pub counting: bool,
-    pub added: f64,
     pub inside: bool,
     pub streaming: bool,
     pub tries: [Try; MOST_FORWARDS],
