--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -26,6 +26,7 @@
 const EASE_GAIN: f64 = 0.1;
 const EASE_LEAST: f64 = 0.05;
 const REPLAYS_OUT: u32 = 4;
+const STRAINED_FOR: Ms = 2000.0;
 const SETTLE_AFTER: Ms = 200.0;
 const SHARE_TIME: Ms = 10_000.0;
 const CREDIT_LEAST: f64 = 0.2;
@@ -68,6 +69,7 @@
     chance: Chance,
     breaker: Breaker,
     failures: u32,
+    strained_until: Ms,
     probe_acct: usize,
     counter_probe_at: Ms,
     counter_probing: bool,
@@ -147,6 +149,7 @@
             chance: Chance((seed | 1) & 0x7fff_ffff_ffff_ffff),
             breaker: Breaker::Closed,
             failures: 0,
+            strained_until: now,
             probe_acct: 0,
             counter_probe_at: 0.0,
             counter_probing: false,
@@ -225,6 +228,13 @@
         if self.fig.plans[plan].rate <= 0.0 {
             self.admit(slot, true);
         } else if self.fig.counter && self.breaker == Breaker::Closed {
+            let fig = &self.fig.plans[plan];
+            let room = a.level + fig.rate * (self.now - a.at);
+            // A counter that just failed is short of calls: none is spent on what even the whole refill
+            // since the last total leaves no room for.
+            if self.now < self.strained_until && a.seen && room < units {
+                return self.admit(slot, false);
+            }
             let add = units + std::mem::take(&mut a.carry);
             self.queries[slot].counting = true;
             self.call(acct, Asker::Query(slot), add);
@@ -267,6 +277,7 @@
                 a.carry += call.add;
             }
             self.failures += 1;
+            self.strained_until = self.now + STRAINED_FOR;
             if self.failures >= FAILURES && self.breaker == Breaker::Closed {
                 self.probe_acct = at;
                 self.signal(Signal::Failures);
