--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -19,10 +19,11 @@
 const CREDIT_START: f64 = 6.0;
 const CREDIT_TOP: f64 = 12.0;
 /// The share of the SLO time that an answer should take: less earns credit, more costs it.
-const AIM_SHARE: f64 = 0.3;
+const AIM_SHARE: f64 = 0.25;
 const CREDIT_GAIN: f64 = 0.3;
 /// All credits shrink together within a few answers: a fleet that is overdriven as a whole (capacity lost,
 /// a shared slowdown, work piled up) gives each server too few answers for its own credits to follow.
+const BASE_TIMES: f64 = 1.5;
 const EASE_GAIN: f64 = 0.1;
 const EASE_LEAST: f64 = 0.05;
 const REPLAYS_OUT: u32 = 4;
@@ -81,6 +82,7 @@
     owed: VecDeque<(usize, Ms)>,
     waiting: Vec<usize>,
     live: Vec<usize>,
+    paces: Vec<Pace>,
     typical: Ms,
     ease: f64,
     answered_rate: f64,
@@ -162,6 +164,7 @@
             waiting: Vec::new(),
             live: Vec::new(),
             typical: s.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min) / 4.0,
+            paces: s.groups.iter().map(|_| Pace::default()).collect(),
             ease: 1.0,
             answered_rate: 0.0,
             answered_at: now,
@@ -613,13 +616,13 @@
             return;
         }
         q.tries[n].end = Some(how);
-        let (server, acct, slo) = (q.tries[n].server, q.acct, self.fig.groups[q.group].slo);
+        let (server, acct, group) = (q.tries[n].server, q.acct, q.group);
         if self.fig.settles && how == Outcome::Ok && q.inside && q.stage != Stage::Over {
             self.accts[acct].carry += actual - q.units;
             self.accts[acct].level -= actual - q.units;
         }
         self.report(server, load);
-        self.learn(server, how, rtt, slo);
+        self.learn(server, how, rtt, group);
         if over {
             self.close(slot);
         } else if self.queries[slot].stage != Stage::Over {
@@ -634,7 +637,24 @@
         self.dispatch();
     }
 
-    fn learn(&mut self, server: usize, how: Outcome, rtt: Ms, slo: Ms) {
+    /// A target under what an idle server needs would starve the fleet, so it stands on the least block mean
+    /// seen lately; that grows slowly, to follow a lasting change of the work.
+    fn target(&mut self, group: usize, rtt: Ms) -> f64 {
+        let slo = self.fig.groups[group].slo;
+        let p = &mut self.paces[group];
+        p.sum += rtt;
+        p.n += 1.0;
+        if p.n >= 30.0 {
+            let mean = p.sum / p.n;
+            p.base = if p.base > 0.0 { mean.min(p.base * 1.05) } else { mean };
+            (p.sum, p.n) = (0.0, 0.0);
+        }
+        (BASE_TIMES * p.base / slo).clamp(AIM_SHARE, 0.6)
+    }
+
+    fn learn(&mut self, server: usize, how: Outcome, rtt: Ms, group: usize) {
+        let slo = self.fig.groups[group].slo;
+        let target = if how == Outcome::Ok { self.target(group, rtt) } else { AIM_SHARE };
         let spare = self.spare();
         let s = &mut self.servers[server];
         s.out = s.out.saturating_sub(1);
@@ -644,7 +664,7 @@
                 s.answered_at = self.now;
                 s.rtt += 0.1 * (rtt - s.rtt);
                 self.typical += 0.02 * (rtt - self.typical);
-                let step = AIM_SHARE - (rtt / slo).min(1.0);
+                let step = target - (rtt / slo).min(1.0);
                 self.ease = (self.ease * (1.0 + EASE_GAIN * step)).clamp(EASE_LEAST, 1.0);
                 if used || step < 0.0 {
                     s.credits = (s.credits + CREDIT_GAIN * step).clamp(CREDIT_LEAST, CREDIT_TOP);
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -169,6 +169,14 @@
     }
 }
 
+/// Answer times of one endpoint group: a block in the making and the least block mean.
+#[derive(Default)]
+pub struct Pace {
+    pub sum: Ms,
+    pub n: f64,
+    pub base: Ms,
+}
+
 pub struct GroupFig {
     pub slo: Ms,
     pub semantics: Semantics,
