--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -256,7 +256,8 @@
         let local = if fig.ceiling { 0.0 } else { fig.burst / spread };
         let share = 1.0 / spread;
         let (level, at, local_at, over_at) = (fig.burst, self.now, self.now, self.now);
-        self.accts.add(id, Acct { id, plan, spread, level, at, local, local_at, over_at, share, ..Acct::default() })
+        self.accts
+            .add(id, Acct { id, plan, spread, level, at, local, local_at, over_at, share, ..Acct::default() })
     }
 
     fn call(&mut self, acct: usize, asker: Asker, add: f64) {
