--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -656,7 +656,6 @@
     fn learn(&mut self, server: usize, how: Outcome, rtt: Ms, group: usize) {
         let slo = self.fig.groups[group].slo;
         let target = if how == Outcome::Ok { self.target(group, rtt) } else { AIM_SHARE };
-        let spare = self.spare();
         let s = &mut self.servers[server];
         s.out = s.out.saturating_sub(1);
         let used = f64::from(s.out) + 1.0 >= s.credits.floor() && s.busy < 0.98;
@@ -677,19 +676,29 @@
                 self.mark(server, Mark::Good);
             }
             Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Full => s.credits = (s.credits * 0.7).max(CREDIT_LEAST),
-            Outcome::TimedOut | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
+            Outcome::Full | Outcome::TimedOut | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
                 // A server that fails quickly must not look quick.
                 s.rtt = s.rtt.max(slo / 4.0);
                 s.credits = (s.credits * 0.7).max(CREDIT_LEAST);
                 s.bad += 1;
-                if s.bad >= 3 && spare > 0.0 {
-                    self.mark(server, Mark::Bad);
+                if s.bad >= 3 || s.standing == Standing::Trial {
+                    self.set_aside(server);
                 }
             }
         }
     }
 
+    /// Where a third of the fleet is aside the trouble is not single servers': a shared slowdown or a cut
+    /// must not set the rest aside too.
+    fn set_aside(&mut self, server: usize) {
+        let ready = self.servers.items.iter().filter(|s| s.health == Health::Ready);
+        let (all, aside) =
+            ready.fold((0, 0), |n, s| (n.0 + 1, n.1 + u32::from(s.standing != Standing::Ready)));
+        if 3 * aside < all || self.servers[server].standing == Standing::Trial {
+            self.mark(server, Mark::Bad);
+        }
+    }
+
     fn mark(&mut self, server: usize, mark: Mark) {
         let now = self.now;
         let s = &mut self.servers[server];
@@ -923,13 +932,12 @@
     }
 
     fn watch_servers(&mut self) {
-        let spare = self.spare();
         for i in 0..self.servers.items.len() {
             let s = &self.servers[i];
             let silent = if s.out > 0 { self.now - s.answered_at.max(s.sent_at) } else { 0.0 };
-            // A hang answers nothing while the fleet goes on; when all are silent none is set aside.
-            if s.standing != Standing::Aside && silent > 8.0 * self.typical && spare > 0.0 {
-                self.mark(i, Mark::Bad);
+            // A hang answers nothing while the fleet goes on.
+            if s.standing != Standing::Aside && silent > 8.0 * self.typical {
+                self.set_aside(i);
             }
             let s = &mut self.servers[i];
             let every = if s.standing == Standing::Aside { 250.0 } else { 2.0 * PROBE_EVERY };
