A full server rests half a typical rtt and keeps a credit

Told from slow servers by answers staying quick (p50 0.18 s) while a third of the forwards come back full.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -480,6 +480,7 @@
     fn usable(&self, s: &Server) -> bool {
         s.health == Health::Ready
             && s.standing != Standing::Aside
+            && self.now >= s.rest_until
             && f64::from(s.out) < self.credit(s)
             && (!self.cold(s) || s.cold_left >= 1.0)
     }
@@ -659,6 +660,7 @@
         let s = &mut self.servers[server];
         s.out = s.out.saturating_sub(1);
         let used = f64::from(s.out) + 1.0 >= s.credits.floor() && s.busy < 0.98;
+        let mut bad = 0.0;
         match how {
             Outcome::Ok => {
                 s.answered_at = self.now;
@@ -669,23 +671,32 @@
                 if used || step < 0.0 {
                     s.credits = (s.credits + CREDIT_GAIN * step).clamp(CREDIT_LEAST, CREDIT_TOP);
                 }
-                s.bad = 0;
+                s.bad = 0.0;
                 let fade = (-(self.now - self.answered_at) / 5000.0).exp();
                 self.answered_rate = self.answered_rate * fade + 1.0 / 5000.0;
                 self.answered_at = self.now;
                 self.mark(server, Mark::Good);
             }
             Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Full | Outcome::TimedOut | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
+            Outcome::Full => {
+                // Turned away unseen costs little and tells only that the server holds enough: it rests
+                // for about as long as a place takes to come free, and keeps a credit.
+                s.rest_until = self.now + 0.5 * self.typical;
+                s.credits = (0.9 * s.credits).max(s.credits.min(1.0));
+                s.bad += 0.5;
+                bad = s.bad;
+            }
+            Outcome::TimedOut | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
                 // A server that fails quickly must not look quick.
                 s.rtt = s.rtt.max(slo / 4.0);
                 s.credits = (s.credits * 0.7).max(CREDIT_LEAST);
-                s.bad += 1;
-                if s.bad >= 3 || s.standing == Standing::Trial {
-                    self.set_aside(server);
-                }
+                s.bad += 1.0;
+                bad = s.bad;
             }
         }
+        if bad >= 3.0 || bad > 0.0 && self.servers[server].standing == Standing::Trial {
+            self.set_aside(server);
+        }
     }
 
     /// Where a third of the fleet is aside the trouble is not single servers': a shared slowdown or a cut
@@ -704,7 +715,7 @@
         let s = &mut self.servers[server];
         let Some(row) = STANDING.iter().find(|r| r.0 == s.standing && r.1 == mark) else { return };
         s.standing = row.2;
-        s.bad = 0;
+        s.bad = 0.0;
         s.probes = 0;
         match (row.1, row.2) {
             (_, Standing::Aside) => {
@@ -847,7 +858,8 @@
             rtt: self.typical,
             answered_at: self.now,
             sent_at: self.now,
-            bad: 0,
+            bad: 0.0,
+            rest_until: self.now,
             probed_at: self.now,
             probing: false,
             probes: 0,
