A customer avoids for 4 s the servers that turned it away

Told by plan: enterprise 31% full, business and starter none, answers quick. Also meant for per-customer limits behind the servers; may hurt when all servers are briefly full: it then waits for the rest.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -28,6 +28,7 @@
 const EASE_LEAST: f64 = 0.05;
 const REPLAYS_OUT: u32 = 4;
 const STRAINED_FOR: Ms = 2000.0;
+const SHUN_FOR: Ms = 4000.0;
 const SETTLE_AFTER: Ms = 200.0;
 const SHARE_TIME: Ms = 10_000.0;
 const CREDIT_LEAST: f64 = 0.2;
@@ -493,11 +494,13 @@
     }
 
     fn pick(&mut self, slot: usize) -> Option<usize> {
+        let a = &self.accts[self.queries[slot].acct];
+        let shunned = if self.now < a.shunned_until { a.shunned } else { 0 };
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.servers.items.len() {
             let jitter = 0.95 + 0.1 * self.chance.roll();
             let s = &self.servers[i];
-            if self.usable(s) && self.reaches(slot, i) {
+            if self.usable(s) && shunned >> (i % 64) & 1 == 0 && self.reaches(slot, i) {
                 let cost = self.cost(s) * jitter;
                 if best.is_none_or(|b| cost < b.0) {
                     best = Some((cost, i));
@@ -623,6 +626,12 @@
             self.accts[acct].carry += actual - q.units;
             self.accts[acct].level -= actual - q.units;
         }
+        if how == Outcome::Full {
+            // Servers may turn one customer away and serve the rest: it is sent elsewhere for a while.
+            let a = &mut self.accts[acct];
+            a.shunned = if self.now < a.shunned_until { a.shunned } else { 0 } | 1 << (server % 64);
+            a.shunned_until = self.now + SHUN_FOR;
+        }
         self.report(server, load);
         self.learn(server, how, rtt, group);
         if over {
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -132,6 +132,9 @@
     pub over_at: Ms,
     pub log: VecDeque<(Ms, f64)>,
     pub calls: VecDeque<Call>,
+    /// Servers (by place, modulo 64) that turned this customer away lately.
+    pub shunned: u64,
+    pub shunned_until: Ms,
     pub out: u32,
     pub in_hand: u32,
     pub used_at: Ms,
