Ceiling: the counter proves the quota, all else comes from a limiter's own part; calls paced

Now counted grants need a proof from the totals, local ones and those beyond the quota a split part of what lies between quota and ceiling; both start empty. May hurt: an outage leaves a ceilinged plan only its part; low ceilings feel it most.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -12,9 +12,9 @@
 const FAILURES: u32 = 3;
 /// A name lives as long as the counter allows: each rebirth hides what others added just before it.
 const NAME_TTL: Ms = 60_000.0;
-/// Share of what lies between quota and ceiling that is ever given away: the rest pays for grants that
-/// the counter has not seen (outages, restarts, timed-out adds, queries that wait after their add).
-const OVER_SHARE: f64 = 0.5;
+/// Share of what lies between quota and ceiling that limiters split and grant without proof; the rest is
+/// slack for the granted part that the counter proves.
+const OVER_SHARE: f64 = 0.9;
 /// Credits on one server at the start, over all limiters, and what one limiter may come to hold.
 const CREDIT_START: f64 = 6.0;
 const CREDIT_TOP: f64 = 12.0;
@@ -29,6 +29,9 @@
 const REPLAYS_OUT: u32 = 4;
 const STRAINED_FOR: Ms = 2000.0;
 const SHUN_FOR: Ms = 4000.0;
+const CALL_LEAST: f64 = 5.0;
+const CALL_GROWTH: f64 = 0.0003;
+const CUT_EVERY: Ms = 100.0;
 const SETTLE_AFTER: Ms = 200.0;
 const SHARE_TIME: Ms = 10_000.0;
 const CREDIT_LEAST: f64 = 0.2;
@@ -72,6 +75,12 @@
     breaker: Breaker,
     failures: u32,
     strained_until: Ms,
+    /// Calls a second allowed, left and seen of late.
+    call_rate: f64,
+    call_left: f64,
+    calls_seen: f64,
+    paced_at: Ms,
+    cut_at: Ms,
     probe_acct: usize,
     counter_probe_at: Ms,
     counter_probing: bool,
@@ -111,6 +120,8 @@
             open: p.open,
             over_rate: part(p.ceiling_rate, p.rate) / 1000.0,
             over_burst: part(p.ceiling_burst, p.burst),
+            proof_rate: (p.ceiling_rate / 1000.0 - part(p.ceiling_rate, p.rate) / 1000.0).max(0.0),
+            proof_burst: p.ceiling_burst - part(p.ceiling_burst, p.burst),
             ceiling,
         }
     };
@@ -153,6 +164,11 @@
             breaker: Breaker::Closed,
             failures: 0,
             strained_until: now,
+            call_rate: f64::INFINITY,
+            call_left: 1.0,
+            calls_seen: 0.0,
+            paced_at: now,
+            cut_at: now,
             probe_acct: 0,
             counter_probe_at: 0.0,
             counter_probing: false,
@@ -239,8 +255,13 @@
             if self.now < self.strained_until && a.seen && room < units {
                 return self.admit(slot, false);
             }
+            if !self.may_call() {
+                return self.decide_locally(slot, false);
+            }
+            let a = &mut self.accts[acct];
             let add = units + std::mem::take(&mut a.carry);
             self.queries[slot].counting = true;
+            self.queries[slot].added = units;
             self.call(acct, Asker::Query(slot), add);
         } else {
             self.decide_locally(slot, true);
@@ -261,7 +282,33 @@
             .add(id, Acct { id, plan, spread, level, at, local, local_at, over_at, share, ..Acct::default() })
     }
 
+    /// Calls are paced like sends once they fail: a counter past its limit turns most calls away or answers
+    /// too late, and all limiters would swing between all calls and none. Unpaced until the first failure.
+    fn may_call(&mut self) -> bool {
+        let gap = self.now - self.paced_at;
+        self.paced_at = self.now;
+        self.call_rate *= 1.0 + CALL_GROWTH * gap;
+        self.calls_seen *= (-gap / 1000.0).exp();
+        if self.call_rate > 3.0 * self.calls_seen.max(CALL_LEAST) {
+            self.call_rate = f64::INFINITY;
+            self.call_left = 1.0;
+        } else {
+            self.call_left = (self.call_left + self.call_rate * gap / 1000.0).min(2.0);
+        }
+        self.call_left >= 1.0
+    }
+
+    fn slow_down(&mut self) {
+        self.strained_until = self.now + STRAINED_FOR;
+        if self.now >= self.cut_at + CUT_EVERY {
+            self.cut_at = self.now;
+            self.call_rate = (0.7 * self.call_rate.min(self.calls_seen)).max(CALL_LEAST);
+        }
+    }
+
     fn call(&mut self, acct: usize, asker: Asker, add: f64) {
+        self.calls_seen += 1.0;
+        self.call_left -= 1.0;
         let a = &mut self.accts[acct];
         a.calls.push_back(Call { asker, add });
         self.acts.push(Action::Count { name: a.id, add: add as f32, ttl: NAME_TTL });
@@ -282,7 +329,7 @@
                 a.carry += call.add;
             }
             self.failures += 1;
-            self.strained_until = self.now + STRAINED_FOR;
+            self.slow_down();
             if self.failures >= FAILURES && self.breaker == Breaker::Closed {
                 self.probe_acct = at;
                 self.signal(Signal::Failures);
@@ -357,9 +404,16 @@
         // A total far below what this limiter has read betrays a lost name (flush, empty return, end of
         // its time): the level goes on, so nobody is handed a fresh burst. Refunds only lower it a little.
         let noise = self.fig.units_top * a.spread;
-        if !a.seen || others < -noise - a.unsure.abs() {
+        let reborn = !a.seen || others < -noise - a.unsure.abs();
+        if reborn {
             others = (total - add).max(0.0);
         }
+        // What the counter proves of the ceiling is taken the other way: others' use at its latest, nothing
+        // from before a name that was lost or an instance that was not there.
+        a.proof = (a.proof + fig.proof_rate * (self.now - a.at)).min(fig.proof_burst) - others;
+        if reborn {
+            a.proof = 0.0;
+        }
         let filled = fig.rate * (self.now - a.at);
         if !a.seen && others > fig.burst {
             // A name older than this instance tells use but not its time.
@@ -385,12 +439,15 @@
 
     fn decide(&mut self, slot: usize) {
         let q = &self.queries[slot];
-        let a = &mut self.accts[q.acct];
-        let inside = a.level >= q.units;
+        let (at, units) = (q.acct, q.units);
+        let a = &mut self.accts[at];
+        let proven = a.proof >= units || !self.fig.plans[a.plan].ceiling;
+        let inside = a.level >= units && (proven || self.spend_over(slot, 0.0));
+        let a = &mut self.accts[at];
         if inside {
-            a.level -= q.units;
+            a.level -= units;
+            a.proof -= if proven { units } else { 0.0 };
         } else {
-            let (at, units) = (q.acct, q.units);
             self.owe(at, -units);
         }
         self.admit(slot, inside);
@@ -405,7 +462,10 @@
         let (cap, rate) = (fig.burst * a.share, fig.rate * a.share);
         a.local = (a.local + rate * (self.now - a.local_at)).min(cap.max(q.units));
         a.local_at = self.now;
-        let inside = a.local >= q.units;
+        let inside = a.local >= q.units && self.spend_over(slot, 0.0);
+        let q = &self.queries[slot];
+        let a = &mut self.accts[q.acct];
+        let fig = &self.fig.plans[a.plan];
         if inside {
             a.local -= q.units;
             if log {
@@ -419,9 +479,10 @@
             } else {
                 a.level -= q.units;
             }
-        } else if !log {
-            let (at, units) = (q.acct, q.units);
-            self.owe(at, -units);
+        }
+        let (at, owed) = (q.acct, if inside { q.units } else { 0.0 } - q.added);
+        if !log && owed != 0.0 {
+            self.owe(at, owed);
         }
         self.admit(slot, inside);
     }
@@ -432,7 +493,7 @@
         q.inside = inside;
         if !inside {
             q.worth *= fig.over_worth;
-            if fig.over_worth <= 0.0 || self.breaker != Breaker::Closed || !self.spend_over(slot) {
+            if fig.over_worth <= 0.0 || self.breaker != Breaker::Closed || !self.spend_over(slot, 0.5) {
                 let a = &self.accts[self.queries[slot].acct as usize];
                 let fig = &self.fig.plans[a.plan];
                 let wait = (self.queries[slot].units - a.level).max(0.0) / fig.rate.max(1e-9);
@@ -447,9 +508,10 @@
         self.dispatch();
     }
 
-    /// A ceiling is held without the others' word: each limiter keeps to its part of what lies between
-    /// quota and ceiling, starting with none of it, so a restart or a swing of traffic adds nothing.
-    fn spend_over(&mut self, slot: usize) -> bool {
+    /// A ceiling is held without the others' word. The counter proves grants up to the quota; all else
+    /// (local count, beyond the quota) comes out of this limiter's part of what lies between quota and
+    /// ceiling, starting with none of it, so an outage, a restart or a swing of traffic adds nothing.
+    fn spend_over(&mut self, slot: usize, keep: f64) -> bool {
         let q = &self.queries[slot];
         let a = &mut self.accts[q.acct];
         let fig = &self.fig.plans[a.plan];
@@ -459,7 +521,7 @@
         let cap = fig.over_burst / a.spread;
         a.over = (a.over + fig.over_rate / a.spread * (self.now - a.over_at)).min(cap);
         a.over_at = self.now;
-        let can = a.over >= q.units;
+        let can = a.over - q.units >= keep * cap;
         a.over -= if can { q.units } else { 0.0 };
         can
     }
@@ -936,12 +998,15 @@
     /// limiters take refused units for use for as long as this one hears nothing of the customer.
     fn settle(&mut self) {
         while let Some(&(at, due)) = self.owed.front().filter(|o| o.1 <= self.now) {
-            self.owed.pop_front();
-            let a = &mut self.accts[at];
+            let a = &self.accts[at];
             if self.breaker == Breaker::Closed && a.carry != 0.0 && a.carry_at + SETTLE_AFTER <= due {
-                let add = std::mem::take(&mut a.carry);
+                if !self.may_call() {
+                    return;
+                }
+                let add = std::mem::take(&mut self.accts[at].carry);
                 self.call(at, Asker::Settle, add);
             }
+            self.owed.pop_front();
         }
     }
 
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -128,6 +128,7 @@
     pub share: f64,
     pub local: f64,
     pub local_at: Ms,
+    pub proof: f64,
     pub over: f64,
     pub over_at: Ms,
     pub log: VecDeque<(Ms, f64)>,
@@ -160,6 +161,7 @@
     pub until: Ms,
     pub slo_at: Ms,
     pub counting: bool,
+    pub added: f64,
     pub inside: bool,
     pub streaming: bool,
     pub tries: [Try; MOST_FORWARDS],
@@ -198,6 +200,8 @@
     pub open: u32,
     pub over_rate: f64,
     pub over_burst: f64,
+    pub proof_rate: f64,
+    pub proof_burst: f64,
     pub ceiling: bool,
 }
 
