--- a/crates/aspendrum-core/src/api.rs
+++ b/crates/aspendrum-core/src/api.rs
@@ -21,8 +21,9 @@
     Cell,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
+    #[default]
     Ready,
     Draining,
     Gone,
--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -4,8 +4,8 @@
 //! actions and settings are in `api.rs`; docs/design.md tells where each rule comes from.
 
 use crate::api::*;
+pub use crate::state::Control;
 use crate::state::*;
-use std::collections::VecDeque;
 
 const BEAT: Ms = 5.0;
 const PROBE_EVERY: Ms = 1000.0;
@@ -32,14 +32,16 @@
 const CALL_LEAST: f64 = 5.0;
 const CALL_GROWTH: f64 = 0.0003;
 const CUT_EVERY: Ms = 100.0;
+const CROSS_WEIGHT: f64 = 5.0;
 const SETTLE_AFTER: Ms = 200.0;
 const SHARE_TIME: Ms = 10_000.0;
 const CREDIT_LEAST: f64 = 0.2;
 const IDLE: Ms = 90_000.0;
 
-const BREAKER: [(Breaker, Signal, Breaker, Effect); 4] = [
+const BREAKER: [(Breaker, Signal, Breaker, Effect); 5] = [
     (Breaker::Closed, Signal::Failures, Breaker::Open, Effect::ProbeSoon),
     (Breaker::Open, Signal::ProbeAnswered, Breaker::Replaying, Effect::Replay),
+    (Breaker::Replaying, Signal::ReplayAnswered, Breaker::Replaying, Effect::Replay),
     (Breaker::Replaying, Signal::Settled, Breaker::Closed, Effect::Nothing),
     (Breaker::Replaying, Signal::ReplayLost, Breaker::Open, Effect::ProbeSoon),
 ];
@@ -67,125 +69,25 @@
     (Semantics::Mutating, Known::StillOut, Resend::No, May::Drop),
 ];
 
-pub struct Control {
-    now: Ms,
-    acts: Vec<Action>,
-    fig: Figures,
-    chance: Chance,
-    breaker: Breaker,
-    failures: u32,
-    strained_until: Ms,
-    /// Calls a second allowed, left and seen of late.
-    call_rate: f64,
-    call_left: f64,
-    calls_seen: f64,
-    paced_at: Ms,
-    cut_at: Ms,
-    probe_acct: usize,
-    counter_probe_at: Ms,
-    counter_probing: bool,
-    replays: u32,
-    servers: Slab<Server>,
-    accts: Slab<Acct>,
-    queries: Slab<Query>,
-    logged: Vec<usize>,
-    owed: VecDeque<(usize, Ms)>,
-    waiting: Vec<usize>,
-    live: Vec<usize>,
-    paces: Vec<Pace>,
-    typical: Ms,
-    ease: f64,
-    answered_rate: f64,
-    answered_at: Ms,
-    swept_at: Ms,
-}
-
-fn figures(s: &Settings) -> Figures {
-    let group = |g: &Group| GroupFig {
-        slo: g.slo,
-        semantics: g.semantics,
-        repeat_group: g.repeat_group,
-        window: g.repeat_window - 2.0 * BEAT,
-        importance: g.importance,
-    };
-    let plan = |p: &Plan| {
-        let ceiling = p.ceiling_rate > 0.0;
-        let part = |top: f64, quota: f64| (top - quota).max(0.0) * OVER_SHARE;
-        PlanFig {
-            rate: p.rate / 1000.0,
-            burst: p.burst,
-            window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
-            price: p.price,
-            over_worth: if p.over_cost > 0.0 { 0.0 } else { p.over_worth },
-            open: p.open,
-            over_rate: part(p.ceiling_rate, p.rate) / 1000.0,
-            over_burst: part(p.ceiling_burst, p.burst),
-            proof_rate: (p.ceiling_rate / 1000.0 - part(p.ceiling_rate, p.rate) / 1000.0).max(0.0),
-            proof_burst: p.ceiling_burst - part(p.ceiling_burst, p.burst),
-            ceiling,
-        }
-    };
-    Figures {
-        groups: s.groups.iter().map(group).collect(),
-        plans: s.plans.iter().map(plan).collect(),
-        report_busy: s.load_values.iter().position(|v| *v == LoadValue::CpuShare),
-        report_probes: s.reports == ReportsVia::Probes,
-        asks: s.discovery_asks,
-        counter: s.counter,
-        counter_wait: s.counter_wait,
-        may_cancel: s.may_cancel,
-        may_probe: s.may_probe,
-        copies: s.second_copies,
-        most: (s.send_cap as usize).clamp(1, MOST_FORWARDS),
-        advice: if s.retry_after { s.max_retry_after } else { 0.0 },
-        zone: s.zone,
-        cross: 1.0 + 5.0 * s.cross_zone_price,
-        units_top: s.units_top,
-        settles: s.cost_after,
-        credit_start: CREDIT_START / f64::from(s.instances),
-        cold_budget: s.fall_multiple * s.fall_window,
-        cold_share: s.cold_share,
-        cold_time: s.cold_time,
-        fall_window: s.fall_window,
-    }
-}
-
 impl Control {
     pub fn new(now: Ms, seed: u64, s: &Settings, out: &mut Vec<Action>) -> Self {
         out.push(Action::Timer { token: 0, wait: BEAT });
         if s.discovery_asks {
             out.push(Action::Watch { on: true });
         }
+        let fig = Figures::new(s);
+        let slo = fig.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min);
         Control {
             now,
-            acts: Vec::new(),
-            fig: figures(s),
-            chance: Chance((seed | 1) & 0x7fff_ffff_ffff_ffff),
-            breaker: Breaker::Closed,
-            failures: 0,
-            strained_until: now,
-            call_rate: f64::INFINITY,
-            call_left: 1.0,
-            calls_seen: 0.0,
-            paced_at: now,
-            cut_at: now,
-            probe_acct: 0,
-            counter_probe_at: 0.0,
-            counter_probing: false,
-            replays: 0,
-            servers: Slab::default(),
-            accts: Slab::default(),
-            queries: Slab::default(),
-            logged: Vec::new(),
-            owed: VecDeque::new(),
-            waiting: Vec::new(),
-            live: Vec::new(),
-            typical: s.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min) / 4.0,
-            paces: s.groups.iter().map(|_| Pace::default()).collect(),
+            chance: Chance::new(seed),
+            paces: fig.groups.iter().map(|_| Pace::default()).collect(),
+            typical: slo / 4.0,
             ease: 1.0,
-            answered_rate: 0.0,
+            pace: CallPace { call_rate: f64::INFINITY, ..CallPace::default() },
             answered_at: now,
             swept_at: now,
+            fig,
+            ..Control::default()
         }
     }
 
@@ -199,15 +101,9 @@
                 self.ended(id, usize::from(forward), outcome, rtt, over, f64::from(actual), &load);
             }
             Event::StreamStarted { id, .. } => {
-                if let Some(slot) = self.queries.find(id) {
-                    self.queries[slot].streaming = true;
-                }
-            }
-            Event::ClientLeft { id } => {
-                if let Some(slot) = self.queries.find(id) {
-                    self.close(slot);
-                }
+                self.queries.find(id).into_iter().for_each(|slot| self.queries[slot].streaming = true);
             }
+            Event::ClientLeft { id } => self.queries.find(id).into_iter().for_each(|slot| self.close(slot)),
             Event::Counted { name, outcome, total, .. } => self.counted(name, outcome, f64::from(total)),
             Event::Probed { server, outcome, load, .. } => self.probed(server, outcome, &load),
             Event::Timer { .. } => self.beat(),
@@ -228,18 +124,11 @@
         }
         let acct = self.acct(new.acct, plan, f64::from(new.spread).max(1.0));
         let units = f64::from(new.units).max(0.0);
-        let query = Query {
-            id: new.id,
-            group,
-            acct,
-            units,
-            since: self.now,
-            until: new.until,
-            slo_at: self.now + self.fig.groups[group].slo,
-            inside: true,
-            worth: self.fig.groups[group].importance * self.fig.plans[plan].price,
-            ..Query::default()
-        };
+        let g = &self.fig.groups[group];
+        let mut query =
+            Query { id: new.id, group, acct, units, since: self.now, until: new.until, ..Query::default() };
+        (query.inside, query.worth) = (true, g.importance * self.fig.plans[plan].price);
+        query.slo_at = self.now + g.slo;
         let slot = self.queries.add(new.id, query);
         self.live.push(slot);
         let a = &mut self.accts[acct];
@@ -252,7 +141,7 @@
             let room = a.level + fig.rate * (self.now - a.at);
             // A counter that just failed is short of calls: none is spent on what even the whole refill
             // since the last total leaves no room for.
-            if self.now < self.strained_until && a.seen && room < units {
+            if self.now < self.pace.strained_until && a.seen && room < units {
                 return self.admit(slot, false);
             }
             if !self.may_call() {
@@ -285,30 +174,30 @@
     /// Calls are paced like sends once they fail: a counter past its limit turns most calls away or answers
     /// too late, and all limiters would swing between all calls and none. Unpaced until the first failure.
     fn may_call(&mut self) -> bool {
-        let gap = self.now - self.paced_at;
-        self.paced_at = self.now;
-        self.call_rate *= 1.0 + CALL_GROWTH * gap;
-        self.calls_seen *= (-gap / 1000.0).exp();
-        if self.call_rate > 3.0 * self.calls_seen.max(CALL_LEAST) {
-            self.call_rate = f64::INFINITY;
-            self.call_left = 1.0;
+        let gap = self.now - self.pace.paced_at;
+        self.pace.paced_at = self.now;
+        self.pace.call_rate *= 1.0 + CALL_GROWTH * gap;
+        self.pace.calls_seen *= (-gap / 1000.0).exp();
+        if self.pace.call_rate > 3.0 * self.pace.calls_seen.max(CALL_LEAST) {
+            self.pace.call_rate = f64::INFINITY;
+            self.pace.call_left = 1.0;
         } else {
-            self.call_left = (self.call_left + self.call_rate * gap / 1000.0).min(2.0);
+            self.pace.call_left = (self.pace.call_left + self.pace.call_rate * gap / 1000.0).min(2.0);
         }
-        self.call_left >= 1.0
+        self.pace.call_left >= 1.0
     }
 
     fn slow_down(&mut self) {
-        self.strained_until = self.now + STRAINED_FOR;
-        if self.now >= self.cut_at + CUT_EVERY {
-            self.cut_at = self.now;
-            self.call_rate = (0.7 * self.call_rate.min(self.calls_seen)).max(CALL_LEAST);
+        self.pace.strained_until = self.now + STRAINED_FOR;
+        if self.now >= self.pace.cut_at + CUT_EVERY {
+            self.pace.cut_at = self.now;
+            self.pace.call_rate = (0.7 * self.pace.call_rate.min(self.pace.calls_seen)).max(CALL_LEAST);
         }
     }
 
     fn call(&mut self, acct: usize, asker: Asker, add: f64) {
-        self.calls_seen += 1.0;
-        self.call_left -= 1.0;
+        self.pace.calls_seen += 1.0;
+        self.pace.call_left -= 1.0;
         let a = &mut self.accts[acct];
         a.calls.push_back(Call { asker, add });
         self.acts.push(Action::Count { name: a.id, add: add as f32, ttl: NAME_TTL });
@@ -323,11 +212,7 @@
             self.read(at, total, call.add);
         } else {
             let a = &mut self.accts[at];
-            if outcome == Outcome::TimedOut {
-                a.unsure += call.add;
-            } else {
-                a.carry += call.add;
-            }
+            *(if outcome == Outcome::TimedOut { &mut a.unsure } else { &mut a.carry }) += call.add;
             self.failures += 1;
             self.slow_down();
             if self.failures >= FAILURES && self.breaker == Breaker::Closed {
@@ -337,9 +222,8 @@
         }
         match call.asker {
             Asker::Query(slot) => {
-                let q = &mut self.queries[slot];
-                q.counting = false;
-                match q.stage {
+                self.queries[slot].counting = false;
+                match self.queries[slot].stage {
                     Stage::Counting if answered => self.decide(slot),
                     Stage::Counting => self.decide_locally(slot, false),
                     _ => self.let_go(slot),
@@ -348,11 +232,7 @@
             Asker::Replay(sum) => {
                 self.replays = self.replays.saturating_sub(1);
                 self.accts[at].level -= sum;
-                if answered {
-                    self.replay();
-                } else {
-                    self.signal(Signal::ReplayLost);
-                }
+                self.signal(if answered { Signal::ReplayAnswered } else { Signal::ReplayLost });
             }
             Asker::Settle => {}
             Asker::Probe => {
@@ -410,11 +290,13 @@
         }
         // What the counter proves of the ceiling is taken the other way: others' use at its latest, nothing
         // from before a name that was lost or an instance that was not there.
-        a.proof = (a.proof + fig.proof_rate * (self.now - a.at)).min(fig.proof_burst) - others;
+        let filled = fig.rate * (self.now - a.at);
+        let rest = 1.0 - OVER_SHARE;
+        let top = fig.burst + rest * fig.over_burst;
+        a.proof = (a.proof + filled + rest * fig.over_rate * (self.now - a.at)).min(top) - others;
         if reborn {
             a.proof = 0.0;
         }
-        let filled = fig.rate * (self.now - a.at);
         if !a.seen && others > fig.burst {
             // A name older than this instance tells use but not its time.
             others = if fig.ceiling { fig.burst } else { fig.burst / 2.0 };
@@ -493,12 +375,10 @@
         q.inside = inside;
         if !inside {
             q.worth *= fig.over_worth;
-            if fig.over_worth <= 0.0 || self.breaker != Breaker::Closed || !self.spend_over(slot, 0.5) {
-                let a = &self.accts[self.queries[slot].acct as usize];
-                let fig = &self.fig.plans[a.plan];
-                let wait = (self.queries[slot].units - a.level).max(0.0) / fig.rate.max(1e-9);
-                self.give_up(slot, wait);
-                return;
+            let pays = fig.over_worth > fig.over_cost && self.breaker == Breaker::Closed;
+            let wait = (q.units - self.accts[q.acct].level).max(0.0) / fig.rate.max(1e-9);
+            if !pays || !self.spend_over(slot, 0.5) {
+                return self.give_up(slot, wait);
             }
         }
         let q = &mut self.queries[slot];
@@ -518,8 +398,8 @@
         if !fig.ceiling {
             return true;
         }
-        let cap = fig.over_burst / a.spread;
-        a.over = (a.over + fig.over_rate / a.spread * (self.now - a.over_at)).min(cap);
+        let cap = OVER_SHARE * fig.over_burst / a.spread;
+        a.over = (a.over + OVER_SHARE * fig.over_rate / a.spread * (self.now - a.over_at)).min(cap);
         a.over_at = self.now;
         let can = a.over - q.units >= keep * cap;
         a.over -= if can { q.units } else { 0.0 };
@@ -551,7 +431,7 @@
     /// Seen from here, a server that holds a query for long is as slow as that query says.
     fn cost(&self, s: &Server) -> f64 {
         let silent = if s.out > 0 { self.now - s.answered_at.max(s.sent_at) } else { 0.0 };
-        let zone = if s.zone == self.fig.zone { 1.0 } else { self.fig.cross };
+        let zone = if s.zone == self.fig.zone { 1.0 } else { 1.0 + CROSS_WEIGHT * self.fig.cross };
         s.rtt.max(silent) * (1.0 + f64::from(s.out)) * zone * (1.0 + s.busy * s.busy)
     }
 
@@ -572,20 +452,8 @@
         best.map(|b| b.1)
     }
 
-    fn known(&self, q: &Query) -> Known {
-        let mut known = Known::NeverRan;
-        for t in q.tries() {
-            match t.end {
-                None => return Known::StillOut,
-                Some(Outcome::Full | Outcome::ConnectFailed | Outcome::Moot) => {}
-                Some(_) => known = Known::MayHaveRun,
-            }
-        }
-        known
-    }
-
     fn rule(&self, q: &Query) -> (Resend, May) {
-        let (semantics, known) = (self.fig.groups[q.group].semantics, self.known(q));
+        let (semantics, known) = (self.fig.groups[q.group].semantics, q.known());
         let row = RULES.iter().find(|r| r.0 == semantics && r.1 == known);
         row.map_or((Resend::No, May::Drop), |r| (r.2, r.3))
     }
@@ -593,30 +461,29 @@
     /// May this query go to this server now, by rules 1 and 2?
     fn reaches(&self, slot: usize, server: usize) -> bool {
         let q = &self.queries[slot];
-        if q.stage == Stage::Over || q.streaming || q.sent >= self.fig.most || self.now >= q.until - BEAT {
+        if q.stage == Stage::Over
+            || q.streaming
+            || q.sent >= self.fig.most
+            || self.now >= q.until - 2.0 * BEAT
+        {
             return false;
         }
         let tried = q.tries().iter().any(|t| t.server == server);
-        let (resend, _) = self.rule(q);
-        let in_group = || {
-            let g = &self.fig.groups[q.group];
-            let ran =
-                |t: &&Try| !matches!(t.end, Some(Outcome::Full | Outcome::ConnectFailed | Outcome::Moot));
-            q.tries().iter().filter(ran).all(|t| {
-                let (home, there) = (&self.servers[t.server], &self.servers[server]);
-                self.now < t.sent + g.window
-                    && match g.repeat_group {
-                        RepeatGroup::All => true,
-                        RepeatGroup::Zone => home.zone == there.zone,
-                        RepeatGroup::Cell => home.cell == there.cell,
-                    }
-            })
+        let g = &self.fig.groups[q.group];
+        let in_group = |t: &Try| {
+            let (home, there) = (&self.servers[t.server], &self.servers[server]);
+            let same = match g.repeat_group {
+                RepeatGroup::All => true,
+                RepeatGroup::Zone => home.zone == there.zone,
+                RepeatGroup::Cell => home.cell == there.cell,
+            };
+            !t.may_have_run() || same && self.now < t.sent + g.window - 2.0 * BEAT
         };
-        match resend {
+        match self.rule(q).0 {
             Resend::Anywhere => !tried,
             Resend::Copy => self.fig.copies && !tried,
-            Resend::InGroup => in_group(),
-            Resend::GroupCopy => self.fig.copies && !tried && in_group(),
+            Resend::InGroup => q.tries().iter().all(in_group),
+            Resend::GroupCopy => self.fig.copies && !tried && q.tries().iter().all(in_group),
             Resend::No => false,
         }
     }
@@ -664,11 +531,10 @@
     /// could crowd few servers; the sum of the fractions is what bounds them together.
     fn spare(&self) -> f64 {
         let (mut all, mut out) = (0.0, 0.0);
-        for s in self.servers.items.iter() {
-            if s.health == Health::Ready && s.standing != Standing::Aside {
-                all += s.credits;
-                out += f64::from(s.out);
-            }
+        let serving = |s: &&Server| s.health == Health::Ready && s.standing != Standing::Aside;
+        for s in self.servers.items.iter().filter(serving) {
+            all += s.credits;
+            out += f64::from(s.out);
         }
         1.0 - out / f64::max(all * self.ease, 1.0)
     }
@@ -679,10 +545,9 @@
     fn ended(&mut self, id: QueryId, n: usize, how: Outcome, rtt: Ms, over: bool, actual: f64, load: &Load) {
         let Some(slot) = self.queries.find(id) else { return };
         let q = &mut self.queries[slot];
-        if n >= q.sent || q.tries[n].end.is_some() {
+        if n >= q.sent || q.tries[n].end.replace(how).is_some() {
             return;
         }
-        q.tries[n].end = Some(how);
         let (server, acct, group) = (q.tries[n].server, q.acct, q.group);
         if self.fig.settles && how == Outcome::Ok && q.inside && q.stage != Stage::Over {
             self.accts[acct].carry += actual - q.units;
@@ -698,13 +563,9 @@
         self.learn(server, how, rtt, group);
         if over {
             self.close(slot);
-        } else if self.queries[slot].stage != Stage::Over {
-            let known = self.known(&self.queries[slot]);
-            if known != Known::StillOut {
-                let q = &mut self.queries[slot];
-                q.stage = Stage::Waiting;
-                self.waiting.push(slot);
-            }
+        } else if self.queries[slot].stage == Stage::Out && self.queries[slot].known() != Known::StillOut {
+            self.queries[slot].stage = Stage::Waiting;
+            self.waiting.push(slot);
         }
         self.let_go(slot);
         self.dispatch();
@@ -788,18 +649,10 @@
         s.standing = row.2;
         s.bad = 0.0;
         s.probes = 0;
-        match (row.1, row.2) {
-            (_, Standing::Aside) => {
-                s.aside_at = now;
-                s.aside_for = (s.aside_for * 2.0).clamp(500.0, 8000.0);
-                s.credits = 1.0;
-            }
-            (_, Standing::Ready) => {
-                s.aside_for = 0.0;
-                s.credits = 2.0;
-            }
-            _ => {}
+        if row.2 == Standing::Aside {
+            (s.aside_at, s.aside_for) = (now, (s.aside_for * 2.0).clamp(500.0, 8000.0));
         }
+        (s.credits, s.aside_for) = if row.2 == Standing::Ready { (2.0, 0.0) } else { (1.0, s.aside_for) };
     }
 
     fn report(&mut self, server: usize, load: &Load) {
@@ -821,26 +674,13 @@
 
     // ---- ends
 
-    fn outstanding(&self, slot: usize) -> bool {
-        let q = &self.queries[slot];
-        q.tries().iter().any(|t| t.end.is_none())
-    }
-
     /// The one place for final answers given here.
     fn give_up(&mut self, slot: usize, advice: Ms) {
         let q = &self.queries[slot];
         let all = self.fig.groups[q.group].repeat_group == RepeatGroup::All;
-        let shed = match self.rule(q).1 {
-            May::Shed => true,
-            May::ShedIfAll => all,
-            May::Drop => false,
-        };
-        let id = q.id;
-        if shed {
-            self.acts.push(Action::Shed { id, retry_after: advice.min(self.fig.advice) });
-        } else {
-            self.acts.push(Action::Drop { id });
-        }
+        let (id, may, retry_after) = (q.id, self.rule(q).1, advice.min(self.fig.advice));
+        let shed = may == May::Shed || may == May::ShedIfAll && all;
+        self.acts.push(if shed { Action::Shed { id, retry_after } } else { Action::Drop { id } });
         if q.sent == 0 && q.stage == Stage::Waiting && q.inside {
             let (at, units) = (q.acct, q.units);
             self.accts[at].level += units;
@@ -869,7 +709,7 @@
     /// Frees the place once nothing can come for it any more.
     fn let_go(&mut self, slot: usize) {
         let q = &self.queries[slot];
-        if q.stage != Stage::Over || q.counting || self.outstanding(slot) {
+        if q.stage != Stage::Over || q.counting || q.known() == Known::StillOut {
             return;
         }
         let (id, acct, sent) = (q.id, q.acct, q.sent);
@@ -898,15 +738,15 @@
             }
         }
         for m in entries {
-            let known = self.servers.find(u64::from(m.server));
-            let at = known.unwrap_or_else(|| {
-                let s = self.fresh(m);
-                self.servers.add(u64::from(m.server), s)
-            });
-            if m.started > self.servers[at].started {
-                let out = self.servers[at].out;
-                self.servers[at] = Server { out, ..self.fresh(m) };
-            }
+            let (id, fresh) = (u64::from(m.server), self.fresh(m));
+            let at = match self.servers.find(id) {
+                Some(at) if m.started <= self.servers[at].started => at,
+                Some(at) => {
+                    self.servers[at] = Server { out: self.servers[at].out, ..fresh };
+                    at
+                }
+                None => self.servers.add(id, fresh),
+            };
             let s = &mut self.servers[at];
             s.health = m.health;
             (s.cell, s.zone, s.size) = (m.cell, m.zone, f64::from(m.size));
@@ -916,30 +756,11 @@
 
     fn fresh(&self, m: &Member) -> Server {
         let cold = m.started > 0.0 && self.now - m.started < self.fig.cold_time;
-        Server {
-            id: m.server,
-            health: m.health,
-            standing: Standing::Ready,
-            cell: m.cell,
-            zone: m.zone,
-            size: f64::from(m.size),
-            started: m.started,
-            credits: if cold { 1.0 } else { self.fig.credit_start },
-            out: 0,
-            rtt: self.typical,
-            answered_at: self.now,
-            sent_at: self.now,
-            bad: 0.0,
-            rest_until: self.now,
-            probed_at: self.now,
-            probing: false,
-            probes: 0,
-            aside_for: 0.0,
-            aside_at: 0.0,
-            busy: 0.0,
-            cold_left: 1.0,
-            cold_at: self.now,
-        }
+        let credits = if cold { 1.0 } else { CREDIT_START / self.fig.instances };
+        let (started, rtt, cold_left) = (m.started, self.typical, 1.0);
+        let mut s = Server { id: m.server, started, credits, rtt, cold_left, ..Server::default() };
+        (s.answered_at, s.sent_at, s.probed_at, s.cold_at) = (self.now, self.now, self.now, self.now);
+        s
     }
 
     /// Rule 4: for each window, this limiter's part of the work a cold server stands, measured by what
@@ -1028,14 +849,9 @@
             let s = &mut self.servers[i];
             let every = if s.standing == Standing::Aside { 250.0 } else { 2.0 * PROBE_EVERY };
             let wanted = s.standing == Standing::Aside || self.fig.report_probes;
-            if self.fig.may_probe
-                && wanted
-                && !s.probing
-                && s.health == Health::Ready
-                && self.now - s.probed_at >= every
-            {
-                s.probed_at = self.now;
-                s.probing = true;
+            let can = self.fig.may_probe && !s.probing && s.health == Health::Ready;
+            if can && wanted && self.now - s.probed_at >= every {
+                (s.probed_at, s.probing) = (self.now, true);
                 self.acts.push(Action::Probe { server: s.id });
             }
         }
@@ -1046,7 +862,7 @@
         if q.stage == Stage::Over || q.streaming {
             return;
         }
-        if self.now >= q.until - BEAT {
+        if self.now >= q.until - 2.0 * BEAT {
             return self.give_up(slot, 0.0);
         }
         match q.stage {
@@ -1064,9 +880,7 @@
                 let age = self.now - q.tries[q.sent - 1].sent;
                 let late = age > (3.0 * self.typical).max(self.fig.groups[q.group].slo * 0.3);
                 if late && q.sent < 2 && self.now < q.slo_at - self.typical && self.spare() > 0.5 {
-                    if let Some(server) = self.pick(slot) {
-                        self.send(slot, server);
-                    }
+                    self.pick(slot).into_iter().for_each(|server| self.send(slot, server));
                 }
             }
             _ => {}
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -3,8 +3,9 @@
 use crate::api::*;
 use std::collections::{HashMap, VecDeque};
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
 pub enum Breaker {
+    #[default]
     Closed,
     Open,
     Replaying,
@@ -14,6 +15,7 @@
 pub enum Signal {
     Failures,
     ProbeAnswered,
+    ReplayAnswered,
     Settled,
     ReplayLost,
 }
@@ -25,8 +27,9 @@
     Nothing,
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
 pub enum Standing {
+    #[default]
     Ready,
     Aside,
     Trial,
@@ -72,6 +75,7 @@
     Over,
 }
 
+#[derive(Default)]
 pub struct Server {
     pub id: ServerId,
     pub health: Health,
@@ -169,7 +173,22 @@
     pub worth: f64,
 }
 
+impl Try {
+    /// It has not ended, or not in a way that proves it never ran.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self.end, Some(Outcome::Full | Outcome::ConnectFailed | Outcome::Moot))
+    }
+}
+
 impl Query {
+    pub fn known(&self) -> Known {
+        match (self.tries().iter().any(|t| t.end.is_none()), self.tries().iter().any(Try::may_have_run)) {
+            (true, _) => Known::StillOut,
+            (_, true) => Known::MayHaveRun,
+            _ => Known::NeverRan,
+        }
+    }
+
     pub fn tries(&self) -> &[Try] {
         &self.tries[..self.sent]
     }
@@ -197,15 +216,15 @@
     pub window: Ms,
     pub price: f64,
     pub over_worth: f64,
+    pub over_cost: f64,
     pub open: u32,
     pub over_rate: f64,
     pub over_burst: f64,
-    pub proof_rate: f64,
-    pub proof_burst: f64,
     pub ceiling: bool,
 }
 
 /// The figures that decisions use, worked out of the settings at start.
+#[derive(Default)]
 pub struct Figures {
     pub groups: Vec<GroupFig>,
     pub plans: Vec<PlanFig>,
@@ -223,13 +242,104 @@
     pub cross: f64,
     pub units_top: f64,
     pub settles: bool,
-    pub credit_start: f64,
+    pub instances: f64,
     pub cold_budget: f64,
     pub cold_share: f64,
     pub cold_time: Ms,
     pub fall_window: Ms,
 }
 
+impl Figures {
+    pub fn new(s: &Settings) -> Self {
+        let group = |g: &Group| GroupFig {
+            slo: g.slo,
+            semantics: g.semantics,
+            repeat_group: g.repeat_group,
+            window: g.repeat_window,
+            importance: g.importance,
+        };
+        let plan = |p: &Plan| {
+            let ceiling = p.ceiling_rate > 0.0;
+            let part = |top: f64, quota: f64| (top - quota).max(0.0);
+            PlanFig {
+                rate: p.rate / 1000.0,
+                burst: p.burst,
+                window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
+                price: p.price,
+                over_worth: p.over_worth,
+                over_cost: p.over_cost,
+                open: p.open,
+                over_rate: part(p.ceiling_rate, p.rate) / 1000.0,
+                over_burst: part(p.ceiling_burst, p.burst),
+                ceiling,
+            }
+        };
+        Figures {
+            groups: s.groups.iter().map(group).collect(),
+            plans: s.plans.iter().map(plan).collect(),
+            report_busy: s.load_values.iter().position(|v| *v == LoadValue::CpuShare),
+            report_probes: s.reports == ReportsVia::Probes,
+            asks: s.discovery_asks,
+            counter: s.counter,
+            counter_wait: s.counter_wait,
+            may_cancel: s.may_cancel,
+            may_probe: s.may_probe,
+            copies: s.second_copies,
+            most: (s.send_cap as usize).clamp(1, MOST_FORWARDS),
+            advice: if s.retry_after { s.max_retry_after } else { 0.0 },
+            zone: s.zone,
+            cross: s.cross_zone_price,
+            units_top: s.units_top,
+            settles: s.cost_after,
+            instances: f64::from(s.instances),
+            cold_budget: s.fall_multiple * s.fall_window,
+            cold_share: s.cold_share,
+            cold_time: s.cold_time,
+            fall_window: s.fall_window,
+        }
+    }
+}
+
+/// Counter calls a second: allowed, left and seen of late.
+#[derive(Default)]
+pub struct CallPace {
+    pub strained_until: Ms,
+    pub call_rate: f64,
+    pub call_left: f64,
+    pub calls_seen: f64,
+    pub paced_at: Ms,
+    pub cut_at: Ms,
+}
+
+/// One limiter: all that it remembers. What it does with it stands in `control`.
+#[derive(Default)]
+pub struct Control {
+    pub(crate) now: Ms,
+    pub(crate) acts: Vec<Action>,
+    pub(crate) fig: Figures,
+    pub(crate) chance: Chance,
+    pub(crate) breaker: Breaker,
+    pub(crate) failures: u32,
+    pub(crate) pace: CallPace,
+    pub(crate) probe_acct: usize,
+    pub(crate) counter_probe_at: Ms,
+    pub(crate) counter_probing: bool,
+    pub(crate) replays: u32,
+    pub(crate) servers: Slab<Server>,
+    pub(crate) accts: Slab<Acct>,
+    pub(crate) queries: Slab<Query>,
+    pub(crate) logged: Vec<usize>,
+    pub(crate) owed: VecDeque<(usize, Ms)>,
+    pub(crate) waiting: Vec<usize>,
+    pub(crate) live: Vec<usize>,
+    pub(crate) paces: Vec<Pace>,
+    pub(crate) typical: Ms,
+    pub(crate) ease: f64,
+    pub(crate) answered_rate: f64,
+    pub(crate) answered_at: Ms,
+    pub(crate) swept_at: Ms,
+}
+
 /// Places found by id and used again once freed.
 pub struct Slab<T> {
     pub items: Vec<T>,
@@ -281,9 +391,14 @@
 }
 
 /// Multiply with carry.
-pub struct Chance(pub u64);
+#[derive(Default)]
+pub struct Chance(u64);
 
 impl Chance {
+    pub fn new(seed: u64) -> Self {
+        Chance((seed | 1) & 0x7fff_ffff_ffff_ffff)
+    }
+
     pub fn roll(&mut self) -> f64 {
         self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
         (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
