--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -846,9 +846,10 @@
             if s.standing != Standing::Aside && silent > 8.0 * self.typical {
                 self.set_aside(i);
             }
+            let cold = self.cold(&self.servers[i]);
             let s = &mut self.servers[i];
-            let every = if s.standing == Standing::Aside { 250.0 } else { 2.0 * PROBE_EVERY };
-            let wanted = s.standing == Standing::Aside || self.fig.report_probes;
+            let every = if s.standing == Standing::Aside { 250.0 } else { 500.0 };
+            let wanted = s.standing == Standing::Aside || cold && self.fig.report_probes;
             let can = self.fig.may_probe && !s.probing && s.health == Health::Ready;
             if can && wanted && self.now - s.probed_at >= every {
                 (s.probed_at, s.probing) = (self.now, true);
