--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -34,7 +34,6 @@
 const CUT_EVERY: Ms = 100.0;
 const CROSS_WEIGHT: f64 = 5.0;
 const SETTLE_AFTER: Ms = 200.0;
-const SHARE_TIME: Ms = 10_000.0;
 const CREDIT_LEAST: f64 = 0.2;
 const IDLE: Ms = 90_000.0;
 
@@ -165,10 +164,8 @@
         let fig = &self.fig.plans[plan];
         // An instance cannot know that it is the first: under a ceiling it starts with nothing.
         let local = if fig.ceiling { 0.0 } else { fig.burst / spread };
-        let share = 1.0 / spread;
         let (level, at, local_at, over_at) = (fig.burst, self.now, self.now, self.now);
-        self.accts
-            .add(id, Acct { id, plan, spread, level, at, local, local_at, over_at, share, ..Acct::default() })
+        self.accts.add(id, Acct { id, plan, spread, level, at, local, local_at, over_at, ..Acct::default() })
     }
 
     /// Calls are paced like sends once they fail: a counter past its limit turns most calls away or answers
@@ -305,17 +302,11 @@
         let absorbed = a.unsure.min(others.max(0.0));
         a.carry += a.unsure - absorbed;
         a.unsure = 0.0;
-        // The totals tell who carries the customer: the local count is split by that, not evenly.
-        let fade = (-(self.now - a.at) / SHARE_TIME).exp();
-        a.mine = a.mine * fade + add.max(0.0);
-        a.all = a.all * fade + (add + others).max(add).max(0.0);
-        let even = fig.burst.max(self.fig.units_top);
-        a.share = ((a.mine + even / a.spread) / (a.all + even)).min(1.0);
         a.level = (a.level + filled - others + absorbed).clamp(-noise, fig.burst);
         a.at = self.now;
         a.total = total;
         a.seen = true;
-        a.local = a.level.max(0.0) * a.share;
+        a.local = a.level.max(0.0) / a.spread;
         a.local_at = self.now;
     }
 
@@ -341,7 +332,7 @@
         let q = &self.queries[slot];
         let a = &mut self.accts[q.acct];
         let fig = &self.fig.plans[a.plan];
-        let (cap, rate) = (fig.burst * a.share, fig.rate * a.share);
+        let (cap, rate) = (fig.burst / a.spread, fig.rate / a.spread);
         a.local = (a.local + rate * (self.now - a.local_at)).min(cap.max(q.units));
         a.local_at = self.now;
         let inside = a.local >= q.units && self.spend_over(slot, 0.0);
