--- /dev/null
+++ b/crates/aspendrum-core/tests/decisions.rs
@@ -0,0 +1,480 @@
+//! Tables of cases for the decision module, without the bench.
+
+use aspendrum_core::api::*;
+use aspendrum_core::control::Control;
+use test_case::test_case;
+
+struct Rig {
+    c: Control,
+    now: Ms,
+    calls: Vec<(u64, f32)>,
+    forwards: Vec<(QueryId, ServerId)>,
+    shed: Vec<QueryId>,
+    dropped: Vec<QueryId>,
+    probes: Vec<ServerId>,
+    all: Vec<Action>,
+}
+
+fn settings(semantics: Semantics, repeat_group: RepeatGroup) -> Settings {
+    Settings {
+        me: 0,
+        instances: 2,
+        zone: 0,
+        tick: 2.0,
+        groups: vec![Group {
+            slo: 1000.0,
+            limit: 3000.0,
+            semantics,
+            repeat_group,
+            repeat_window: 500.0,
+            importance: 1.0,
+            late_share: 0.0,
+            stream: false,
+        }],
+        plans: vec![Plan {
+            rate: 2.0,
+            burst: 4.0,
+            price: 1.0,
+            over_worth: 0.0,
+            over_cost: 1.0,
+            open: 0,
+            ceiling_rate: 0.0,
+            ceiling_burst: 0.0,
+            ceiling_slack: 0.0,
+        }],
+        load_values: vec![LoadValue::CpuShare],
+        reports: ReportsVia::Answers,
+        discovery_asks: false,
+        must_ask_in: 0.0,
+        drain_grace: 250.0,
+        fall_multiple: 3.0,
+        fall_window: 3000.0,
+        cold_share: 0.2,
+        cold_time: 10_000.0,
+        answer_grace: 16.0,
+        may_cancel: true,
+        may_probe: true,
+        may_tell: false,
+        second_copies: false,
+        send_cap: 4,
+        retry_after: true,
+        max_retry_after: 700.0,
+        counter: true,
+        counter_wait: 30.0,
+        counter_price: 0.0,
+        probe_price: 0.0,
+        cross_zone_price: 0.0,
+        units_top: 1.0,
+        cost_after: false,
+        meter: 0.0,
+        peer_in_per_s: 0.0,
+    }
+}
+
+fn member(server: ServerId, health: Health, cell: u16, started: Ms) -> Member {
+    Member { server, health, cell, zone: 0, size: 1.0, kind: 0, started }
+}
+
+impl Rig {
+    fn with(s: &Settings, servers: &[Member]) -> Rig {
+        let mut all = Vec::new();
+        let c = Control::new(1000.0, 7, s, &mut all);
+        let (calls, forwards, shed, dropped, probes) = Default::default();
+        let mut rig = Rig { c, now: 1000.0, calls, forwards, shed, dropped, probes, all };
+        rig.tell(&Event::Members { list: ListKind::Cached, version: 1, entries: servers });
+        rig
+    }
+
+    fn new(semantics: Semantics, group: RepeatGroup) -> Rig {
+        let servers: Vec<Member> = (1..5).map(|id| member(id, Health::Ready, (id % 2) as u16, 0.0)).collect();
+        Rig::with(&settings(semantics, group), &servers)
+    }
+
+    fn plain() -> Rig {
+        Rig::new(Semantics::Repeatable, RepeatGroup::All)
+    }
+
+    fn tell(&mut self, event: &Event) {
+        let mut out = Vec::new();
+        self.c.handle(self.now, event, &mut out);
+        for action in &out {
+            match *action {
+                Action::Count { name, add, .. } => self.calls.push((name, add)),
+                Action::Forward { id, server, .. } => self.forwards.push((id, server)),
+                Action::Shed { id, .. } => self.shed.push(id),
+                Action::Drop { id } => self.dropped.push(id),
+                Action::Probe { server } => self.probes.push(server),
+                _ => {}
+            }
+        }
+        self.all.extend(out);
+    }
+
+    fn ask(&mut self, id: QueryId, acct: AcctId) {
+        let (until, spread) = (self.now + 3000.0, 2.0);
+        let units = 1.0;
+        let (client_repeat, write) = (false, false);
+        let q =
+            NewQuery { id, group: 0, until, acct, plan: 0, spread, units, first: 0.0, client_repeat, write };
+        self.tell(&Event::Query(q));
+    }
+
+    fn count(&mut self, name: u64, outcome: Outcome, total: f32) {
+        self.tell(&Event::Counted { name, outcome, total, rtt: 1.0 });
+    }
+
+    /// Asks with a counter that answers `total`.
+    fn ask_at(&mut self, id: QueryId, acct: AcctId, total: f32) {
+        self.ask(id, acct);
+        self.count(acct, Outcome::Ok, total);
+    }
+
+    fn end(&mut self, id: QueryId, forward: u8, outcome: Outcome) {
+        let server = self.forwards.iter().filter(|f| f.0 == id).nth(usize::from(forward)).map_or(0, |f| f.1);
+        let over = outcome == Outcome::Ok;
+        let load = Load::default();
+        let (rtt, used, actual) = (50.0, 0, 0);
+        self.tell(&Event::ForwardEnded { id, forward, server, outcome, rtt, over, used, actual, load });
+    }
+
+    fn wait(&mut self, ms: Ms) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 5.0;
+            self.tell(&Event::Timer { token: 0 });
+        }
+    }
+
+    fn sent(&self, id: QueryId) -> usize {
+        self.forwards.iter().filter(|f| f.0 == id).count()
+    }
+
+    fn finals(&self, id: QueryId) -> usize {
+        self.shed.iter().chain(&self.dropped).filter(|f| **f == id).count()
+    }
+}
+
+#[test_case(1.0, true ; "first units")]
+#[test_case(4.0, true ; "last of the burst")]
+#[test_case(5.0, false ; "beyond the burst")]
+fn admitted_by_the_total(total: f32, admitted: bool) {
+    let mut rig = Rig::plain();
+    rig.ask_at(1, 9, total);
+    assert_eq!((rig.calls[0], rig.sent(1) == 1, rig.finals(1) == 0), ((9, 1.0), admitted, admitted));
+}
+
+#[test]
+fn refused_units_go_off_with_the_next_add_or_soon_by_themselves() {
+    let mut rig = Rig::plain();
+    rig.ask_at(1, 9, 5.0);
+    rig.ask(2, 9);
+    assert_eq!(rig.calls[1], (9, 0.0));
+    rig.count(9, Outcome::Ok, 5.0);
+    rig.wait(300.0);
+    assert_eq!(rig.calls[2], (9, -1.0));
+}
+
+#[test_case(&[Outcome::Full], false ; "one failure")]
+#[test_case(&[Outcome::Full, Outcome::TimedOut, Outcome::Ok, Outcome::Full], false ; "an answer between")]
+#[test_case(&[Outcome::Full, Outcome::TimedOut, Outcome::ConnectFailed], true ; "three in a row")]
+fn breaker_opens_on_three_failures(outcomes: &[Outcome], open: bool) {
+    let mut rig = Rig::plain();
+    for acct in 0..outcomes.len() as u64 {
+        rig.ask(acct, acct);
+    }
+    for (acct, outcome) in outcomes.iter().enumerate() {
+        rig.count(acct as u64, *outcome, 1.0);
+    }
+    let calls = rig.calls.len();
+    rig.wait(1000.0);
+    rig.ask(90, 90);
+    assert_eq!(rig.calls[calls..].iter().all(|c| c.0 != 90), open);
+    assert_eq!(rig.sent(90), usize::from(open));
+}
+
+fn open(rig: &mut Rig) {
+    for acct in 0..3 {
+        rig.ask(acct, 100 + acct);
+    }
+    for acct in 0..3 {
+        rig.count(100 + acct, Outcome::ConnectFailed, 0.0);
+    }
+    rig.calls.clear();
+}
+
+#[test]
+fn open_breaker_grants_the_split_part_and_replays_it_once_in_one_sum() {
+    let mut rig = Rig::plain();
+    open(&mut rig);
+    for id in 10..15 {
+        rig.ask(id, 9);
+    }
+    let granted = (10..15).filter(|id| rig.finals(*id) == 0).count();
+    assert_eq!(granted, 2, "burst 4 over a spread of 2");
+    rig.wait(1005.0);
+    assert_eq!(rig.calls, [(102, 0.0)]);
+    rig.count(102, Outcome::Ok, 0.0);
+    assert_eq!(rig.calls[1..], [(9, 2.0)]);
+    rig.ask(20, 9);
+    assert_eq!(rig.calls.len(), 2, "local until the replay is answered");
+    rig.count(9, Outcome::Ok, 2.0);
+    rig.wait(5.0);
+    let replays: Vec<_> = rig.calls.iter().filter(|c| c.0 == 9).collect();
+    assert!(replays.len() <= 2 && replays[0].1 == 2.0, "{replays:?}");
+}
+
+#[test]
+fn grants_older_than_the_window_are_not_replayed() {
+    let mut rig = Rig::plain();
+    open(&mut rig);
+    rig.ask(10, 9);
+    rig.wait(2500.0);
+    rig.count(102, Outcome::Ok, 0.0);
+    assert!(rig.calls.iter().all(|c| c.0 != 9), "{:?}", rig.calls);
+}
+
+#[test]
+fn a_lost_name_hands_out_no_fresh_burst() {
+    let mut rig = Rig::plain();
+    for id in 0..4 {
+        rig.ask_at(id, 9, 41.0 + id as f32);
+    }
+    let before = rig.forwards.len();
+    for id in 10..14 {
+        rig.ask_at(id, 9, (id - 9) as f32);
+    }
+    assert!(before <= 2 && rig.forwards.len() == before, "{:?}", rig.forwards);
+}
+
+#[test]
+fn a_silent_counter_still_gets_each_query_an_answer() {
+    let mut rig = Rig::plain();
+    rig.ask(1, 9);
+    rig.wait(100.0);
+    assert_eq!(rig.sent(1), 1);
+    rig.wait(3000.0);
+    assert_eq!(rig.finals(1), 1);
+}
+
+fn ceiling() -> Settings {
+    let mut s = settings(Semantics::Repeatable, RepeatGroup::All);
+    s.plans[0] =
+        Plan { ceiling_rate: 4.0, ceiling_burst: 8.0, over_worth: 0.5, over_cost: 0.0, ..s.plans[0].clone() };
+    s
+}
+
+/// Every limiter alone must stay under what it can prove, and two that both lose the counter under the
+/// ceiling together: 8 units, then 4 a second.
+#[test_case(true ; "counter up, asked far beyond")]
+#[test_case(false ; "counter down from the start")]
+fn ceiling_holds_right_after_a_restart(counter: bool) {
+    let servers: Vec<Member> = (1..40).map(|id| member(id, Health::Ready, 0, 0.0)).collect();
+    let mut rigs = [Rig::with(&ceiling(), &servers), Rig::with(&ceiling(), &servers)];
+    let mut total = 0.0;
+    for step in 0..400u64 {
+        for (n, rig) in rigs.iter_mut().enumerate() {
+            let (id, before) = (step * 2 + n as u64, rig.calls.len());
+            rig.ask(id, 9);
+            for i in before..rig.calls.len() {
+                total += rig.calls[i].1;
+                let outcome = if counter { Outcome::Ok } else { Outcome::Full };
+                rig.count(9, outcome, total);
+            }
+            if rig.sent(id) > 0 {
+                rig.end(id, 0, Outcome::Ok);
+            }
+            rig.wait(5.0);
+        }
+        let sent = rigs.iter().map(|r| r.forwards.len()).sum::<usize>() as f64;
+        assert!(sent <= 8.0 + 4.0 * (step as f64 + 1.0) * 0.005, "{sent} at step {step}");
+    }
+    assert!(rigs.iter().map(|r| r.forwards.len()).sum::<usize>() >= 2);
+}
+
+#[test_case(Semantics::Repeatable, Outcome::Error, 2, 1, 0 ; "repeatable error")]
+#[test_case(Semantics::Repeatable, Outcome::TimedOut, 2, 1, 0 ; "repeatable timed out")]
+#[test_case(Semantics::Repeatable, Outcome::Cancelled, 2, 1, 0 ; "repeatable cancelled")]
+#[test_case(Semantics::Mutating, Outcome::Ok, 1, 0, 0 ; "mutating ok")]
+#[test_case(Semantics::Mutating, Outcome::Error, 1, 0, 1 ; "mutating error")]
+#[test_case(Semantics::Mutating, Outcome::Full, 2, 1, 0 ; "mutating full")]
+#[test_case(Semantics::Mutating, Outcome::TimedOut, 1, 0, 1 ; "mutating timed out")]
+#[test_case(Semantics::Mutating, Outcome::ConnectFailed, 2, 1, 0 ; "mutating connect failed")]
+#[test_case(Semantics::Mutating, Outcome::Reset, 1, 0, 1 ; "mutating reset")]
+#[test_case(Semantics::Mutating, Outcome::Cancelled, 1, 0, 1 ; "mutating cancelled")]
+#[test_case(Semantics::Mutating, Outcome::Moot, 2, 1, 0 ; "mutating moot")]
+#[test_case(Semantics::Keyed, Outcome::Error, 2, 0, 1 ; "keyed error stays in its cell")]
+#[test_case(Semantics::Keyed, Outcome::Reset, 2, 0, 1 ; "keyed reset stays in its cell")]
+#[test_case(Semantics::Keyed, Outcome::TimedOut, 2, 0, 1 ; "keyed timed out stays in its cell")]
+#[test_case(Semantics::Keyed, Outcome::Cancelled, 2, 0, 1 ; "keyed cancelled stays in its cell")]
+#[test_case(Semantics::Keyed, Outcome::Full, 2, 1, 0 ; "keyed full")]
+#[test_case(Semantics::Keyed, Outcome::ConnectFailed, 2, 1, 0 ; "keyed connect failed")]
+#[test_case(Semantics::Keyed, Outcome::Moot, 2, 1, 0 ; "keyed moot")]
+fn repeat_rules(semantics: Semantics, outcome: Outcome, least: usize, shed: usize, dropped: usize) {
+    let mut rig = Rig::new(semantics, RepeatGroup::Cell);
+    rig.ask_at(1, 9, 1.0);
+    let mut n = 0;
+    while rig.sent(1) > usize::from(n) && n < 8 {
+        rig.end(1, n, outcome);
+        rig.wait(5.0);
+        n += 1;
+    }
+    rig.wait(3000.0);
+    assert!(rig.sent(1) >= least && rig.sent(1) <= if least == 1 { 1 } else { 4 }, "{:?}", rig.forwards);
+    if outcome != Outcome::Ok {
+        assert_eq!((rig.shed.len(), rig.dropped.len()), (shed, dropped));
+    }
+    let never = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+    if semantics == Semantics::Keyed && !never {
+        assert!(rig.forwards.iter().all(|f| f.1 % 2 == rig.forwards[0].1 % 2), "{:?}", rig.forwards);
+    }
+}
+
+#[test]
+fn a_keyed_query_is_not_sent_again_after_its_window() {
+    let mut rig = Rig::new(Semantics::Keyed, RepeatGroup::All);
+    rig.ask_at(1, 9, 1.0);
+    rig.wait(600.0);
+    rig.end(1, 0, Outcome::Reset);
+    rig.wait(3000.0);
+    assert_eq!((rig.sent(1), rig.finals(1)), (1, 1));
+}
+
+#[test_case(Health::Draining ; "draining")]
+#[test_case(Health::Gone ; "gone")]
+fn nothing_new_goes_to_a_server_that_leaves(health: Health) {
+    let mut rig = Rig::plain();
+    let entries = [member(1, health, 1, 0.0), member(2, health, 0, 0.0)];
+    rig.tell(&Event::Members { list: ListKind::Delta, version: 2, entries: &entries });
+    for id in 0..20 {
+        rig.ask_at(id, 50 + id, 1.0);
+    }
+    assert!(!rig.forwards.is_empty() && rig.forwards.iter().all(|f| f.1 > 2), "{:?}", rig.forwards);
+}
+
+#[test]
+fn a_full_list_takes_away_what_it_does_not_name() {
+    let mut rig = Rig::plain();
+    let entries = [member(3, Health::Ready, 1, 0.0)];
+    rig.tell(&Event::Members { list: ListKind::Full, version: 2, entries: &entries });
+    for id in 0..5 {
+        rig.ask_at(id, 50 + id, 1.0);
+    }
+    assert!(rig.forwards.iter().all(|f| f.1 == 3) && !rig.forwards.is_empty());
+}
+
+/// Instant answers of any kind must not pull work to a server that has just started.
+#[test_case(Outcome::Ok ; "quick answers")]
+#[test_case(Outcome::Full ; "quick refusals")]
+fn a_cold_server_gets_its_part_of_the_budget(outcome: Outcome) {
+    let entries = [member(1, Health::Ready, 0, 0.0), member(2, Health::Ready, 0, 900.0)];
+    let mut rig = Rig::with(&settings(Semantics::Repeatable, RepeatGroup::All), &entries);
+    for id in 0..300 {
+        rig.ask_at(id, 1000 + id, 1.0);
+        rig.wait(10.0);
+        while let Some(&(q, server)) = rig.forwards.last().filter(|f| f.0 == id) {
+            let n = rig.sent(q) - 1;
+            rig.end(q, n as u8, if server == 2 { outcome } else { Outcome::Ok });
+            if rig.sent(q) == n + 1 {
+                break;
+            }
+        }
+    }
+    let cold = rig.forwards.iter().filter(|f| f.1 == 2).count() as f64;
+    let warm = rig.forwards.iter().filter(|f| f.1 == 1).count() as f64;
+    assert!(cold >= 1.0 && cold <= 3.0 * 0.5 * warm, "{cold} against {warm}");
+}
+
+#[test_case(Outcome::Error ; "errors answered fast")]
+#[test_case(Outcome::ConnectFailed ; "refused connections")]
+#[test_case(Outcome::Reset ; "resets")]
+fn a_failing_server_is_set_aside_and_comes_back_after_probes(outcome: Outcome) {
+    let mut rig = Rig::plain();
+    let mut id = 0;
+    let mut ask = |rig: &mut Rig, n: u64| {
+        for _ in 0..n {
+            id += 1;
+            rig.ask_at(id, 1000 + id, 1.0);
+            let mut forward = 0;
+            while rig.sent(id) > forward {
+                let server = rig.forwards.last().map_or(0, |f| f.1);
+                rig.end(id, forward as u8, if server == 1 { outcome } else { Outcome::Ok });
+                forward += 1;
+            }
+            rig.wait(5.0);
+        }
+    };
+    ask(&mut rig, 60);
+    let before = rig.forwards.iter().filter(|f| f.1 == 1).count();
+    assert!((3..=4).contains(&before), "{before}");
+    assert!(rig.probes.contains(&1));
+    for _ in 0..8 {
+        rig.tell(&Event::Probed { server: 1, outcome: Outcome::Ok, rtt: 1.0, load: Load::default() });
+        rig.wait(250.0);
+    }
+    ask(&mut rig, 60);
+    assert_eq!(rig.forwards.iter().filter(|f| f.1 == 1).count(), before + 1, "one query on trial");
+}
+
+#[test]
+fn late_and_duplicate_events_change_nothing() {
+    let mut rig = Rig::plain();
+    rig.ask_at(1, 9, 1.0);
+    rig.end(1, 0, Outcome::Ok);
+    let seen = (rig.forwards.len(), rig.shed.len(), rig.dropped.len());
+    rig.end(1, 0, Outcome::Error);
+    rig.tell(&Event::ClientLeft { id: 1 });
+    rig.count(9, Outcome::Ok, 7.0);
+    rig.count(777, Outcome::Ok, 7.0);
+    rig.tell(&Event::Probed { server: 99, outcome: Outcome::Ok, rtt: 1.0, load: Load::default() });
+    assert_eq!((rig.forwards.len(), rig.shed.len(), rig.dropped.len()), seen);
+}
+
+#[test]
+fn a_query_its_client_left_is_not_answered_and_not_sent_on() {
+    let mut rig = Rig::plain();
+    rig.ask(1, 9);
+    rig.tell(&Event::ClientLeft { id: 1 });
+    rig.count(9, Outcome::Ok, 1.0);
+    rig.wait(3000.0);
+    assert_eq!((rig.sent(1), rig.finals(1)), (0, 0));
+}
+
+#[test]
+fn each_query_waiting_without_servers_is_shed_once_in_time() {
+    let mut rig = Rig::with(&settings(Semantics::Mutating, RepeatGroup::All), &[]);
+    for id in 0..50 {
+        rig.ask_at(id, 1000 + id, 1.0);
+    }
+    rig.wait(1000.0);
+    assert!((0..50).all(|id| rig.finals(id) == 1) && rig.dropped.is_empty());
+}
+
+#[test]
+fn a_customer_turned_away_by_one_server_goes_elsewhere() {
+    let mut rig = Rig::plain();
+    rig.ask_at(1, 9, 1.0);
+    let first = rig.forwards[0].1;
+    rig.end(1, 0, Outcome::Full);
+    rig.end(1, 1, Outcome::Ok);
+    for id in 2..5 {
+        rig.wait(500.0);
+        rig.ask_at(id, 9, id as f32);
+        rig.end(id, 0, Outcome::Ok);
+    }
+    assert!(rig.forwards.len() == 5 && rig.forwards[1..].iter().all(|f| f.1 != first), "{:?}", rig.forwards);
+}
+
+#[test]
+fn same_events_same_actions() {
+    let run = || {
+        let mut rig = Rig::plain();
+        for id in 0..200 {
+            rig.ask(id, 1000 + id * 7 % 13);
+            rig.count(1000 + id * 7 % 13, if id % 9 == 0 { Outcome::TimedOut } else { Outcome::Ok }, 1.0);
+            rig.end(id, 0, if id % 5 == 0 { Outcome::Reset } else { Outcome::Ok });
+            rig.wait(20.0);
+        }
+        rig.all
+    };
+    assert_eq!(run(), run());
+}
