Least answer time grows 1% a second, not 5% a block

Cause: in a jam the base crept up by half in a second and the credit target with it, so the jam became normal.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -24,6 +24,8 @@
 /// All credits shrink together within a few answers: a fleet that is overdriven as a whole (capacity lost,
 /// a shared slowdown, work piled up) gives each server too few answers for its own credits to follow.
 const BASE_TIMES: f64 = 1.5;
+/// Quicker, and a jam soon counts as the normal time of an answer and the target never pushes it down.
+const BASE_GROWTH: f64 = 0.000_01;
 const EASE_GAIN: f64 = 0.1;
 const EASE_LEAST: f64 = 0.05;
 const REPLAYS_OUT: u32 = 4;
@@ -571,8 +573,8 @@
         p.n += 1.0;
         if p.n >= 30.0 {
             let mean = p.sum / p.n;
-            p.base = if p.base > 0.0 { mean.min(p.base * 1.05) } else { mean };
-            (p.sum, p.n) = (0.0, 0.0);
+            p.base = if p.base > 0.0 { mean.min(p.base * (1.0 + BASE_GROWTH * (self.now - p.at))) } else { mean };
+            (p.sum, p.n, p.at) = (0.0, 0.0, self.now);
         }
         (BASE_TIMES * p.base / slo).clamp(AIM_SHARE, 0.6)
     }
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -197,6 +197,7 @@
     pub sum: Ms,
     pub n: f64,
     pub base: Ms,
+    pub at: Ms,
 }
 
 pub struct GroupFig {
