--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -23,7 +23,7 @@
 const CREDIT_GAIN: f64 = 0.3;
 /// All credits shrink together within a few answers: a fleet that is overdriven as a whole (capacity lost,
 /// a shared slowdown, work piled up) gives each server too few answers for its own credits to follow.
-const BASE_TIMES: f64 = 1.5;
+const BASE_TIMES: f64 = 2.0;
 /// Quicker, and a jam soon counts as the normal time of an answer and the target never pushes it down.
 const BASE_GROWTH: f64 = 0.000_01;
 const EASE_GAIN: f64 = 0.1;
