--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -71,12 +71,22 @@
     (Semantics::Mutating, Known::StillOut, Resend::No, May::Drop),
 ];
 
+/// A ceiling is held without the others' word. The counter proves grants up to the quota; all else
+/// (local count, beyond the quota) comes out of this limiter's part of what lies between quota and
+/// ceiling, starting with none of it, so an outage, a restart or a swing of traffic adds nothing.
+fn spend_over(a: &mut Acct, fig: &PlanFig, units: f64, keep: f64, now: Ms) -> bool {
+    let part = OVER_SHARE / a.spread;
+    a.over = (a.over + part * fig.over_rate * (now - a.over_at)).min(part * fig.over_burst);
+    a.over_at = now;
+    let can = !fig.ceiling || a.over - units >= keep * part * fig.over_burst;
+    a.over -= if can { units } else { 0.0 };
+    can
+}
+
 impl Control {
     pub fn new(now: Ms, seed: u64, s: &Settings, out: &mut Vec<Action>) -> Self {
         out.push(Action::Timer { token: 0, wait: BEAT });
-        if s.discovery_asks {
-            out.push(Action::Watch { on: true });
-        }
+        out.extend(s.discovery_asks.then_some(Action::Watch { on: true }));
         let fig = Figures::new(s);
         let slo = fig.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min);
         Control {
@@ -87,7 +97,6 @@
             ease: 1.0,
             pace: CallPace { call_rate: f64::INFINITY, ..CallPace::default() },
             answered_at: now,
-            swept_at: now,
             fig,
             ..Control::default()
         }
@@ -114,23 +123,16 @@
         std::mem::swap(&mut self.acts, out);
     }
 
-    // ---- admission: counter, breaker, local count
-
     fn take(&mut self, new: &NewQuery) {
         let (group, plan) = (usize::from(new.group), new.plan as usize);
-        if group >= self.fig.groups.len()
-            || plan >= self.fig.plans.len()
-            || self.queries.find(new.id).is_some()
-        {
+        let known = self.queries.find(new.id).is_some();
+        if known || group >= self.fig.groups.len() || plan >= self.fig.plans.len() {
             return self.acts.push(Action::Drop { id: new.id });
         }
         let acct = self.acct(new.acct, plan, f64::from(new.spread).max(1.0));
-        let units = f64::from(new.units).max(0.0);
-        let g = &self.fig.groups[group];
-        let mut query =
-            Query { id: new.id, group, acct, units, since: self.now, until: new.until, ..Query::default() };
-        (query.inside, query.worth) = (true, g.importance * self.fig.plans[plan].price);
-        query.slo_at = self.now + g.slo;
+        let (g, mut query) = (&self.fig.groups[group], Query::new(new, acct, self.now));
+        (query.slo_at, query.worth) = (self.now + g.slo, g.importance * self.fig.plans[plan].price);
+        let units = query.units;
         let slot = self.queries.add(new.id, query);
         self.live.push(slot);
         let a = &mut self.accts[acct];
@@ -285,18 +287,14 @@
         // its time): the level goes on, so nobody is handed a fresh burst. Refunds only lower it a little.
         let noise = self.fig.units_top * a.spread;
         let reborn = !a.seen || others < -noise - a.unsure.abs();
-        if reborn {
-            others = (total - add).max(0.0);
-        }
+        others = if reborn { (total - add).max(0.0) } else { others };
         // What the counter proves of the ceiling is taken the other way: others' use at its latest, nothing
         // from before a name that was lost or an instance that was not there.
         let filled = fig.rate * (self.now - a.at);
         let rest = 1.0 - OVER_SHARE;
         let top = fig.burst + rest * fig.over_burst;
-        a.proof = (a.proof + filled + rest * fig.over_rate * (self.now - a.at)).min(top) - others;
-        if reborn {
-            a.proof = 0.0;
-        }
+        let proof = (a.proof + filled + rest * fig.over_rate * (self.now - a.at)).min(top) - others;
+        a.proof = if reborn { 0.0 } else { proof };
         if !a.seen && others > fig.burst {
             // A name older than this instance tells use but not its time.
             others = if fig.ceiling { fig.burst } else { fig.burst / 2.0 };
@@ -317,9 +315,9 @@
         let q = &self.queries[slot];
         let (at, units) = (q.acct, q.units);
         let a = &mut self.accts[at];
-        let proven = a.proof >= units || !self.fig.plans[a.plan].ceiling;
-        let inside = a.level >= units && (proven || self.spend_over(slot, 0.0));
-        let a = &mut self.accts[at];
+        let fig = &self.fig.plans[a.plan];
+        let proven = a.proof >= units || !fig.ceiling;
+        let inside = a.level >= units && (proven || spend_over(a, fig, units, 0.0, self.now));
         if inside {
             a.level -= units;
             a.proof -= if proven { units } else { 0.0 };
@@ -338,20 +336,12 @@
         let (cap, rate) = (fig.burst / a.spread, fig.rate / a.spread);
         a.local = (a.local + rate * (self.now - a.local_at)).min(cap.max(q.units));
         a.local_at = self.now;
-        let inside = a.local >= q.units && self.spend_over(slot, 0.0);
-        let q = &self.queries[slot];
-        let a = &mut self.accts[q.acct];
-        let fig = &self.fig.plans[a.plan];
+        let inside = a.local >= q.units && spend_over(a, fig, q.units, 0.0, self.now);
         if inside {
             a.local -= q.units;
             if log {
-                if a.log.is_empty() {
-                    self.logged.push(q.acct);
-                }
-                a.log.push_back((self.now, q.units));
-                while a.log.front().is_some_and(|g| g.0 < self.now - fig.window) {
-                    a.log.pop_front();
-                }
+                self.logged.extend(a.log.is_empty().then_some(q.acct));
+                a.log_grant(self.now, q.units, fig.window);
             } else {
                 a.level -= q.units;
             }
@@ -365,60 +355,32 @@
 
     fn admit(&mut self, slot: usize, inside: bool) {
         let q = &mut self.queries[slot];
-        let fig = &self.fig.plans[self.accts[q.acct].plan];
+        let a = &mut self.accts[q.acct];
+        let fig = &self.fig.plans[a.plan];
         q.inside = inside;
         if !inside {
             q.worth *= fig.over_worth;
             let pays = fig.over_worth > fig.over_cost && self.breaker == Breaker::Closed;
-            let wait = (q.units - self.accts[q.acct].level).max(0.0) / fig.rate.max(1e-9);
-            if !pays || !self.spend_over(slot, 0.5) {
+            if !pays || !spend_over(a, fig, q.units, 0.5, self.now) {
+                let wait = (q.units - a.level).max(0.0) / fig.rate.max(1e-9);
                 return self.give_up(slot, wait);
             }
         }
-        let q = &mut self.queries[slot];
-        q.stage = Stage::Waiting;
-        q.since = self.now;
+        (self.queries[slot].stage, self.queries[slot].since) = (Stage::Waiting, self.now);
         self.waiting.push(slot);
         self.dispatch();
     }
 
-    /// A ceiling is held without the others' word. The counter proves grants up to the quota; all else
-    /// (local count, beyond the quota) comes out of this limiter's part of what lies between quota and
-    /// ceiling, starting with none of it, so an outage, a restart or a swing of traffic adds nothing.
-    fn spend_over(&mut self, slot: usize, keep: f64) -> bool {
-        let q = &self.queries[slot];
-        let a = &mut self.accts[q.acct];
-        let fig = &self.fig.plans[a.plan];
-        if !fig.ceiling {
-            return true;
-        }
-        let cap = OVER_SHARE * fig.over_burst / a.spread;
-        a.over = (a.over + OVER_SHARE * fig.over_rate / a.spread * (self.now - a.over_at)).min(cap);
-        a.over_at = self.now;
-        let can = a.over - q.units >= keep * cap;
-        a.over -= if can { q.units } else { 0.0 };
-        can
-    }
-
-    // ---- choice of server
-
     fn cold(&self, s: &Server) -> bool {
         s.started > 0.0 && self.now - s.started < self.fig.cold_time
     }
 
-    fn credit(&self, s: &Server) -> f64 {
-        if s.standing == Standing::Trial {
-            1.0
-        } else {
-            s.credits.max(1.0)
-        }
-    }
-
     fn usable(&self, s: &Server) -> bool {
+        let credit = if s.standing == Standing::Trial { 1.0 } else { s.credits.max(1.0) };
         s.health == Health::Ready
             && s.standing != Standing::Aside
             && self.now >= s.rest_until
-            && f64::from(s.out) < self.credit(s)
+            && f64::from(s.out) < credit
             && (!self.cold(s) || s.cold_left >= 1.0)
     }
 
@@ -488,9 +450,7 @@
         q.tries[q.sent] = Try { server, sent: self.now, end: None };
         q.sent += 1;
         q.stage = Stage::Out;
-        if q.sent == 1 {
-            self.accts[q.acct].out += 1;
-        }
+        self.accts[q.acct].out += u32::from(q.sent == 1);
         let s = &mut self.servers[server];
         s.cold_left -= if cold { 1.0 } else { 0.0 };
         s.sent_at = if s.out == 0 { self.now } else { s.sent_at };
@@ -533,8 +493,6 @@
         1.0 - out / f64::max(all * self.ease, 1.0)
     }
 
-    // ---- how forwards end
-
     #[allow(clippy::too_many_arguments)]
     fn ended(&mut self, id: QueryId, n: usize, how: Outcome, rtt: Ms, over: bool, actual: f64, load: &Load) {
         let Some(slot) = self.queries.find(id) else { return };
@@ -650,12 +608,6 @@
         (s.credits, s.aside_for) = if row.2 == Standing::Ready { (2.0, 0.0) } else { (1.0, s.aside_for) };
     }
 
-    fn report(&mut self, server: usize, load: &Load) {
-        if let Some(at) = self.fig.report_busy.filter(|at| *at < usize::from(load.n)) {
-            self.servers[server].busy = f64::from(load.values[at]).clamp(0.0, 1.0);
-        }
-    }
-
     fn probed(&mut self, id: ServerId, outcome: Outcome, load: &Load) {
         let Some(at) = self.servers.find(u64::from(id)) else { return };
         self.report(at, load);
@@ -667,8 +619,6 @@
         }
     }
 
-    // ---- ends
-
     /// The one place for final answers given here.
     fn give_up(&mut self, slot: usize, advice: Ms) {
         let q = &self.queries[slot];
@@ -701,36 +651,13 @@
         self.let_go(slot);
     }
 
-    /// Frees the place once nothing can come for it any more.
-    fn let_go(&mut self, slot: usize) {
-        let q = &self.queries[slot];
-        if q.stage != Stage::Over || q.counting || q.known() == Known::StillOut {
-            return;
-        }
-        let (id, acct, sent) = (q.id, q.acct, q.sent);
-        if !self.queries.remove(id) {
-            return;
-        }
-        self.accts[acct].in_hand -= 1;
-        self.accts[acct].out -= u32::from(sent > 0);
-        self.live.retain(|l| *l != slot);
-    }
-
-    // ---- servers come and go
-
     fn members(&mut self, list: ListKind, entries: &[Member]) {
         if list == ListKind::Failed {
-            if self.fig.asks {
-                self.acts.push(Action::Watch { on: true });
-            }
-            return;
+            return self.acts.extend(self.fig.asks.then_some(Action::Watch { on: true }));
         }
         if list != ListKind::Delta {
-            for s in &mut self.servers.items {
-                if !entries.iter().any(|m| m.server == s.id) {
-                    s.health = Health::Gone;
-                }
-            }
+            let absent = |s: &&mut Server| !entries.iter().any(|m| m.server == s.id);
+            self.servers.items.iter_mut().filter(absent).for_each(|s| s.health = Health::Gone);
         }
         for m in entries {
             let (id, fresh) = (u64::from(m.server), self.fresh(m));
@@ -761,11 +688,8 @@
     /// Rule 4: for each window, this limiter's part of the work a cold server stands, measured by what
     /// warm ones are seen to carry from here. The parts add up to less than the rule's budget.
     fn refill_cold(&mut self) {
-        let (mut ready, mut sizes) = (0.0, 0.0);
-        for s in self.servers.items.iter().filter(|s| s.health == Health::Ready) {
-            ready += 1.0;
-            sizes += s.size;
-        }
+        let ready = self.servers.items.iter().filter(|s| s.health == Health::Ready);
+        let (ready, sizes) = ready.fold((0.0, 0.0), |n, s| (n.0 + 1.0, n.1 + s.size));
         let fade = (-(self.now - self.answered_at) / 5000.0).exp();
         let carried = self.answered_rate * fade / f64::max(ready, 1.0);
         let mean = if sizes > 0.0 { sizes / ready } else { 1.0 };
@@ -783,13 +707,10 @@
         }
     }
 
-    // ---- the beat
-
     fn beat(&mut self) {
         self.acts.push(Action::Timer { token: 0, wait: BEAT });
-        let probe =
-            self.breaker == Breaker::Open && !self.counter_probing && self.now >= self.counter_probe_at;
-        if probe && (self.probe_acct) < self.accts.items.len() {
+        let due = !self.counter_probing && self.now >= self.counter_probe_at;
+        if self.breaker == Breaker::Open && due {
             self.counter_probing = true;
             self.counter_probe_at = self.now + PROBE_EVERY;
             self.call(self.probe_acct, Asker::Probe, 0.0);
@@ -804,10 +725,7 @@
             i += usize::from(self.live.get(i) == Some(&slot));
         }
         self.dispatch();
-        if self.now - self.swept_at > 10_000.0 {
-            self.swept_at = self.now;
-            self.sweep();
-        }
+        self.forget_idle(IDLE);
     }
 
     /// A refund waits a moment for the customer's next add; if none comes it goes by itself, lest the other
@@ -884,16 +802,4 @@
             _ => {}
         }
     }
-
-    fn sweep(&mut self) {
-        for at in 0..self.accts.items.len() {
-            let a = &self.accts[at];
-            let quiet =
-                a.in_hand == 0 && a.calls.is_empty() && a.log.is_empty() && self.breaker == Breaker::Closed;
-            if quiet && self.now - a.used_at > IDLE && self.accts.find(a.id) == Some(at) {
-                let id = a.id;
-                self.accts.remove(id);
-            }
-        }
-    }
 }
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -178,6 +178,12 @@
 }
 
 impl Query {
+    pub fn new(new: &NewQuery, acct: usize, now: Ms) -> Self {
+        let (group, units) = (usize::from(new.group), f64::from(new.units).max(0.0));
+        let (id, until, since, inside) = (new.id, new.until, now, true);
+        Query { id, group, acct, units, since, until, inside, ..Query::default() }
+    }
+
     pub fn known(&self) -> Known {
         match (self.tries().iter().any(|t| t.end.is_none()), self.tries().iter().any(Try::may_have_run)) {
             (true, _) => Known::StillOut,
@@ -338,6 +344,62 @@
     pub(crate) swept_at: Ms,
 }
 
+impl Control {
+    /// Lets go of customers idle for that long and of servers gone for good, once nothing names them.
+    pub(crate) fn forget_idle(&mut self, idle: Ms) {
+        if self.now - self.swept_at < idle / 10.0 {
+            return;
+        }
+        self.swept_at = self.now;
+        for at in 0..self.accts.items.len() {
+            let a = &self.accts[at];
+            let quiet = a.in_hand == 0 && a.calls.is_empty() && a.log.is_empty() && a.carry == 0.0;
+            let (id, old) = (a.id, self.now - a.used_at > idle);
+            if quiet && old && self.breaker == Breaker::Closed && self.accts.find(id) == Some(at) {
+                self.accts.remove(id);
+            }
+        }
+        for at in 0..self.servers.items.len() {
+            let id = u64::from(self.servers[at].id);
+            let named = |slot: &usize| self.queries[*slot].tries().iter().any(|t| t.server == at);
+            let left = self.servers[at].health == Health::Gone && !self.live.iter().any(named);
+            if left && self.servers.find(id) == Some(at) {
+                self.servers.remove(id);
+            }
+        }
+    }
+
+    /// Frees the place once nothing can come for it any more.
+    pub(crate) fn let_go(&mut self, slot: usize) {
+        let q = &self.queries[slot];
+        if q.stage != Stage::Over || q.counting || q.known() == Known::StillOut {
+            return;
+        }
+        let (id, acct, sent) = (q.id, q.acct, q.sent);
+        if !self.queries.remove(id) {
+            return;
+        }
+        self.accts[acct].in_hand -= 1;
+        self.accts[acct].out -= u32::from(sent > 0);
+        self.live.retain(|l| *l != slot);
+    }
+
+    pub(crate) fn report(&mut self, server: usize, load: &Load) {
+        if let Some(at) = self.fig.report_busy.filter(|at| *at < usize::from(load.n)) {
+            self.servers[server].busy = f64::from(load.values[at]).clamp(0.0, 1.0);
+        }
+    }
+}
+
+impl Acct {
+    pub fn log_grant(&mut self, now: Ms, units: f64, window: Ms) {
+        self.log.push_back((now, units));
+        while self.log.front().is_some_and(|g| g.0 < now - window) {
+            self.log.pop_front();
+        }
+    }
+}
+
 /// Places found by id and used again once freed.
 pub struct Slab<T> {
     pub items: Vec<T>,
