--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -38,8 +38,6 @@
 const CROSS_WEIGHT: f64 = 5.0;
 const SETTLE_AFTER: Ms = 200.0;
 const CREDIT_LEAST: f64 = 0.2;
-const SERVED_GAIN: f64 = 0.02;
-const FAIRNESS: i32 = 1;
 const IDLE: Ms = 90_000.0;
 
 const BREAKER: [(Breaker, Signal, Breaker, Effect); 5] = [
@@ -95,7 +93,6 @@
             now,
             chance: Chance::new(seed),
             paces: fig.groups.iter().map(|_| Pace::default()).collect(),
-            served: vec![1.0; fig.plans.len()],
             typical: slo / 4.0,
             ease: 1.0,
             pace: CallPace { call_rate: f64::INFINITY, ..CallPace::default() },
@@ -472,10 +469,8 @@
                 let open = self.fig.plans[a.plan].open;
                 let held =
                     q.sent == 0 && open > 0 && a.out >= (open as f64 / a.spread).ceil().max(1.0) as u32;
-                // Importance alone would starve the cheapest plan for as long as an overload lasts.
-                let worth = q.worth / self.served[a.plan].max(0.1).powi(FAIRNESS);
-                if !held && (q.inside || spare > 0.5) && order.is_none_or(|o| worth > o.0) {
-                    order = Some((worth, i));
+                if !held && (q.inside || spare > 0.5) && order.is_none_or(|o| q.worth > o.0) {
+                    order = Some((q.worth, i));
                 }
             }
             let Some((_, i)) = order.filter(|_| spare > 0.0) else { return };
@@ -519,7 +514,6 @@
         self.report(server, load);
         self.learn(server, how, rtt, group);
         if over {
-            self.tally(slot, how == Outcome::Ok && self.now <= self.queries[slot].slo_at);
             self.close(slot);
         } else if self.queries[slot].stage == Stage::Out && self.queries[slot].known() != Known::StillOut {
             self.queries[slot].stage = Stage::Waiting;
@@ -637,18 +631,9 @@
             self.accts[at].level += units;
             self.owe(at, -units);
         }
-        self.tally(slot, false);
         self.close(slot);
     }
 
-    fn tally(&mut self, slot: usize, in_time: bool) {
-        let q = &self.queries[slot];
-        if q.inside && q.stage != Stage::Over {
-            let served = &mut self.served[self.accts[q.acct].plan];
-            *served += SERVED_GAIN * (f64::from(in_time) - *served);
-        }
-    }
-
     fn close(&mut self, slot: usize) {
         let q = &mut self.queries[slot];
         if q.stage == Stage::Over {
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -337,8 +337,6 @@
     pub(crate) waiting: Vec<usize>,
     pub(crate) live: Vec<usize>,
     pub(crate) paces: Vec<Pace>,
-    /// By plan: the share of what was admitted lately that was answered in time.
-    pub(crate) served: Vec<f64>,
     pub(crate) typical: Ms,
     pub(crate) ease: f64,
     pub(crate) answered_rate: f64,
