--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -362,7 +362,7 @@
             q.worth *= fig.over_worth;
             let pays = fig.over_worth > fig.over_cost && self.breaker == Breaker::Closed;
             if !pays || !spend_over(a, fig, q.units, 0.5, self.now) {
-                let wait = (q.units - a.level).max(0.0) * a.spread / fig.rate.max(1e-9);
+                let wait = (q.units - a.level).max(0.0) / fig.rate.max(1e-9);
                 return self.give_up(slot, wait);
             }
         }
