--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -399,8 +399,7 @@
         for i in 0..self.servers.items.len() {
             let jitter = 0.95 + 0.1 * self.chance.roll();
             let s = &self.servers[i];
-            let in_time = self.now + s.rtt < self.queries[slot].slo_at;
-            if in_time && self.usable(s) && shunned >> (i % 64) & 1 == 0 && self.reaches(slot, i) {
+            if self.usable(s) && shunned >> (i % 64) & 1 == 0 && self.reaches(slot, i) {
                 let cost = self.cost(s) * jitter;
                 if best.is_none_or(|b| cost < b.0) {
                     best = Some((cost, i));
