--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -775,7 +775,8 @@
                 self.decide_locally(slot, true);
             }
             Stage::Waiting => {
-                let last = self.now >= q.slo_at - 3.0 * self.typical;
+                let slo = self.fig.groups[q.group].slo;
+                let last = self.now >= q.slo_at - (3.0 * self.typical).min(0.6 * slo);
                 let stuck = q.sent > 0 && self.pick(slot).is_none();
                 if last || stuck {
                     self.give_up(slot, 2.0 * self.typical);
