--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -776,7 +776,7 @@
             }
             Stage::Waiting => {
                 let slo = self.fig.groups[q.group].slo;
-                let last = self.now >= q.slo_at - (3.0 * self.typical).min(0.8 * slo);
+                let last = self.now >= q.slo_at - (3.0 * self.typical).min(0.9 * slo);
                 let stuck = q.sent > 0 && self.pick(slot).is_none();
                 if last || stuck {
                     self.give_up(slot, 2.0 * self.typical);
