--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -27,6 +27,7 @@
 const BASE_TIMES: f64 = 2.0;
 /// Quicker, and a jam soon counts as the normal time of an answer and the target never pushes it down.
 const BASE_GROWTH: f64 = 0.000_01;
+const TARGET_TOP: f64 = 0.4;
 const RTT_FADE: f64 = 0.002;
 const EASE_GAIN: f64 = 0.1;
 const EASE_LEAST: f64 = 0.05;
@@ -537,7 +538,9 @@
                 if p.base > 0.0 { mean.min(p.base * (1.0 + BASE_GROWTH * (self.now - p.at))) } else { mean };
             (p.sum, p.n, p.at) = (0.0, 0.0, self.now);
         }
-        (BASE_TIMES * p.base / slo).clamp(AIM_SHARE, 0.6)
+        // A fleet jammed from the start never shows its least time; this much above it always shrinks.
+        let base = p.base / slo;
+        (BASE_TIMES * base).clamp(AIM_SHARE, TARGET_TOP.max(1.2 * base))
     }
 
     fn learn(&mut self, server: usize, how: Outcome, rtt: Ms, group: usize) {
