--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -195,7 +195,7 @@
         self.pace.strained_until = self.now + STRAINED_FOR;
         if self.now >= self.pace.cut_at + CUT_EVERY {
             self.pace.cut_at = self.now;
-            self.pace.call_rate = (0.85 * self.pace.call_rate.min(self.pace.calls_seen)).max(CALL_LEAST);
+            self.pace.call_rate = (0.7 * self.pace.call_rate.min(self.pace.calls_seen)).max(CALL_LEAST);
         }
     }
 
