--- a/crates/aspendrum-core/tests/decisions.rs
+++ b/crates/aspendrum-core/tests/decisions.rs
@@ -484,3 +484,70 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn replay_goes_a_few_sums_at_a_time() {
+    let mut rig = Rig::plain();
+    open(&mut rig);
+    for id in 0..30 {
+        rig.ask(200 + id, 300 + id);
+    }
+    rig.wait(1005.0);
+    rig.count(104, Outcome::Ok, 0.0);
+    assert_eq!(rig.calls.len(), 5, "the probe and four sums");
+    let name = rig.calls[1].0;
+    rig.count(name, Outcome::Ok, 1.0);
+    assert_eq!(rig.calls.len(), 6, "the next sum");
+}
+
+/// After a failed call: nothing is asked for what surely has no room, and little for the rest.
+#[test]
+fn a_strained_counter_is_spared() {
+    let mut rig = Rig::plain();
+    rig.ask_at(1, 9, 1.0);
+    rig.ask_at(4, 9, 40.0);
+    rig.ask(2, 10);
+    rig.count(10, Outcome::Full, 0.0);
+    let calls = rig.calls.len();
+    rig.ask(3, 9);
+    assert_eq!((rig.calls.len(), rig.finals(3)), (calls, 1));
+    for id in 0..50 {
+        rig.ask(100 + id, 100 + id);
+    }
+    assert!(rig.calls.len() <= calls + 2, "{} calls", rig.calls.len() - calls);
+    assert!((100..150).filter(|id| rig.finals(*id) == 0).count() > 40, "the rest goes by the local count");
+}
+
+/// Answers that take nearly the SLO time bring down what is out, and quick ones bring it back.
+#[test]
+fn a_jam_is_drained_and_forgotten() {
+    let mut rig = Rig::plain();
+    let mut id = 0;
+    let mut fill = |rig: &mut Rig, rounds: u64, rtt: Ms| {
+        let mut out = 0;
+        for _ in 0..rounds {
+            let first = id;
+            for _ in 0..40 {
+                id += 1;
+                rig.ask_at(id, 1000 + id, 1.0);
+            }
+            let sent: Vec<_> = rig.forwards.iter().filter(|f| f.0 > first).copied().collect();
+            out = sent.len();
+            for (id, server) in sent {
+                let load = Load::default();
+                let (forward, outcome, over, used, actual) = (0, Outcome::Ok, true, 0, 0);
+                let ended =
+                    Event::ForwardEnded { id, forward, server, outcome, rtt, over, used, actual, load };
+                rig.tell(&ended);
+            }
+            rig.wait(1000.0);
+            for f in rig.forwards.clone().iter().filter(|f| f.0 > first) {
+                rig.end(f.0, 0, Outcome::Ok);
+            }
+        }
+        out
+    };
+    let (start, jam, after) =
+        (fill(&mut rig, 1, 100.0), fill(&mut rig, 40, 900.0), fill(&mut rig, 200, 50.0));
+    assert!(jam < start && after > jam, "{start} {jam} {after}");
+}
