--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -569,10 +569,9 @@
             Outcome::Cancelled | Outcome::Moot => {}
             Outcome::Full => {
                 // Turned away unseen costs little and tells only that the server holds enough: it rests
-                // for about as long as a place takes to come free, and keeps a credit.
+                // for about as long as a place takes to come free, and keeps its credits.
                 s.rest_until = self.now + 0.5 * self.typical;
-                s.credits = (0.9 * s.credits).max(s.credits.min(1.0));
-                s.bad += 0.5;
+                s.bad += 0.2;
                 bad = s.bad;
             }
             Outcome::TimedOut | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
