--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -460,22 +460,25 @@
         self.acts.push(Action::Forward { id: q.id, server: s.id, timeout: 0.0 });
     }
 
-    /// Sends what waits, the most important first, while credits are left.
+    /// Most important first, of equals the one with least time left, for as long as credits are left.
     fn dispatch(&mut self) {
         loop {
             let spare = self.spare();
-            let mut order: Option<(f64, usize)> = None;
+            let mut order: Option<(f64, Ms, usize)> = None;
             for (i, &slot) in self.waiting.iter().enumerate() {
                 let q = &self.queries[slot];
                 let a = &self.accts[q.acct];
                 let open = self.fig.plans[a.plan].open;
                 let held =
                     q.sent == 0 && open > 0 && a.out >= (open as f64 / a.spread).ceil().max(1.0) as u32;
-                if !held && (q.inside || spare > 0.5) && order.is_none_or(|o| q.worth > o.0) {
-                    order = Some((q.worth, i));
+                if !held
+                    && (q.inside || spare > 0.5)
+                    && order.is_none_or(|o| (q.worth, -q.slo_at) > (o.0, o.1))
+                {
+                    order = Some((q.worth, -q.slo_at, i));
                 }
             }
-            let Some((_, i)) = order.filter(|_| spare > 0.0) else { return };
+            let Some((_, _, i)) = order.filter(|_| spare > 0.0) else { return };
             let slot = self.waiting[i];
             let Some(server) = self.pick(slot) else { return };
             self.waiting.remove(i);
