--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -40,6 +40,7 @@
 const CROSS_WEIGHT: f64 = 40.0;
 const SETTLE_AFTER: Ms = 200.0;
 const CREDIT_LEAST: f64 = 0.2;
+const CARRIED_TIME: Ms = 5000.0;
 const IDLE: Ms = 90_000.0;
 
 const BREAKER: [(Breaker, Signal, Breaker, Effect); 5] = [
@@ -373,34 +374,33 @@
         self.dispatch();
     }
 
-    fn cold(&self, s: &Server) -> bool {
-        s.started > 0.0 && self.now - s.started < self.fig.cold_time
+    fn cold(&self, started: Ms) -> bool {
+        started > 0.0 && self.now - started < self.fig.cold_time
     }
 
     fn usable(&self, s: &Server) -> bool {
         let credit = if s.standing == Standing::Trial { 1.0 } else { s.credits.max(1.0) };
-        s.health == Health::Ready
-            && s.standing != Standing::Aside
+        s.serving()
             && self.now >= s.rest_until
             && f64::from(s.out) < credit
-            && (!self.cold(s) || s.cold_left >= 1.0)
+            && (!self.cold(s.started) || s.cold_left >= 1.0)
     }
 
     /// Seen from here, a server that holds a query for long is as slow as that query says.
     fn cost(&self, s: &Server) -> f64 {
-        let silent = if s.out > 0 { self.now - s.answered_at.max(s.sent_at) } else { 0.0 };
         let zone = if s.zone == self.fig.zone { 1.0 } else { 1.0 + CROSS_WEIGHT * self.fig.cross };
-        s.rtt.max(silent) * (1.0 + f64::from(s.out)) * zone * (1.0 + s.busy * s.busy)
+        s.rtt.max(s.silent(self.now)) * (1.0 + f64::from(s.out)) * zone * (1.0 + s.busy * s.busy)
     }
 
     fn pick(&mut self, slot: usize) -> Option<usize> {
-        let a = &self.accts[self.queries[slot].acct];
+        let q = &self.queries[slot];
+        let (a, resend) = (&self.accts[q.acct], self.resend(q));
         let shunned = if self.now < a.shunned_until { a.shunned } else { 0 };
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.servers.items.len() {
             let jitter = 0.95 + 0.1 * self.chance.roll();
             let s = &self.servers[i];
-            if self.usable(s) && shunned >> (i % 64) & 1 == 0 && self.reaches(slot, i) {
+            if self.usable(s) && shunned >> (i % 64) & 1 == 0 && self.reaches(q, resend, i) {
                 let cost = self.cost(s) * jitter;
                 if best.is_none_or(|b| cost < b.0) {
                     best = Some((cost, i));
@@ -416,16 +416,21 @@
         row.map_or((Resend::No, May::Drop), |r| (r.2, r.3))
     }
 
-    /// May this query go to this server now, by rules 1 and 2?
-    fn reaches(&self, slot: usize, server: usize) -> bool {
-        let q = &self.queries[slot];
-        if q.stage == Stage::Over
-            || q.streaming
-            || q.sent >= self.fig.most
-            || self.now >= q.until - 2.0 * BEAT
-        {
-            return false;
+    fn too_late(&self, q: &Query) -> bool {
+        self.now >= q.until - 2.0 * BEAT
+    }
+
+    /// How this query may be sent on now, by rules 1 and 2.
+    fn resend(&self, q: &Query) -> Resend {
+        let never = q.stage == Stage::Over || q.streaming || q.sent >= self.fig.most || self.too_late(q);
+        if never {
+            Resend::No
+        } else {
+            self.rule(q).0
         }
+    }
+
+    fn reaches(&self, q: &Query, resend: Resend, server: usize) -> bool {
         let tried = q.tries().iter().any(|t| t.server == server);
         let g = &self.fig.groups[q.group];
         let in_group = |t: &Try| {
@@ -437,7 +442,7 @@
             };
             !t.may_have_run() || same && self.now < t.sent + g.window - 2.0 * BEAT
         };
-        match self.rule(q).0 {
+        match resend {
             Resend::Anywhere => !tried,
             Resend::Copy => self.fig.copies && !tried,
             Resend::InGroup => q.tries().iter().all(in_group),
@@ -447,7 +452,7 @@
     }
 
     fn send(&mut self, slot: usize, server: usize) {
-        let cold = self.cold(&self.servers[server]);
+        let cold = self.cold(self.servers[server].started);
         let q = &mut self.queries[slot];
         q.tries[q.sent] = Try { server, sent: self.now, end: None };
         q.sent += 1;
@@ -490,8 +495,7 @@
     /// could crowd few servers; the sum of the fractions is what bounds them together.
     fn spare(&self) -> f64 {
         let (mut all, mut out) = (0.0, 0.0);
-        let serving = |s: &&Server| s.health == Health::Ready && s.standing != Standing::Aside;
-        for s in self.servers.items.iter().filter(serving) {
+        for s in self.servers.items.iter().filter(|s| s.serving()) {
             all += s.credits;
             out += f64::from(s.out);
         }
@@ -564,8 +568,7 @@
                     s.credits = (s.credits + CREDIT_GAIN * step).clamp(CREDIT_LEAST, CREDIT_TOP);
                 }
                 s.bad = 0.0;
-                let fade = (-(self.now - self.answered_at) / 5000.0).exp();
-                self.answered_rate = self.answered_rate * fade + 1.0 / 5000.0;
+                self.answered_rate = self.carried() + 1.0 / CARRIED_TIME;
                 self.answered_at = self.now;
                 self.mark(server, Mark::Good);
             }
@@ -671,24 +674,27 @@
     }
 
     fn fresh(&self, m: &Member) -> Server {
-        let cold = m.started > 0.0 && self.now - m.started < self.fig.cold_time;
-        let credits = if cold { 1.0 } else { CREDIT_START / self.fig.instances };
+        let credits = if self.cold(m.started) { 1.0 } else { CREDIT_START / self.fig.instances };
         let (started, rtt, cold_left) = (m.started, self.typical, 1.0);
         let mut s = Server { id: m.server, started, credits, rtt, cold_left, ..Server::default() };
         (s.answered_at, s.sent_at, s.probed_at, s.cold_at) = (self.now, self.now, self.now, self.now);
         s
     }
 
+    /// Answers a millisecond that this limiter has been getting lately.
+    fn carried(&self) -> f64 {
+        self.answered_rate * (-(self.now - self.answered_at) / CARRIED_TIME).exp()
+    }
+
     /// Rule 4: for each window, this limiter's part of the work a cold server stands, measured by what
     /// warm ones are seen to carry from here. The parts add up to less than the rule's budget.
     fn refill_cold(&mut self) {
         let ready = self.servers.items.iter().filter(|s| s.health == Health::Ready);
         let (ready, sizes) = ready.fold((0.0, 0.0), |n, s| (n.0 + 1.0, n.1 + s.size));
-        let fade = (-(self.now - self.answered_at) / 5000.0).exp();
-        let carried = self.answered_rate * fade / f64::max(ready, 1.0);
+        let carried = self.carried() / f64::max(ready, 1.0);
         let mean = if sizes > 0.0 { sizes / ready } else { 1.0 };
         for i in 0..self.servers.items.len() {
-            if !self.cold(&self.servers[i]) {
+            if !self.cold(self.servers[i].started) {
                 continue;
             }
             let s = &mut self.servers[i];
@@ -748,12 +754,11 @@
     fn watch_servers(&mut self) {
         for i in 0..self.servers.items.len() {
             let s = &self.servers[i];
-            let silent = if s.out > 0 { self.now - s.answered_at.max(s.sent_at) } else { 0.0 };
             // A hang answers nothing while the fleet goes on.
-            if s.standing != Standing::Aside && silent > 8.0 * self.typical {
+            if s.standing != Standing::Aside && s.silent(self.now) > 8.0 * self.typical {
                 self.set_aside(i);
             }
-            let cold = self.cold(&self.servers[i]);
+            let cold = self.cold(self.servers[i].started);
             let s = &mut self.servers[i];
             // What nobody asks cannot show that it is well again: an idle server fades to quick.
             s.rtt += if s.out == 0 { RTT_FADE * (0.5 * self.typical - s.rtt) } else { 0.0 };
@@ -772,7 +777,7 @@
         if q.stage == Stage::Over || q.streaming {
             return;
         }
-        if self.now >= q.until - 2.0 * BEAT {
+        if self.too_late(q) {
             return self.give_up(slot, 0.0);
         }
         match q.stage {
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -101,6 +101,21 @@
     pub cold_at: Ms,
 }
 
+impl Server {
+    pub fn serving(&self) -> bool {
+        self.health == Health::Ready && self.standing != Standing::Aside
+    }
+
+    /// How long it has held something without any answer.
+    pub fn silent(&self, now: Ms) -> Ms {
+        if self.out > 0 {
+            now - self.answered_at.max(self.sent_at)
+        } else {
+            0.0
+        }
+    }
+}
+
 /// Who waits for a counter call's answer.
 #[derive(Clone, Copy)]
 pub enum Asker {
--- a/crates/aspendrum-wirehost/src/frame.rs
+++ b/crates/aspendrum-wirehost/src/frame.rs
@@ -1,13 +1,13 @@
 //! The frame codec: big-endian headers, fixed records and one tail.
 
 use crate::settings;
+use crate::MS;
 use aspendrum_core::api::*;
 
 const HEADER: usize = 16;
 const EVENT: usize = 48;
 const ACTION: usize = 24;
 const ENTRY: usize = 21;
-const MS: f64 = 1000.0;
 
 pub enum WireEvent<'a> {
     On(u32),
--- a/crates/aspendrum-wirehost/src/lib.rs
+++ b/crates/aspendrum-wirehost/src/lib.rs
@@ -3,3 +3,6 @@
 pub mod frame;
 pub mod host;
 pub mod settings;
+
+/// The wire tells seconds, the module milliseconds.
+const MS: f64 = 1000.0;
--- a/crates/aspendrum-wirehost/src/settings.rs
+++ b/crates/aspendrum-wirehost/src/settings.rs
@@ -1,11 +1,10 @@
 //! From the wire's path=value lines to the module's settings. Unknown keys are ignored; a needed
 //! one that is missing or absurd is refused by name.
 
+use crate::MS;
 use aspendrum_core::api::*;
 use std::collections::HashMap;
 
-const MS: f64 = 1000.0;
-
 struct Pairs<'a>(HashMap<&'a str, &'a str>);
 
 impl<'a> Pairs<'a> {
