Sparse customers: a name a window, no refunds; a share of the queries asks

At full size a limiter sees a customer once in tens of seconds: the followed level had no last read, the even part was under a query, and 5 calls a second a limiter were more than the counter takes in all. Now a customer whose even part of the burst is under one unit counts under a name for each window (the source's own form), refused units stay counted, and only a share of the queries asks once answers come late.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -34,9 +34,16 @@
 const REPLAYS_OUT: u32 = 4;
 const STRAINED_FOR: Ms = 2000.0;
 const SHUN_FOR: Ms = 4000.0;
-const CALL_LEAST: f64 = 5.0;
-const CALL_GROWTH: f64 = 0.0003;
-const CUT_EVERY: Ms = 100.0;
+/// The share of queries that ask the counter: more with each prompt answer and with time, less with each
+/// late or missing one. Late is over half of the time-out: the line is seen growing before calls fail.
+const ASK_GAIN: f64 = 0.02;
+const ASK_GAIN_MS: f64 = 0.000_05;
+const ASK_CUT: f64 = 0.15;
+const ASK_LEAST: f64 = 0.02;
+const LATE: f64 = 0.5;
+/// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
+const SPARSE_PART: f64 = 1.0;
+const ID_BITS: u32 = 40;
 const CROSS_WEIGHT: f64 = 40.0;
 const SETTLE_AFTER: Ms = 200.0;
 const CREDIT_LEAST: f64 = 0.2;
@@ -79,13 +86,47 @@
 /// ceiling, starting with none of it, so an outage, a restart or a swing of traffic adds nothing.
 fn spend_over(a: &mut Acct, fig: &PlanFig, units: f64, keep: f64, now: Ms) -> bool {
     let part = OVER_SHARE / a.spread;
-    a.over = (a.over + part * fig.over_rate * (now - a.over_at)).min(part * fig.over_burst);
+    // Nothing proves a grant of a limiter that reads seldom: all of the ceiling is split.
+    let (rate, burst) = if a.sparse {
+        (fig.rate + fig.over_rate, fig.burst + fig.over_burst)
+    } else {
+        (fig.over_rate, fig.over_burst)
+    };
+    a.over = (a.over + part * rate * (now - a.over_at)).min(part * burst);
     a.over_at = now;
-    let can = !fig.ceiling || a.over - units >= keep * part * fig.over_burst;
+    let can = !fig.ceiling || a.over - units >= keep * part * burst;
     a.over -= if can { units } else { 0.0 };
     can
 }
 
+/// Names of sparse customers: one for each window of burst over rate, told by the clock and set apart by
+/// customer, lest all windows turn at once.
+impl Acct {
+    fn phase(&self, fig: &PlanFig) -> Ms {
+        (self.id as f64 * 0.618_033_988_75).fract() * fig.window
+    }
+
+    fn turn_window(&mut self, now: Ms, fig: &PlanFig) {
+        let window = ((now + self.phase(fig)) / fig.window.max(1.0)).floor();
+        if self.sparse && window != self.window {
+            (self.window, self.carry, self.seen) = (window, 0.0, false);
+        }
+    }
+
+    fn window_left(&self, now: Ms, fig: &PlanFig) -> Ms {
+        ((self.window + 1.0) * fig.window - self.phase(fig) - now).max(0.0)
+    }
+
+    fn name(&mut self, now: Ms, fig: &PlanFig) -> (u64, Ms) {
+        if !self.sparse {
+            return (self.id, NAME_TTL);
+        }
+        self.turn_window(now, fig);
+        let window = (self.window as u64 + 1) & ((1 << (64 - ID_BITS)) - 1);
+        (window << ID_BITS | self.id, (fig.window + 1000.0).min(NAME_TTL))
+    }
+}
+
 impl Control {
     pub fn new(now: Ms, seed: u64, s: &Settings, out: &mut Vec<Action>) -> Self {
         out.push(Action::Timer { token: 0, wait: BEAT });
@@ -98,7 +139,8 @@
             paces: fig.groups.iter().map(|_| Pace::default()).collect(),
             typical: slo / 4.0,
             ease: 1.0,
-            pace: CallPace { call_rate: f64::INFINITY, ..CallPace::default() },
+            ask: 1.0,
+            asked_at: now,
             answered_at: now,
             fig,
             ..Control::default()
@@ -118,7 +160,9 @@
                 self.queries.find(id).into_iter().for_each(|slot| self.queries[slot].streaming = true);
             }
             Event::ClientLeft { id } => self.queries.find(id).into_iter().for_each(|slot| self.close(slot)),
-            Event::Counted { name, outcome, total, .. } => self.counted(name, outcome, f64::from(total)),
+            Event::Counted { name, outcome, total, rtt } => {
+                self.counted(name, outcome, f64::from(total), rtt)
+            }
             Event::Probed { server, outcome, load, .. } => self.probed(server, outcome, &load),
             Event::Timer { .. } => self.beat(),
             Event::PeerSaid { .. } => {}
@@ -141,14 +185,15 @@
         let a = &mut self.accts[acct];
         a.in_hand += 1;
         a.used_at = self.now;
+        a.turn_window(self.now, &self.fig.plans[plan]);
         if self.fig.plans[plan].rate <= 0.0 {
             self.admit(slot, true);
         } else if self.fig.counter && self.breaker == Breaker::Closed {
             let fig = &self.fig.plans[plan];
-            let room = a.level + fig.rate * (self.now - a.at);
+            let room = a.level + if a.sparse { 0.0 } else { fig.rate * (self.now - a.at) };
             // A counter that just failed is short of calls: none is spent on what even the whole refill
             // since the last total leaves no room for.
-            if self.now < self.pace.strained_until && a.seen && room < units {
+            if self.now < self.strained_until && a.seen && room < units {
                 return self.admit(slot, false);
             }
             if !self.may_call() {
@@ -173,53 +218,51 @@
         // An instance cannot know that it is the first: under a ceiling it starts with nothing.
         let local = if fig.ceiling { 0.0 } else { fig.burst / spread };
         let (level, at, local_at, over_at) = (fig.burst, self.now, self.now, self.now);
-        self.accts.add(id, Acct { id, plan, spread, level, at, local, local_at, over_at, ..Acct::default() })
+        let sparse = fig.burst < SPARSE_PART * spread;
+        // Parts under a whole query would let nobody send: each limiter may send one, few will.
+        let local = if sparse { fig.burst } else { local };
+        let new = Acct { id, plan, spread, sparse, level, at, local, local_at, over_at, ..Acct::default() };
+        self.accts.add(id, new)
     }
 
-    /// Calls are paced like sends once they fail: a counter past its limit turns most calls away or answers
-    /// too late, and all limiters would swing between all calls and none. Unpaced until the first failure.
+    /// A counter past its limit turns most calls away or answers too late, and all limiters would swing
+    /// between all calls and none: then only a share of the queries asks. All do until the first sign.
     fn may_call(&mut self) -> bool {
-        let gap = self.now - self.pace.paced_at;
-        self.pace.paced_at = self.now;
-        self.pace.call_rate *= 1.0 + CALL_GROWTH * gap;
-        self.pace.calls_seen *= (-gap / 1000.0).exp();
-        if self.pace.call_rate > 3.0 * self.pace.calls_seen.max(CALL_LEAST) {
-            self.pace.call_rate = f64::INFINITY;
-            self.pace.call_left = 1.0;
-        } else {
-            self.pace.call_left = (self.pace.call_left + self.pace.call_rate * gap / 1000.0).min(2.0);
-        }
-        self.pace.call_left >= 1.0
-    }
-
-    fn slow_down(&mut self) {
-        self.pace.strained_until = self.now + STRAINED_FOR;
-        if self.now >= self.pace.cut_at + CUT_EVERY {
-            self.pace.cut_at = self.now;
-            self.pace.call_rate = (0.7 * self.pace.call_rate.min(self.pace.calls_seen)).max(CALL_LEAST);
-        }
+        self.ask = (self.ask + ASK_GAIN_MS * (self.now - self.asked_at)).min(1.0);
+        self.asked_at = self.now;
+        self.ask >= 1.0 || self.chance.roll() < self.ask
     }
 
     fn call(&mut self, acct: usize, asker: Asker, add: f64) {
-        self.pace.calls_seen += 1.0;
-        self.pace.call_left -= 1.0;
         let a = &mut self.accts[acct];
-        a.calls.push_back(Call { asker, add });
-        self.acts.push(Action::Count { name: a.id, add: add as f32, ttl: NAME_TTL });
+        let (name, ttl) = a.name(self.now, &self.fig.plans[a.plan]);
+        a.calls.push_back(Call { asker, add, name });
+        self.acts.push(Action::Count { name, add: add as f32, ttl });
     }
 
-    fn counted(&mut self, name: u64, outcome: Outcome, total: f64) {
-        let Some(at) = self.accts.find(name) else { return };
-        let Some(call) = self.accts[at].calls.pop_front() else { return };
+    fn counted(&mut self, name: u64, outcome: Outcome, total: f64, rtt: Ms) {
+        let Some(at) = self.accts.find(name & ((1 << ID_BITS) - 1)) else { return };
+        let Some(n) = self.accts[at].calls.iter().position(|c| c.name == name) else { return };
+        let Some(call) = self.accts[at].calls.remove(n) else { return };
         let answered = outcome == Outcome::Ok;
+        if answered && rtt < LATE * self.fig.counter_wait {
+            self.ask = (self.ask + ASK_GAIN).min(1.0);
+        } else {
+            self.ask = (self.ask * (1.0 - ASK_CUT)).max(ASK_LEAST);
+            self.strained_until = self.now + STRAINED_FOR;
+        }
         if answered {
             self.failures = 0;
-            self.read(at, total, call.add);
+            self.read(at, total, &call);
         } else {
             let a = &mut self.accts[at];
-            *(if outcome == Outcome::TimedOut { &mut a.unsure } else { &mut a.carry }) += call.add;
+            match outcome {
+                // Most calls that a counter answers too late it has added.
+                Outcome::TimedOut if a.sparse => {}
+                Outcome::TimedOut => a.unsure += call.add,
+                _ => a.carry += call.add,
+            }
             self.failures += 1;
-            self.slow_down();
             if self.failures >= FAILURES && self.breaker == Breaker::Closed {
                 self.probe_acct = at;
                 self.signal(Signal::Failures);
@@ -265,8 +308,10 @@
         self.failures = 0;
         while self.breaker == Breaker::Replaying && self.replays < REPLAYS_OUT {
             let Some(at) = self.logged.pop() else { break };
-            let since = self.now - self.fig.plans[self.accts[at].plan].window;
             let a = &mut self.accts[at];
+            let fig = &self.fig.plans[a.plan];
+            a.turn_window(self.now, fig);
+            let since = if a.sparse { a.window * fig.window - a.phase(fig) } else { self.now - fig.window };
             let sum: f64 = a.log.drain(..).filter(|g| g.0 >= since).map(|g| g.1).sum();
             let add = sum + std::mem::take(&mut a.carry);
             if add != 0.0 {
@@ -282,9 +327,18 @@
     /// Follows the customer's store from the totals, as if others had added evenly since the last read:
     /// taken all at once at the end, use that refill has long made good would empty the store of a limiter
     /// that reads seldom.
-    fn read(&mut self, at: usize, total: f64, add: f64) {
+    fn read(&mut self, at: usize, total: f64, call: &Call) {
         let a = &mut self.accts[at];
-        let fig = &self.fig.plans[a.plan];
+        let (fig, add) = (&self.fig.plans[a.plan], call.add);
+        if a.sparse {
+            a.level = fig.burst - total;
+            if let Asker::Query(slot) = call.asker {
+                a.level += self.queries[slot].added;
+            }
+            a.seen = true;
+            (a.local, a.local_at) = if a.level <= 0.0 { (0.0, self.now) } else { (a.local, a.local_at) };
+            return;
+        }
         let mut others = total - a.total - add;
         // A total far below what this limiter has read betrays a lost name (flush, empty return, end of
         // its time): the level goes on, so nobody is handed a fresh burst. Refunds only lower it a little.
@@ -319,7 +373,7 @@
         let (at, units) = (q.acct, q.units);
         let a = &mut self.accts[at];
         let fig = &self.fig.plans[a.plan];
-        let proven = a.proof >= units || !fig.ceiling;
+        let proven = !fig.ceiling || !a.sparse && a.proof >= units;
         let inside = a.level >= units && (proven || spend_over(a, fig, units, 0.0, self.now));
         if inside {
             a.level -= units;
@@ -365,7 +419,8 @@
             q.worth *= fig.over_worth;
             let pays = fig.over_worth > fig.over_cost && self.breaker == Breaker::Closed;
             if !pays || !spend_over(a, fig, q.units, 0.5, self.now) {
-                let wait = (q.units - a.level).max(0.0) / fig.rate.max(1e-9);
+                let room = if a.sparse { a.window_left(self.now, fig) } else { (q.units - a.level).max(0.0) };
+                let wait = if a.sparse { room } else { room / fig.rate.max(1e-9) };
                 return self.give_up(slot, wait);
             }
         }
@@ -746,6 +801,11 @@
 
     fn owe(&mut self, at: usize, units: f64) {
         let a = &mut self.accts[at];
+        if a.sparse {
+            // What is refused stays counted until the window ends; a call more for each would fill the counter.
+            a.carry += units.max(0.0);
+            return;
+        }
         a.carry += units;
         a.carry_at = self.now;
         self.owed.push_back((at, self.now + SETTLE_AFTER));
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -128,6 +128,7 @@
 pub struct Call {
     pub asker: Asker,
     pub add: f64,
+    pub name: u64,
 }
 
 #[derive(Default)]
@@ -135,6 +136,9 @@
     pub id: AcctId,
     pub plan: usize,
     pub spread: f64,
+    /// Seen by each of its limiters too seldom to be followed.
+    pub sparse: bool,
+    pub window: f64,
     pub level: f64,
     pub at: Ms,
     pub total: f64,
@@ -319,17 +323,6 @@
     }
 }
 
-/// Counter calls a second: allowed, left and seen of late.
-#[derive(Default)]
-pub struct CallPace {
-    pub strained_until: Ms,
-    pub call_rate: f64,
-    pub call_left: f64,
-    pub calls_seen: f64,
-    pub paced_at: Ms,
-    pub cut_at: Ms,
-}
-
 /// One limiter: all that it remembers. What it does with it stands in `control`.
 #[derive(Default)]
 pub struct Control {
@@ -339,7 +332,9 @@
     pub(crate) chance: Chance,
     pub(crate) breaker: Breaker,
     pub(crate) failures: u32,
-    pub(crate) pace: CallPace,
+    pub(crate) ask: f64,
+    pub(crate) asked_at: Ms,
+    pub(crate) strained_until: Ms,
     pub(crate) probe_acct: usize,
     pub(crate) counter_probe_at: Ms,
     pub(crate) counter_probing: bool,
