--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -36,10 +36,12 @@
 const SHUN_FOR: Ms = 4000.0;
 /// The share of queries that ask the counter: more with each prompt answer and with time, less with each
 /// late or missing one. Late is over half of the time-out: the line is seen growing before calls fail.
-const ASK_GAIN: f64 = 0.02;
-const ASK_GAIN_MS: f64 = 0.000_05;
-const ASK_CUT: f64 = 0.15;
-const ASK_LEAST: f64 = 0.02;
+const ASK_GAIN: f64 = 0.03;
+const ASK_GAIN_MS: f64 = 0.000_005;
+const ASK_CUT: f64 = 0.2;
+const ASK_LEAST: f64 = 0.05;
+/// How quickly the share of a plan's queries found inside follows the counter's word.
+const INSIDE_GAIN: f64 = 0.05;
 const LATE: f64 = 0.5;
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
 const SPARSE_PART: f64 = 1.0;
@@ -139,6 +141,7 @@
             paces: fig.groups.iter().map(|_| Pace::default()).collect(),
             typical: slo / 4.0,
             ease: 1.0,
+            inside: vec![(1.0, 0.0); fig.plans.len()],
             ask: 1.0,
             asked_at: now,
             answered_at: now,
@@ -200,7 +203,9 @@
                 return self.decide_locally(slot, false);
             }
             let a = &mut self.accts[acct];
-            let add = units + std::mem::take(&mut a.carry);
+            // Seldom asked for, it stands for the queries that did not ask.
+            let stands_for = if a.sparse { 1.0 / self.ask } else { 1.0 };
+            let add = units * stands_for + std::mem::take(&mut a.carry);
             self.queries[slot].counting = true;
             self.queries[slot].added = units;
             self.call(acct, Asker::Query(slot), add);
@@ -246,7 +251,7 @@
         let Some(call) = self.accts[at].calls.remove(n) else { return };
         let answered = outcome == Outcome::Ok;
         if answered && rtt < LATE * self.fig.counter_wait {
-            self.ask = (self.ask + ASK_GAIN).min(1.0);
+            self.ask = (self.ask * (1.0 + ASK_GAIN)).min(1.0);
         } else {
             self.ask = (self.ask * (1.0 - ASK_CUT)).max(ASK_LEAST);
             self.strained_until = self.now + STRAINED_FOR;
@@ -258,7 +263,7 @@
             let a = &mut self.accts[at];
             match outcome {
                 // Most calls that a counter answers too late it has added.
-                Outcome::TimedOut if a.sparse => {}
+                _ if a.sparse => {}
                 Outcome::TimedOut => a.unsure += call.add,
                 _ => a.carry += call.add,
             }
@@ -308,10 +313,8 @@
         self.failures = 0;
         while self.breaker == Breaker::Replaying && self.replays < REPLAYS_OUT {
             let Some(at) = self.logged.pop() else { break };
+            let since = self.now - self.fig.plans[self.accts[at].plan].window;
             let a = &mut self.accts[at];
-            let fig = &self.fig.plans[a.plan];
-            a.turn_window(self.now, fig);
-            let since = if a.sparse { a.window * fig.window - a.phase(fig) } else { self.now - fig.window };
             let sum: f64 = a.log.drain(..).filter(|g| g.0 >= since).map(|g| g.1).sum();
             let add = sum + std::mem::take(&mut a.carry);
             if add != 0.0 {
@@ -332,8 +335,8 @@
         let (fig, add) = (&self.fig.plans[a.plan], call.add);
         if a.sparse {
             a.level = fig.burst - total;
-            if let Asker::Query(slot) = call.asker {
-                a.level += self.queries[slot].added;
+            if let Asker::Query(_) = call.asker {
+                a.level += add;
             }
             a.seen = true;
             (a.local, a.local_at) = if a.level <= 0.0 { (0.0, self.now) } else { (a.local, a.local_at) };
@@ -375,6 +378,9 @@
         let fig = &self.fig.plans[a.plan];
         let proven = !fig.ceiling || !a.sparse && a.proof >= units;
         let inside = a.level >= units && (proven || spend_over(a, fig, units, 0.0, self.now));
+        let share = &mut self.inside[a.plan];
+        share.1 += 1.0;
+        share.0 += (f64::from(a.level >= units) - share.0) * INSIDE_GAIN.max(1.0 / share.1);
         if inside {
             a.level -= units;
             a.proof -= if proven { units } else { 0.0 };
@@ -391,12 +397,19 @@
         let a = &mut self.accts[q.acct];
         let fig = &self.fig.plans[a.plan];
         let (cap, rate) = (fig.burst / a.spread, fig.rate / a.spread);
-        a.local = (a.local + rate * (self.now - a.local_at)).min(cap.max(q.units));
+        // Without a word on a sparse customer the plan's others tell: a whole query is let in while that
+        // earns more than its chance of being beyond the quota costs.
+        let chance = self.inside[a.plan].0;
+        let pays = chance + (1.0 - chance) * (fig.over_worth - fig.over_cost) > 0.0;
+        let top = if a.sparse && !pays { cap } else { cap.max(q.units) };
+        a.local = (a.local + rate * (self.now - a.local_at)).min(top);
         a.local_at = self.now;
         let inside = a.local >= q.units && spend_over(a, fig, q.units, 0.0, self.now);
         if inside {
             a.local -= q.units;
-            if log {
+            if a.sparse {
+                // The next add stands for it.
+            } else if log {
                 self.logged.extend(a.log.is_empty().then_some(q.acct));
                 a.log_grant(self.now, q.units, fig.window);
             } else {
@@ -404,7 +417,7 @@
             }
         }
         let (at, owed) = (q.acct, if inside { q.units } else { 0.0 } - q.added);
-        if !log && owed != 0.0 {
+        if !log && owed != 0.0 && !self.accts[at].sparse {
             self.owe(at, owed);
         }
         self.admit(slot, inside);
@@ -803,7 +816,6 @@
         let a = &mut self.accts[at];
         if a.sparse {
             // What is refused stays counted until the window ends; a call more for each would fill the counter.
-            a.carry += units.max(0.0);
             return;
         }
         a.carry += units;
