--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -40,8 +40,6 @@
 const ASK_GAIN_MS: f64 = 0.000_005;
 const ASK_CUT: f64 = 0.2;
 const ASK_LEAST: f64 = 0.05;
-/// How quickly the share of a plan's queries found inside follows the counter's word.
-const INSIDE_GAIN: f64 = 0.05;
 const LATE: f64 = 0.5;
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
 const SPARSE_PART: f64 = 1.0;
@@ -141,7 +139,6 @@
             paces: fig.groups.iter().map(|_| Pace::default()).collect(),
             typical: slo / 4.0,
             ease: 1.0,
-            inside: vec![(1.0, 0.0); fig.plans.len()],
             ask: 1.0,
             asked_at: now,
             answered_at: now,
@@ -378,9 +375,6 @@
         let fig = &self.fig.plans[a.plan];
         let proven = !fig.ceiling || !a.sparse && a.proof >= units;
         let inside = a.level >= units && (proven || spend_over(a, fig, units, 0.0, self.now));
-        let share = &mut self.inside[a.plan];
-        share.1 += 1.0;
-        share.0 += (f64::from(a.level >= units) - share.0) * INSIDE_GAIN.max(1.0 / share.1);
         if inside {
             a.level -= units;
             a.proof -= if proven { units } else { 0.0 };
@@ -397,12 +391,7 @@
         let a = &mut self.accts[q.acct];
         let fig = &self.fig.plans[a.plan];
         let (cap, rate) = (fig.burst / a.spread, fig.rate / a.spread);
-        // Without a word on a sparse customer the plan's others tell: a whole query is let in while that
-        // earns more than its chance of being beyond the quota costs.
-        let chance = self.inside[a.plan].0;
-        let pays = chance + (1.0 - chance) * (fig.over_worth - fig.over_cost) > 0.0;
-        let top = if a.sparse && !pays { cap } else { cap.max(q.units) };
-        a.local = (a.local + rate * (self.now - a.local_at)).min(top);
+        a.local = (a.local + rate * (self.now - a.local_at)).min(cap.max(q.units));
         a.local_at = self.now;
         let inside = a.local >= q.units && spend_over(a, fig, q.units, 0.0, self.now);
         if inside {
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -332,8 +332,6 @@
     pub(crate) chance: Chance,
     pub(crate) breaker: Breaker,
     pub(crate) failures: u32,
-    /// Of each plan: the share found inside its quota, and of how many.
-    pub(crate) inside: Vec<(f64, f64)>,
     pub(crate) ask: f64,
     pub(crate) asked_at: Ms,
     pub(crate) strained_until: Ms,
