--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -39,6 +39,7 @@
 const ASK_GAIN: f64 = 0.03;
 const ASK_GAIN_MS: f64 = 0.000_005;
 const ASK_CUT: f64 = 0.2;
+const STAKE_GAIN: f64 = 0.05;
 const ASK_LEAST: f64 = 0.05;
 const LATE: f64 = 0.5;
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
@@ -196,12 +197,15 @@
             if self.now < self.strained_until && a.seen && room < units {
                 return self.admit(slot, false);
             }
-            if !self.may_call() {
+            let stake = self.queries[slot].worth * units;
+            self.stake += STAKE_GAIN * (stake - self.stake);
+            let chance = self.ask_chance(stake);
+            if self.chance.roll() >= chance {
                 return self.decide_locally(slot, false);
             }
             let a = &mut self.accts[acct];
             // Seldom asked for, it stands for the queries that did not ask.
-            let stands_for = if a.sparse { 1.0 / self.ask } else { 1.0 };
+            let stands_for = if a.sparse { 1.0 / chance } else { 1.0 };
             let add = units * stands_for + std::mem::take(&mut a.carry);
             self.queries[slot].counting = true;
             self.queries[slot].added = units;
@@ -229,10 +233,14 @@
 
     /// A counter past its limit turns most calls away or answers too late, and all limiters would swing
     /// between all calls and none: then only a share of the queries asks. All do until the first sign.
-    fn may_call(&mut self) -> bool {
+    fn ask_chance(&mut self, stake: f64) -> f64 {
         self.ask = (self.ask + ASK_GAIN_MS * (self.now - self.asked_at)).min(1.0);
         self.asked_at = self.now;
-        self.ask >= 1.0 || self.chance.roll() < self.ask
+        if self.ask >= 1.0 {
+            return 1.0;
+        }
+        // What is worth most asks first.
+        (self.ask * stake / self.stake.max(1e-9)).clamp(ASK_LEAST, 1.0)
     }
 
     fn call(&mut self, acct: usize, asker: Asker, add: f64) {
@@ -791,7 +799,8 @@
         while let Some(&(at, due)) = self.owed.front().filter(|o| o.1 <= self.now) {
             let a = &self.accts[at];
             if self.breaker == Breaker::Closed && a.carry != 0.0 && a.carry_at + SETTLE_AFTER <= due {
-                if !self.may_call() {
+                let chance = self.ask_chance(self.stake);
+                if self.chance.roll() >= chance {
                     return;
                 }
                 let add = std::mem::take(&mut self.accts[at].carry);
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -333,6 +333,8 @@
     pub(crate) breaker: Breaker,
     pub(crate) failures: u32,
     pub(crate) ask: f64,
+    /// What a query stakes on its decision, on average.
+    pub(crate) stake: f64,
     pub(crate) asked_at: Ms,
     pub(crate) strained_until: Ms,
     pub(crate) probe_acct: usize,
