--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -48,6 +48,11 @@
 const CROSS_WEIGHT: f64 = 40.0;
 const SETTLE_AFTER: Ms = 200.0;
 const CREDIT_LEAST: f64 = 0.2;
+/// Of the rule's budget for a cold server, and of what a warm one carries for its capacity.
+const COLD_SHARE: f64 = 0.35;
+const COLD_FAIR: f64 = 1.0;
+/// Multiples of it, taken to their fraction, lie evenly apart however many there are.
+const GOLDEN: f64 = 0.618_033_988_75;
 const CARRIED_TIME: Ms = 5000.0;
 const IDLE: Ms = 90_000.0;
 
@@ -104,7 +109,7 @@
 /// customer, lest all windows turn at once.
 impl Acct {
     fn phase(&self, fig: &PlanFig) -> Ms {
-        (self.id as f64 * 0.618_033_988_75).fract() * fig.window
+        (self.id as f64 * GOLDEN).fract() * fig.window
     }
 
     fn turn_window(&mut self, now: Ms, fig: &PlanFig) {
@@ -132,7 +137,9 @@
     pub fn new(now: Ms, seed: u64, s: &Settings, out: &mut Vec<Action>) -> Self {
         out.push(Action::Timer { token: 0, wait: BEAT });
         out.extend(s.discovery_asks.then_some(Action::Watch { on: true }));
-        let fig = Figures::new(s);
+        let mut fig = Figures::new(s);
+        fig.turn = (f64::from(s.me) * GOLDEN).fract();
+        fig.cold_budget = (COLD_SHARE * s.fall_multiple).min(COLD_FAIR) * s.fall_window;
         let slo = fig.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min);
         Control {
             now,
@@ -740,7 +747,10 @@
 
     fn fresh(&self, m: &Member) -> Server {
         let credits = if self.cold(m.started) { 1.0 } else { CREDIT_START / self.fig.instances };
-        let (started, rtt, cold_left) = (m.started, self.typical, 1.0);
+        // Hundreds of limiters that each hold one whole query would push a cold server over together: each
+        // starts at another part of a query, told by its number, so that they come in turn.
+        let cold_left = (self.fig.turn + f64::from(m.server) * GOLDEN).fract();
+        let (started, rtt) = (m.started, self.typical);
         let mut s = Server { id: m.server, started, credits, rtt, cold_left, ..Server::default() };
         (s.answered_at, s.sent_at, s.probed_at, s.cold_at) = (self.now, self.now, self.now, self.now);
         s
@@ -765,7 +775,7 @@
             let s = &mut self.servers[i];
             let age = ((self.now - s.started) / self.fig.cold_time).clamp(0.0, 1.0);
             let share = self.fig.cold_share + (1.0 - self.fig.cold_share) * age;
-            let half = self.fig.cold_budget * share * carried * (s.size / mean).min(1.0) * 0.35;
+            let half = self.fig.cold_budget * share * carried * (s.size / mean).min(1.0);
             s.cold_left =
                 (s.cold_left + half * (self.now - s.cold_at) / self.fig.fall_window).min(half.max(1.0));
             s.cold_at = self.now;
