--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -45,6 +45,8 @@
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
 const SPARSE_PART: f64 = 1.0;
 const ID_BITS: u32 = 40;
+/// For each limiter, up to one: by how much the cost of equal servers is made to differ.
+const BLUR: f64 = 0.03;
 const CROSS_WEIGHT: f64 = 40.0;
 const SETTLE_AFTER: Ms = 200.0;
 const CREDIT_LEAST: f64 = 0.2;
@@ -138,6 +140,7 @@
         out.push(Action::Timer { token: 0, wait: BEAT });
         out.extend(s.discovery_asks.then_some(Action::Watch { on: true }));
         let mut fig = Figures::new(s);
+        fig.blur = (BLUR * fig.instances).min(1.0);
         fig.turn = (f64::from(s.me) * GOLDEN).fract();
         fig.cold_budget = (COLD_SHARE * s.fall_multiple).min(COLD_FAIR) * s.fall_window;
         let slo = fig.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min);
@@ -470,7 +473,8 @@
         let shunned = if self.now < a.shunned_until { a.shunned } else { 0 };
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.servers.items.len() {
-            let jitter = 0.95 + 0.1 * self.chance.roll();
+            // Many limiters that know equally little would all choose the same server.
+            let jitter = 1.0 + self.fig.blur * self.chance.roll();
             let s = &self.servers[i];
             if self.usable(s) && shunned >> (i % 64) & 1 == 0 && self.reaches(q, resend, i) {
                 let cost = self.cost(s) * jitter;
@@ -751,7 +755,8 @@
         // starts at another part of a query, told by its number, so that they come in turn.
         let cold_left = (self.fig.turn + f64::from(m.server) * GOLDEN).fract();
         let (started, rtt) = (m.started, self.typical);
-        let mut s = Server { id: m.server, started, credits, rtt, cold_left, ..Server::default() };
+        let busy = self.busy;
+        let mut s = Server { id: m.server, started, credits, rtt, cold_left, busy, ..Server::default() };
         (s.answered_at, s.sent_at, s.probed_at, s.cold_at) = (self.now, self.now, self.now, self.now);
         s
     }
@@ -842,6 +847,8 @@
             let s = &mut self.servers[i];
             // What nobody asks cannot show that it is well again: an idle server fades to quick.
             s.rtt += if s.out == 0 { RTT_FADE * (0.5 * self.typical - s.rtt) } else { 0.0 };
+            // An old or missing report does not make a server idle.
+            s.busy += RTT_FADE * (self.busy - s.busy);
             let every = if s.standing == Standing::Aside { 250.0 } else { 500.0 };
             let wanted = s.standing == Standing::Aside || cold && self.fig.report_probes;
             let can = self.fig.may_probe && !s.probing && s.health == Health::Ready;
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -268,6 +268,7 @@
     pub instances: f64,
     pub cold_budget: f64,
     pub turn: f64,
+    pub blur: f64,
     pub cold_share: f64,
     pub cold_time: Ms,
     pub fall_window: Ms,
@@ -318,6 +319,7 @@
             instances: f64::from(s.instances),
             cold_budget: 0.0,
             turn: 0.0,
+            blur: 0.0,
             cold_share: s.cold_share,
             cold_time: s.cold_time,
             fall_window: s.fall_window,
@@ -352,6 +354,8 @@
     pub(crate) live: Vec<usize>,
     pub(crate) paces: Vec<Pace>,
     pub(crate) typical: Ms,
+    /// The load report of a typical server.
+    pub(crate) busy: f64,
     pub(crate) ease: f64,
     pub(crate) answered_rate: f64,
     pub(crate) answered_at: Ms,
@@ -422,7 +426,9 @@
 
     pub(crate) fn report(&mut self, server: usize, load: &Load) {
         if let Some(at) = self.fig.report_busy.filter(|at| *at < usize::from(load.n)) {
-            self.servers[server].busy = f64::from(load.values[at]).clamp(0.0, 1.0);
+            let busy = f64::from(load.values[at]).clamp(0.0, 1.0);
+            self.servers[server].busy = busy;
+            self.busy += 0.02 * (busy - self.busy);
         }
     }
 }
