--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -45,8 +45,6 @@
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
 const SPARSE_PART: f64 = 1.0;
 const ID_BITS: u32 = 40;
-/// For each limiter, up to one: by how much the cost of equal servers is made to differ.
-const BLUR: f64 = 0.03;
 const CROSS_WEIGHT: f64 = 40.0;
 const SETTLE_AFTER: Ms = 200.0;
 const CREDIT_LEAST: f64 = 0.2;
@@ -140,7 +138,6 @@
         out.push(Action::Timer { token: 0, wait: BEAT });
         out.extend(s.discovery_asks.then_some(Action::Watch { on: true }));
         let mut fig = Figures::new(s);
-        fig.blur = (BLUR * fig.instances).min(1.0);
         fig.turn = (f64::from(s.me) * GOLDEN).fract();
         fig.cold_budget = (COLD_SHARE * s.fall_multiple).min(COLD_FAIR) * s.fall_window;
         let slo = fig.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min);
@@ -473,8 +470,7 @@
         let shunned = if self.now < a.shunned_until { a.shunned } else { 0 };
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.servers.items.len() {
-            // Many limiters that know equally little would all choose the same server.
-            let jitter = 1.0 + self.fig.blur * self.chance.roll();
+            let jitter = 0.95 + 0.1 * self.chance.roll();
             let s = &self.servers[i];
             if self.usable(s) && shunned >> (i % 64) & 1 == 0 && self.reaches(q, resend, i) {
                 let cost = self.cost(s) * jitter;
