An idle server's figures fade seven times more slowly

It may hurt where a slow server mends itself unseen: it is tried again later. Tried too: a refused connection sets aside at once, no change.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -28,7 +28,7 @@
 /// Quicker, and a jam soon counts as the normal time of an answer and the target never pushes it down.
 const BASE_GROWTH: f64 = 0.000_01;
 const TARGET_TOP: f64 = 0.33;
-const RTT_FADE: f64 = 0.002;
+const RTT_FADE: f64 = 0.000_3;
 const EASE_GAIN: f64 = 0.1;
 const EASE_LEAST: f64 = 0.05;
 const REPLAYS_OUT: u32 = 4;
