--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -45,6 +45,8 @@
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
 const SPARSE_PART: f64 = 1.0;
 const ID_BITS: u32 = 40;
+/// More limiters than these probe less often each: hundreds would load what they ask after.
+const PROBERS: f64 = 16.0;
 const CROSS_WEIGHT: f64 = 40.0;
 const SETTLE_AFTER: Ms = 200.0;
 const CREDIT_LEAST: f64 = 0.2;
@@ -138,6 +140,7 @@
         out.push(Action::Timer { token: 0, wait: BEAT });
         out.extend(s.discovery_asks.then_some(Action::Watch { on: true }));
         let mut fig = Figures::new(s);
+        fig.crowd = (fig.instances / PROBERS).max(1.0);
         fig.turn = (f64::from(s.me) * GOLDEN).fract();
         fig.cold_budget = (COLD_SHARE * s.fall_multiple).min(COLD_FAIR) * s.fall_window;
         let slo = fig.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min);
@@ -845,7 +848,7 @@
             s.rtt += if s.out == 0 { RTT_FADE * (0.5 * self.typical - s.rtt) } else { 0.0 };
             // An old or missing report does not make a server idle.
             s.busy += RTT_FADE * (self.busy - s.busy);
-            let every = if s.standing == Standing::Aside { 250.0 } else { 500.0 };
+            let every = if s.standing == Standing::Aside { 250.0 } else { 500.0 } * self.fig.crowd;
             let wanted = s.standing == Standing::Aside || cold && self.fig.report_probes;
             let can = self.fig.may_probe && !s.probing && s.health == Health::Ready;
             if can && wanted && self.now - s.probed_at >= every {
