Advice only where the client can come back before its SLO time

Against any kind of long refusal; it may hurt where clients without advice come again at once in great numbers.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -707,7 +707,10 @@
     fn give_up(&mut self, slot: usize, advice: Ms) {
         let q = &self.queries[slot];
         let all = self.fig.groups[q.group].repeat_group == RepeatGroup::All;
-        let (id, may, retry_after) = (q.id, self.rule(q).1, advice.min(self.fig.advice));
+        // Who comes back past the SLO time spends quota and servers on an answer that is worth nothing.
+        let useful = self.now + advice + self.typical < q.slo_at;
+        let retry_after = if useful { advice.min(self.fig.advice) } else { 0.0 };
+        let (id, may) = (q.id, self.rule(q).1);
         let shed = may == May::Shed || may == May::ShedIfAll && all;
         self.acts.push(if shed { Action::Shed { id, retry_after } } else { Action::Drop { id } });
         if q.sent == 0 && q.stage == Stage::Waiting && q.inside {
