--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -708,7 +708,7 @@
         let q = &self.queries[slot];
         let all = self.fig.groups[q.group].repeat_group == RepeatGroup::All;
         // Who comes back past the SLO time spends quota and servers on an answer that is worth nothing.
-        let useful = self.now + advice + self.typical < q.slo_at;
+        let useful = self.now + 2.0 * (advice + self.typical) < q.slo_at;
         let retry_after = if useful { advice.min(self.fig.advice) } else { 0.0 };
         let (id, may) = (q.id, self.rule(q).1);
         let shed = may == May::Shed || may == May::ShedIfAll && all;
