--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -30,7 +30,9 @@
 const TARGET_TOP: f64 = 0.33;
 const RTT_FADE: f64 = 0.000_3;
 const EASE_GAIN: f64 = 0.1;
-const EASE_LEAST: f64 = 0.05;
+/// One of hundreds of limiters gets few answers to learn of a jam from, and none may go on holding many.
+const EASE_HASTE: f64 = 4.0;
+const EASE_LEAST: f64 = 0.01;
 const REPLAYS_OUT: u32 = 4;
 const STRAINED_FOR: Ms = 2000.0;
 const SHUN_FOR: Ms = 4000.0;
@@ -638,7 +640,8 @@
                 s.rtt += 0.1 * (rtt - s.rtt);
                 self.typical += 0.02 * (rtt - self.typical);
                 let step = target - (rtt / slo).min(1.0);
-                self.ease = (self.ease * (1.0 + EASE_GAIN * step)).clamp(EASE_LEAST, 1.0);
+                let gain = EASE_GAIN * self.fig.crowd.min(EASE_HASTE);
+                self.ease = (self.ease * (1.0 + gain * step)).clamp(EASE_LEAST, 1.0);
                 if used || step < 0.0 {
                     s.credits = (s.credits + CREDIT_GAIN * step).clamp(CREDIT_LEAST, CREDIT_TOP);
                 }
