--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -35,7 +35,6 @@
 const EASE_LEAST: f64 = 0.01;
 const REPLAYS_OUT: u32 = 4;
 const STRAINED_FOR: Ms = 2000.0;
-const SHUN_FOR: Ms = 4000.0;
 /// The share of queries that ask the counter: more with each prompt answer and with time, less with each
 /// late or missing one. Late is over half of the time-out: the line is seen growing before calls fail.
 const ASK_GAIN: f64 = 0.03;
@@ -82,10 +81,10 @@
 const RULES: [(Semantics, Known, Resend, May); 9] = [
     (Semantics::Repeatable, Known::NeverRan, Resend::Anywhere, May::Shed),
     (Semantics::Repeatable, Known::MayHaveRun, Resend::Anywhere, May::Shed),
-    (Semantics::Repeatable, Known::StillOut, Resend::Copy, May::Shed),
+    (Semantics::Repeatable, Known::StillOut, Resend::No, May::Shed),
     (Semantics::Keyed, Known::NeverRan, Resend::Anywhere, May::Shed),
     (Semantics::Keyed, Known::MayHaveRun, Resend::InGroup, May::ShedIfAll),
-    (Semantics::Keyed, Known::StillOut, Resend::GroupCopy, May::ShedIfAll),
+    (Semantics::Keyed, Known::StillOut, Resend::No, May::ShedIfAll),
     (Semantics::Mutating, Known::NeverRan, Resend::Anywhere, May::Shed),
     (Semantics::Mutating, Known::MayHaveRun, Resend::No, May::Drop),
     (Semantics::Mutating, Known::StillOut, Resend::No, May::Drop),
@@ -278,12 +277,10 @@
             self.read(at, total, &call);
         } else {
             let a = &mut self.accts[at];
-            match outcome {
-                // Most calls that a counter answers too late it has added.
-                _ if a.sparse => {}
-                Outcome::TimedOut => a.unsure += call.add,
-                _ => a.carry += call.add,
-            }
+            // A counter works on calls that nobody waits for: what it answers too late it has added, and
+            // adding it again would count it twice.
+            let lost = outcome != Outcome::TimedOut && !a.sparse;
+            a.carry += if lost { call.add } else { 0.0 };
             self.failures += 1;
             if self.failures >= FAILURES && self.breaker == Breaker::Closed {
                 self.probe_acct = at;
@@ -363,7 +360,7 @@
         // A total far below what this limiter has read betrays a lost name (flush, empty return, end of
         // its time): the level goes on, so nobody is handed a fresh burst. Refunds only lower it a little.
         let noise = self.fig.units_top * a.spread;
-        let reborn = !a.seen || others < -noise - a.unsure.abs();
+        let reborn = !a.seen || others < -noise;
         others = if reborn { (total - add).max(0.0) } else { others };
         // What the counter proves of the ceiling is taken the other way: others' use at its latest, nothing
         // from before a name that was lost or an instance that was not there.
@@ -376,11 +373,7 @@
             // A name older than this instance tells use but not its time.
             others = if fig.ceiling { fig.burst } else { fig.burst / 2.0 };
         }
-        // Told apart by the total: a timed-out add that it cannot contain goes into the next add.
-        let absorbed = a.unsure.min(others.max(0.0));
-        a.carry += a.unsure - absorbed;
-        a.unsure = 0.0;
-        a.level = (a.level + filled - others + absorbed).clamp(-noise, fig.burst);
+        a.level = (a.level + filled - others).clamp(-noise, fig.burst);
         a.at = self.now;
         a.total = total;
         a.seen = true;
@@ -471,13 +464,12 @@
 
     fn pick(&mut self, slot: usize) -> Option<usize> {
         let q = &self.queries[slot];
-        let (a, resend) = (&self.accts[q.acct], self.resend(q));
-        let shunned = if self.now < a.shunned_until { a.shunned } else { 0 };
+        let resend = self.resend(q);
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.servers.items.len() {
             let jitter = 0.95 + 0.1 * self.chance.roll();
             let s = &self.servers[i];
-            if self.usable(s) && shunned >> (i % 64) & 1 == 0 && self.reaches(q, resend, i) {
+            if self.usable(s) && self.reaches(q, resend, i) {
                 let cost = self.cost(s) * jitter;
                 if best.is_none_or(|b| cost < b.0) {
                     best = Some((cost, i));
@@ -521,9 +513,7 @@
         };
         match resend {
             Resend::Anywhere => !tried,
-            Resend::Copy => self.fig.copies && !tried,
             Resend::InGroup => q.tries().iter().all(in_group),
-            Resend::GroupCopy => self.fig.copies && !tried && q.tries().iter().all(in_group),
             Resend::No => false,
         }
     }
@@ -591,12 +581,6 @@
             self.accts[acct].carry += actual - q.units;
             self.accts[acct].level -= actual - q.units;
         }
-        if how == Outcome::Full {
-            // Servers may turn one customer away and serve the rest: it is sent elsewhere for a while.
-            let a = &mut self.accts[acct];
-            a.shunned = if self.now < a.shunned_until { a.shunned } else { 0 } | 1 << (server % 64);
-            a.shunned_until = self.now + SHUN_FOR;
-        }
         self.report(server, load);
         self.learn(server, how, rtt, group);
         if over {
@@ -884,13 +868,6 @@
                     self.give_up(slot, 2.0 * self.typical);
                 }
             }
-            Stage::Out => {
-                let age = self.now - q.tries[q.sent - 1].sent;
-                let late = age > (3.0 * self.typical).max(self.fig.groups[q.group].slo * 0.3);
-                if late && q.sent < 2 && self.now < q.slo_at - self.typical && self.spare() > 0.5 {
-                    self.pick(slot).into_iter().for_each(|server| self.send(slot, server));
-                }
-            }
             _ => {}
         }
     }
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -53,9 +53,7 @@
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Resend {
     Anywhere,
-    Copy,
     InGroup,
-    GroupCopy,
     No,
 }
 
@@ -145,7 +143,6 @@
     pub seen: bool,
     pub carry: f64,
     pub carry_at: Ms,
-    pub unsure: f64,
     pub local: f64,
     pub local_at: Ms,
     pub proof: f64,
@@ -153,9 +150,6 @@
     pub over_at: Ms,
     pub log: VecDeque<(Ms, f64)>,
     pub calls: VecDeque<Call>,
-    /// Servers (by place, modulo 64) that turned this customer away lately.
-    pub shunned: u64,
-    pub shunned_until: Ms,
     pub out: u32,
     pub in_hand: u32,
     pub used_at: Ms,
@@ -258,7 +252,6 @@
     pub counter_wait: Ms,
     pub may_cancel: bool,
     pub may_probe: bool,
-    pub copies: bool,
     pub most: usize,
     pub advice: Ms,
     pub zone: u8,
@@ -309,7 +302,6 @@
             counter_wait: s.counter_wait,
             may_cancel: s.may_cancel,
             may_probe: s.may_probe,
-            copies: s.second_copies,
             most: (s.send_cap as usize).clamp(1, MOST_FORWARDS),
             advice: if s.retry_after { s.max_retry_after } else { 0.0 },
             zone: s.zone,
