--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -13,9 +13,8 @@
 const FAILURES: u32 = 5;
 /// A name lives as long as the counter allows: each rebirth hides what others added just before it.
 const NAME_TTL: Ms = 60_000.0;
-/// Share of what lies between quota and ceiling that limiters split and grant without proof; the rest is
-/// slack for the granted part that the counter proves.
-const OVER_SHARE: f64 = 0.9;
+/// Of a ceiling, what limiters split; the rest is slack for grants that wait and go out together.
+const CEILING_SHARE: f64 = 0.9;
 /// Credits on one server at the start, over all limiters, and what one limiter may come to hold.
 const CREDIT_START: f64 = 6.0;
 const CREDIT_TOP: f64 = 12.0;
@@ -46,6 +45,8 @@
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
 const SPARSE_PART: f64 = 1.0;
 const ID_BITS: u32 = 40;
+/// A window's name must outlive the window by more than the way to the counter.
+const SPARSE_TTL: Ms = 1000.0;
 /// More limiters than these probe less often each: hundreds would load what they ask after.
 const PROBERS: f64 = 16.0;
 const CROSS_WEIGHT: f64 = 40.0;
@@ -90,49 +91,41 @@
     (Semantics::Mutating, Known::StillOut, Resend::No, May::Drop),
 ];
 
-/// A ceiling is held without the others' word. The counter proves grants up to the quota; all else
-/// (local count, beyond the quota) comes out of this limiter's part of what lies between quota and
-/// ceiling, starting with none of it, so an outage, a restart or a swing of traffic adds nothing.
-fn spend_over(a: &mut Acct, fig: &PlanFig, units: f64, keep: f64, now: Ms) -> bool {
-    let part = OVER_SHARE / a.spread;
-    // Nothing proves a grant of a limiter that reads seldom: all of the ceiling is split.
-    let (rate, burst) = if a.sparse {
-        (fig.rate + fig.over_rate, fig.burst + fig.over_burst)
-    } else {
-        (fig.over_rate, fig.over_burst)
-    };
-    a.over = (a.over + part * rate * (now - a.over_at)).min(part * burst);
-    a.over_at = now;
-    let can = !fig.ceiling || a.over - units >= keep * part * burst;
-    a.over -= if can { units } else { 0.0 };
+/// A ceiling is held without the others' word or the counter's: each grant comes out of this limiter's even
+/// part of it, which starts with nothing, so an outage, a lost name, a restart or a swing of traffic adds
+/// nothing.
+fn spend_part(a: &mut Acct, fig: &PlanFig, units: f64, keep: f64, now: Ms) -> bool {
+    let part = CEILING_SHARE / a.spread;
+    a.part = (a.part + part * fig.ceiling_rate * (now - a.part_at)).min(part * fig.ceiling_burst);
+    a.part_at = now;
+    let can = !fig.ceiling || a.part - units >= keep * part * fig.ceiling_burst;
+    a.part -= if can { units } else { 0.0 };
     can
 }
 
 /// Names of sparse customers: one for each window of burst over rate, told by the clock and set apart by
 /// customer, lest all windows turn at once.
 impl Acct {
-    fn phase(&self, fig: &PlanFig) -> Ms {
-        (self.id as f64 * GOLDEN).fract() * fig.window
+    fn turn(&self, now: Ms, fig: &PlanFig) -> f64 {
+        now / fig.window.max(1.0) + (self.id as f64 * GOLDEN).fract()
     }
 
     fn turn_window(&mut self, now: Ms, fig: &PlanFig) {
-        let window = ((now + self.phase(fig)) / fig.window.max(1.0)).floor();
+        let window = self.turn(now, fig).floor();
         if self.sparse && window != self.window {
             (self.window, self.carry, self.seen) = (window, 0.0, false);
         }
     }
 
-    fn window_left(&self, now: Ms, fig: &PlanFig) -> Ms {
-        ((self.window + 1.0) * fig.window - self.phase(fig) - now).max(0.0)
-    }
-
     fn name(&mut self, now: Ms, fig: &PlanFig) -> (u64, Ms) {
-        if !self.sparse {
-            return (self.id, NAME_TTL);
-        }
         self.turn_window(now, fig);
         let window = (self.window as u64 + 1) & ((1 << (64 - ID_BITS)) - 1);
-        (window << ID_BITS | self.id, (fig.window + 1000.0).min(NAME_TTL))
+        let (sparse, plain) = ((window << ID_BITS | self.id, fig.window + SPARSE_TTL), (self.id, NAME_TTL));
+        if self.sparse {
+            sparse
+        } else {
+            plain
+        }
     }
 }
 
@@ -145,18 +138,9 @@
         fig.turn = (f64::from(s.me) * GOLDEN).fract();
         fig.cold_budget = (COLD_SHARE * s.fall_multiple).min(COLD_FAIR) * s.fall_window;
         let slo = fig.groups.iter().map(|g| g.slo).fold(f64::INFINITY, f64::min);
-        Control {
-            now,
-            chance: Chance::new(seed),
-            paces: fig.groups.iter().map(|_| Pace::default()).collect(),
-            typical: slo / 4.0,
-            ease: 1.0,
-            ask: 1.0,
-            asked_at: now,
-            answered_at: now,
-            fig,
-            ..Control::default()
-        }
+        let (chance, typical) = (Chance::new(seed), slo / 4.0);
+        let paces = fig.groups.iter().map(|_| Pace::default()).collect();
+        Control { now, chance, paces, typical, ease: 1.0, ask: 1.0, fig, ..Control::default() }
     }
 
     pub fn handle(&mut self, now: Ms, event: &Event, out: &mut Vec<Action>) {
@@ -232,13 +216,12 @@
             return at;
         }
         let fig = &self.fig.plans[plan];
-        // An instance cannot know that it is the first: under a ceiling it starts with nothing.
-        let local = if fig.ceiling { 0.0 } else { fig.burst / spread };
-        let (level, at, local_at, over_at) = (fig.burst, self.now, self.now, self.now);
         let sparse = fig.burst < SPARSE_PART * spread;
-        // Parts under a whole query would let nobody send: each limiter may send one, few will.
-        let local = if sparse { fig.burst } else { local };
-        let new = Acct { id, plan, spread, sparse, level, at, local, local_at, over_at, ..Acct::default() };
+        // Parts under a whole query would let nobody send: each limiter of a sparse customer may send one, and
+        // few will.
+        let local = if sparse { fig.burst } else { fig.burst / spread };
+        let (level, at, local_at, part_at) = (fig.burst, self.now, self.now, self.now);
+        let new = Acct { id, plan, spread, sparse, level, at, local, local_at, part_at, ..Acct::default() };
         self.accts.add(id, new)
     }
 
@@ -247,11 +230,13 @@
     fn ask_chance(&mut self, stake: f64) -> f64 {
         self.ask = (self.ask + ASK_GAIN_MS * (self.now - self.asked_at)).min(1.0);
         self.asked_at = self.now;
+        // What is worth most asks first.
+        let chance = (self.ask * stake / self.stake.max(1e-9)).clamp(ASK_LEAST, 1.0);
         if self.ask >= 1.0 {
-            return 1.0;
+            1.0
+        } else {
+            chance
         }
-        // What is worth most asks first.
-        (self.ask * stake / self.stake.max(1e-9)).clamp(ASK_LEAST, 1.0)
     }
 
     fn call(&mut self, acct: usize, asker: Asker, add: f64) {
@@ -274,7 +259,7 @@
         }
         if answered {
             self.failures = 0;
-            self.read(at, total, &call);
+            self.read(at, total, call.add);
         } else {
             let a = &mut self.accts[at];
             // A counter works on calls that nobody waits for: what it answers too late it has added, and
@@ -304,9 +289,7 @@
             Asker::Settle => {}
             Asker::Probe => {
                 self.counter_probing = false;
-                if answered {
-                    self.signal(Signal::ProbeAnswered);
-                }
+                answered.then(|| self.signal(Signal::ProbeAnswered));
             }
         }
     }
@@ -327,11 +310,15 @@
         self.failures = 0;
         while self.breaker == Breaker::Replaying && self.replays < REPLAYS_OUT {
             let Some(at) = self.logged.pop() else { break };
-            let since = self.now - self.fig.plans[self.accts[at].plan].window;
             let a = &mut self.accts[at];
-            let sum: f64 = a.log.drain(..).filter(|g| g.0 >= since).map(|g| g.1).sum();
-            let add = sum + std::mem::take(&mut a.carry);
-            if add != 0.0 {
+            let fig = &self.fig.plans[a.plan];
+            a.turn_window(self.now, fig);
+            let window = if a.sparse { a.turn(self.now, fig).fract() * fig.window } else { fig.window };
+            let sum: f64 = a.log.drain(..).filter(|g| g.0 >= self.now - window).map(|g| g.1).sum();
+            a.carry += sum;
+            // For a sparse customer it waits for the next add: hundreds of limiters' sums would fill the line.
+            if a.carry != 0.0 && !a.sparse {
+                let add = std::mem::take(&mut a.carry);
                 self.replays += 1;
                 self.call(at, Asker::Replay(sum), add);
             }
@@ -344,15 +331,11 @@
     /// Follows the customer's store from the totals, as if others had added evenly since the last read:
     /// taken all at once at the end, use that refill has long made good would empty the store of a limiter
     /// that reads seldom.
-    fn read(&mut self, at: usize, total: f64, call: &Call) {
+    fn read(&mut self, at: usize, total: f64, add: f64) {
         let a = &mut self.accts[at];
-        let (fig, add) = (&self.fig.plans[a.plan], call.add);
+        let fig = &self.fig.plans[a.plan];
         if a.sparse {
-            a.level = fig.burst - total;
-            if let Asker::Query(_) = call.asker {
-                a.level += add;
-            }
-            a.seen = true;
+            (a.level, a.seen) = (fig.burst - total + add, true);
             (a.local, a.local_at) = if a.level <= 0.0 { (0.0, self.now) } else { (a.local, a.local_at) };
             return;
         }
@@ -362,23 +345,14 @@
         let noise = self.fig.units_top * a.spread;
         let reborn = !a.seen || others < -noise;
         others = if reborn { (total - add).max(0.0) } else { others };
-        // What the counter proves of the ceiling is taken the other way: others' use at its latest, nothing
-        // from before a name that was lost or an instance that was not there.
         let filled = fig.rate * (self.now - a.at);
-        let rest = 1.0 - OVER_SHARE;
-        let top = fig.burst + rest * fig.over_burst;
-        let proof = (a.proof + filled + rest * fig.over_rate * (self.now - a.at)).min(top) - others;
-        a.proof = if reborn { 0.0 } else { proof };
         if !a.seen && others > fig.burst {
             // A name older than this instance tells use but not its time.
-            others = if fig.ceiling { fig.burst } else { fig.burst / 2.0 };
+            others = fig.burst / 2.0;
         }
         a.level = (a.level + filled - others).clamp(-noise, fig.burst);
-        a.at = self.now;
-        a.total = total;
-        a.seen = true;
-        a.local = a.level.max(0.0) / a.spread;
-        a.local_at = self.now;
+        (a.at, a.total, a.seen) = (self.now, total, true);
+        (a.local, a.local_at) = (a.level.max(0.0) / a.spread, self.now);
     }
 
     fn decide(&mut self, slot: usize) {
@@ -386,11 +360,9 @@
         let (at, units) = (q.acct, q.units);
         let a = &mut self.accts[at];
         let fig = &self.fig.plans[a.plan];
-        let proven = !fig.ceiling || !a.sparse && a.proof >= units;
-        let inside = a.level >= units && (proven || spend_over(a, fig, units, 0.0, self.now));
+        let inside = a.level >= units && spend_part(a, fig, units, 0.0, self.now);
         if inside {
             a.level -= units;
-            a.proof -= if proven { units } else { 0.0 };
         } else {
             self.owe(at, -units);
         }
@@ -406,20 +378,18 @@
         let (cap, rate) = (fig.burst / a.spread, fig.rate / a.spread);
         a.local = (a.local + rate * (self.now - a.local_at)).min(cap.max(q.units));
         a.local_at = self.now;
-        let inside = a.local >= q.units && spend_over(a, fig, q.units, 0.0, self.now);
+        let inside = a.local >= q.units && spend_part(a, fig, q.units, 0.0, self.now);
         if inside {
             a.local -= q.units;
-            if a.sparse {
-                // The next add stands for it.
-            } else if log {
+            if log {
                 self.logged.extend(a.log.is_empty().then_some(q.acct));
                 a.log_grant(self.now, q.units, fig.window);
-            } else {
+            } else if !a.sparse {
                 a.level -= q.units;
             }
         }
         let (at, owed) = (q.acct, if inside { q.units } else { 0.0 } - q.added);
-        if !log && owed != 0.0 && !self.accts[at].sparse {
+        if !log && owed != 0.0 {
             self.owe(at, owed);
         }
         self.admit(slot, inside);
@@ -433,9 +403,10 @@
         if !inside {
             q.worth *= fig.over_worth;
             let pays = fig.over_worth > fig.over_cost && self.breaker == Breaker::Closed;
-            if !pays || !spend_over(a, fig, q.units, 0.5, self.now) {
-                let room = if a.sparse { a.window_left(self.now, fig) } else { (q.units - a.level).max(0.0) };
-                let wait = if a.sparse { room } else { room / fig.rate.max(1e-9) };
+            if !pays || !spend_part(a, fig, q.units, 0.5, self.now) {
+                let left = (1.0 - a.turn(self.now, fig).fract()) * fig.window;
+                let refill = (q.units - a.level).max(0.0) / fig.rate.max(1e-9);
+                let wait = if a.sparse { left } else { refill };
                 return self.give_up(slot, wait);
             }
         }
@@ -540,15 +511,14 @@
             for (i, &slot) in self.waiting.iter().enumerate() {
                 let q = &self.queries[slot];
                 let a = &self.accts[q.acct];
-                let open = self.fig.plans[a.plan].open;
-                let held =
-                    q.sent == 0 && open > 0 && a.out >= (open as f64 / a.spread).ceil().max(1.0) as u32;
-                if !held
-                    && (q.inside || spare > 0.5)
-                    && order.is_none_or(|o| (q.worth, -q.slo_at) > (o.0, o.1))
-                {
-                    order = Some((q.worth, -q.slo_at, i));
-                }
+                let open = f64::from(self.fig.plans[a.plan].open);
+                let held = q.sent == 0 && open > 0.0 && f64::from(a.out) >= (open / a.spread).ceil().max(1.0);
+                let next = order.is_none_or(|o| (q.worth, -q.slo_at) > (o.0, o.1));
+                order = if !held && next && (q.inside || spare > 0.5) {
+                    Some((q.worth, -q.slo_at, i))
+                } else {
+                    order
+                };
             }
             let Some((_, _, i)) = order.filter(|_| spare > 0.0) else { return };
             let slot = self.waiting[i];
@@ -743,8 +713,7 @@
         // Hundreds of limiters that each hold one whole query would push a cold server over together: each
         // starts at another part of a query, told by its number, so that they come in turn.
         let cold_left = (self.fig.turn + f64::from(m.server) * GOLDEN).fract();
-        let (started, rtt) = (m.started, self.typical);
-        let busy = self.busy;
+        let (started, rtt, busy) = (m.started, self.typical, self.busy);
         let mut s = Server { id: m.server, started, credits, rtt, cold_left, busy, ..Server::default() };
         (s.answered_at, s.sent_at, s.probed_at, s.cold_at) = (self.now, self.now, self.now, self.now);
         s
@@ -780,8 +749,7 @@
         self.acts.push(Action::Timer { token: 0, wait: BEAT });
         let due = !self.counter_probing && self.now >= self.counter_probe_at;
         if self.breaker == Breaker::Open && due {
-            self.counter_probing = true;
-            self.counter_probe_at = self.now + PROBE_EVERY;
+            (self.counter_probing, self.counter_probe_at) = (true, self.now + PROBE_EVERY);
             self.call(self.probe_acct, Asker::Probe, 0.0);
         }
         self.settle();
@@ -800,9 +768,8 @@
     /// A refund waits a moment for the customer's next add; if none comes it goes by itself, lest the other
     /// limiters take refused units for use for as long as this one hears nothing of the customer.
     fn settle(&mut self) {
-        while let Some(&(at, due)) = self.owed.front().filter(|o| o.1 <= self.now) {
-            let a = &self.accts[at];
-            if self.breaker == Breaker::Closed && a.carry != 0.0 && a.carry_at + SETTLE_AFTER <= due {
+        while let Some(&(at, _)) = self.owed.front().filter(|o| o.1 <= self.now) {
+            if self.breaker == Breaker::Closed && self.accts[at].carry != 0.0 {
                 let chance = self.ask_chance(self.stake);
                 if self.chance.roll() >= chance {
                     return;
@@ -816,13 +783,12 @@
 
     fn owe(&mut self, at: usize, units: f64) {
         let a = &mut self.accts[at];
-        if a.sparse {
-            // What is refused stays counted until the window ends; a call more for each would fill the counter.
-            return;
+        // What a sparse customer is refused stays counted until the window ends, as in the source: a call
+        // more for each would fill the counter.
+        if !a.sparse {
+            a.carry += units;
+            self.owed.push_back((at, self.now + SETTLE_AFTER));
         }
-        a.carry += units;
-        a.carry_at = self.now;
-        self.owed.push_back((at, self.now + SETTLE_AFTER));
     }
 
     fn watch_servers(&mut self) {
@@ -858,7 +824,7 @@
         }
         match q.stage {
             Stage::Counting if self.now - q.since > self.fig.counter_wait + 4.0 * BEAT => {
-                self.decide_locally(slot, true);
+                self.decide_locally(slot, false);
             }
             Stage::Waiting => {
                 let slo = self.fig.groups[q.group].slo;
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -142,12 +142,10 @@
     pub total: f64,
     pub seen: bool,
     pub carry: f64,
-    pub carry_at: Ms,
     pub local: f64,
     pub local_at: Ms,
-    pub proof: f64,
-    pub over: f64,
-    pub over_at: Ms,
+    pub part: f64,
+    pub part_at: Ms,
     pub log: VecDeque<(Ms, f64)>,
     pub calls: VecDeque<Call>,
     pub out: u32,
@@ -235,8 +233,8 @@
     pub over_worth: f64,
     pub over_cost: f64,
     pub open: u32,
-    pub over_rate: f64,
-    pub over_burst: f64,
+    pub ceiling_rate: f64,
+    pub ceiling_burst: f64,
     pub ceiling: bool,
 }
 
@@ -278,7 +276,6 @@
         };
         let plan = |p: &Plan| {
             let ceiling = p.ceiling_rate > 0.0;
-            let part = |top: f64, quota: f64| (top - quota).max(0.0);
             PlanFig {
                 rate: p.rate / 1000.0,
                 burst: p.burst,
@@ -287,8 +284,8 @@
                 over_worth: p.over_worth,
                 over_cost: p.over_cost,
                 open: p.open,
-                over_rate: part(p.ceiling_rate, p.rate) / 1000.0,
-                over_burst: part(p.ceiling_burst, p.burst),
+                ceiling_rate: p.ceiling_rate / 1000.0,
+                ceiling_burst: p.ceiling_burst,
                 ceiling,
             }
         };
