--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -121,11 +121,7 @@
         self.turn_window(now, fig);
         let window = (self.window as u64 + 1) & ((1 << (64 - ID_BITS)) - 1);
         let (sparse, plain) = ((window << ID_BITS | self.id, fig.window + SPARSE_TTL), (self.id, NAME_TTL));
-        if self.sparse {
-            sparse
-        } else {
-            plain
-        }
+        [plain, sparse][usize::from(self.sparse)]
     }
 }
 
@@ -179,8 +175,7 @@
         let slot = self.queries.add(new.id, query);
         self.live.push(slot);
         let a = &mut self.accts[acct];
-        a.in_hand += 1;
-        a.used_at = self.now;
+        (a.in_hand, a.used_at) = (a.in_hand + 1, self.now);
         a.turn_window(self.now, &self.fig.plans[plan]);
         if self.fig.plans[plan].rate <= 0.0 {
             self.admit(slot, true);
@@ -202,8 +197,7 @@
             // Seldom asked for, it stands for the queries that did not ask.
             let stands_for = if a.sparse { 1.0 / chance } else { 1.0 };
             let add = units * stands_for + std::mem::take(&mut a.carry);
-            self.queries[slot].counting = true;
-            self.queries[slot].added = units;
+            (self.queries[slot].counting, self.queries[slot].added) = (true, units);
             self.call(acct, Asker::Query(slot), add);
         } else {
             self.decide_locally(slot, true);
@@ -217,8 +211,7 @@
         }
         let fig = &self.fig.plans[plan];
         let sparse = fig.burst < SPARSE_PART * spread;
-        // Parts under a whole query would let nobody send: each limiter of a sparse customer may send one, and
-        // few will.
+        // Parts under a whole query would let nobody send: each limiter of a sparse customer may send one.
         let local = if sparse { fig.burst } else { fig.burst / spread };
         let (level, at, local_at, part_at) = (fig.burst, self.now, self.now, self.now);
         let new = Acct { id, plan, spread, sparse, level, at, local, local_at, part_at, ..Acct::default() };
@@ -232,11 +225,7 @@
         self.asked_at = self.now;
         // What is worth most asks first.
         let chance = (self.ask * stake / self.stake.max(1e-9)).clamp(ASK_LEAST, 1.0);
-        if self.ask >= 1.0 {
-            1.0
-        } else {
-            chance
-        }
+        f64::max(chance, self.ask.floor())
     }
 
     fn call(&mut self, acct: usize, asker: Asker, add: f64) {
@@ -316,7 +305,7 @@
             let window = if a.sparse { a.turn(self.now, fig).fract() * fig.window } else { fig.window };
             let sum: f64 = a.log.drain(..).filter(|g| g.0 >= self.now - window).map(|g| g.1).sum();
             a.carry += sum;
-            // For a sparse customer it waits for the next add: hundreds of limiters' sums would fill the line.
+            // A sparse customer's waits for the next add: hundreds of limiters' sums would fill the line.
             if a.carry != 0.0 && !a.sparse {
                 let add = std::mem::take(&mut a.carry);
                 self.replays += 1;
@@ -436,18 +425,15 @@
     fn pick(&mut self, slot: usize) -> Option<usize> {
         let q = &self.queries[slot];
         let resend = self.resend(q);
-        let mut best: Option<(f64, usize)> = None;
+        let (mut best, mut least) = (None, f64::INFINITY);
         for i in 0..self.servers.items.len() {
             let jitter = 0.95 + 0.1 * self.chance.roll();
             let s = &self.servers[i];
-            if self.usable(s) && self.reaches(q, resend, i) {
-                let cost = self.cost(s) * jitter;
-                if best.is_none_or(|b| cost < b.0) {
-                    best = Some((cost, i));
-                }
+            if self.usable(s) && self.reaches(q, resend, i) && self.cost(s) * jitter < least {
+                (best, least) = (Some(i), self.cost(s) * jitter);
             }
         }
-        best.map(|b| b.1)
+        best
     }
 
     fn rule(&self, q: &Query) -> (Resend, May) {
@@ -463,18 +449,13 @@
     /// How this query may be sent on now, by rules 1 and 2.
     fn resend(&self, q: &Query) -> Resend {
         let never = q.stage == Stage::Over || q.streaming || q.sent >= self.fig.most || self.too_late(q);
-        if never {
-            Resend::No
-        } else {
-            self.rule(q).0
-        }
+        Some(self.rule(q).0).filter(|_| !never).unwrap_or(Resend::No)
     }
 
     fn reaches(&self, q: &Query, resend: Resend, server: usize) -> bool {
-        let tried = q.tries().iter().any(|t| t.server == server);
-        let g = &self.fig.groups[q.group];
+        let (g, there) = (&self.fig.groups[q.group], &self.servers[server]);
         let in_group = |t: &Try| {
-            let (home, there) = (&self.servers[t.server], &self.servers[server]);
+            let home = &self.servers[t.server];
             let same = match g.repeat_group {
                 RepeatGroup::All => true,
                 RepeatGroup::Zone => home.zone == there.zone,
@@ -483,7 +464,7 @@
             !t.may_have_run() || same && self.now < t.sent + g.window - 2.0 * BEAT
         };
         match resend {
-            Resend::Anywhere => !tried,
+            Resend::Anywhere => q.tries().iter().all(|t| t.server != server),
             Resend::InGroup => q.tries().iter().all(in_group),
             Resend::No => false,
         }
@@ -514,11 +495,9 @@
                 let open = f64::from(self.fig.plans[a.plan].open);
                 let held = q.sent == 0 && open > 0.0 && f64::from(a.out) >= (open / a.spread).ceil().max(1.0);
                 let next = order.is_none_or(|o| (q.worth, -q.slo_at) > (o.0, o.1));
-                order = if !held && next && (q.inside || spare > 0.5) {
-                    Some((q.worth, -q.slo_at, i))
-                } else {
-                    order
-                };
+                if !held && next && (q.inside || spare > 0.5) {
+                    order = Some((q.worth, -q.slo_at, i));
+                }
             }
             let Some((_, _, i)) = order.filter(|_| spare > 0.0) else { return };
             let slot = self.waiting[i];
@@ -568,12 +547,10 @@
     fn target(&mut self, group: usize, rtt: Ms) -> f64 {
         let slo = self.fig.groups[group].slo;
         let p = &mut self.paces[group];
-        p.sum += rtt;
-        p.n += 1.0;
+        (p.sum, p.n) = (p.sum + rtt, p.n + 1.0);
         if p.n >= 30.0 {
-            let mean = p.sum / p.n;
-            p.base =
-                if p.base > 0.0 { mean.min(p.base * (1.0 + BASE_GROWTH * (self.now - p.at))) } else { mean };
+            let (mean, grown) = (p.sum / p.n, p.base * (1.0 + BASE_GROWTH * (self.now - p.at)));
+            p.base = if p.base > 0.0 { mean.min(grown) } else { mean };
             (p.sum, p.n, p.at) = (0.0, 0.0, self.now);
         }
         // A fleet jammed from the start never shows its least time; this much above it always shrinks.
@@ -587,8 +564,7 @@
         let s = &mut self.servers[server];
         s.out = s.out.saturating_sub(1);
         let used = f64::from(s.out) + 1.0 >= s.credits.floor() && s.busy < 0.98;
-        let mut bad = 0.0;
-        match how {
+        let bad = match how {
             Outcome::Ok => {
                 s.answered_at = self.now;
                 s.rtt += 0.1 * (rtt - s.rtt);
@@ -602,25 +578,24 @@
                 s.bad = 0.0;
                 self.answered_rate = self.carried() + 1.0 / CARRIED_TIME;
                 self.answered_at = self.now;
-                self.mark(server, Mark::Good);
+                return self.mark(server, Mark::Good);
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::Moot => 0.0,
             Outcome::Full => {
                 // Turned away unseen costs little and tells only that the server holds enough: it rests
                 // for about as long as a place takes to come free, and keeps its credits.
                 s.rest_until = self.now + 0.5 * self.typical;
-                s.bad += 0.2;
-                bad = s.bad;
+                0.2
             }
             Outcome::TimedOut | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
                 // A server that fails quickly must not look quick.
                 s.rtt = s.rtt.max(slo / 4.0);
                 s.credits = (s.credits * 0.7).max(CREDIT_LEAST);
-                s.bad += 1.0;
-                bad = s.bad;
+                1.0
             }
-        }
-        if bad >= 3.0 || bad > 0.0 && self.servers[server].standing == Standing::Trial {
+        };
+        s.bad += bad;
+        if bad > 0.0 && (s.bad >= 3.0 || s.standing == Standing::Trial) {
             self.set_aside(server);
         }
     }
@@ -640,9 +615,8 @@
         let now = self.now;
         let s = &mut self.servers[server];
         let Some(row) = STANDING.iter().find(|r| r.0 == s.standing && r.1 == mark) else { return };
-        s.standing = row.2;
-        s.bad = 0.0;
-        s.probes = 0;
+        (s.standing, s.bad, s.probes) = (row.2, 0.0, 0);
+        s.rtt = if row.2 == Standing::Trial { self.typical } else { s.rtt };
         if row.2 == Standing::Aside {
             (s.aside_at, s.aside_for) = (now, (s.aside_for * 2.0).clamp(500.0, 8000.0));
         }
@@ -715,7 +689,7 @@
         let cold_left = (self.fig.turn + f64::from(m.server) * GOLDEN).fract();
         let (started, rtt, busy) = (m.started, self.typical, self.busy);
         let mut s = Server { id: m.server, started, credits, rtt, cold_left, busy, ..Server::default() };
-        (s.answered_at, s.sent_at, s.probed_at, s.cold_at) = (self.now, self.now, self.now, self.now);
+        (s.sent_at, s.probed_at, s.cold_at) = (self.now, self.now, self.now);
         s
     }
 
@@ -800,7 +774,9 @@
             }
             let cold = self.cold(self.servers[i].started);
             let s = &mut self.servers[i];
-            // What nobody asks cannot show that it is well again: an idle server fades to quick.
+            // What never answered is as quick as the others, whatever was guessed at the start. What nobody
+            // asks cannot show that it is well again: an idle server fades to quick.
+            s.rtt = if s.answered_at > 0.0 { s.rtt } else { self.typical };
             s.rtt += if s.out == 0 { RTT_FADE * (0.5 * self.typical - s.rtt) } else { 0.0 };
             // An old or missing report does not make a server idle.
             s.busy += RTT_FADE * (self.busy - s.busy);
@@ -822,19 +798,11 @@
         if self.too_late(q) {
             return self.give_up(slot, 0.0);
         }
-        match q.stage {
-            Stage::Counting if self.now - q.since > self.fig.counter_wait + 4.0 * BEAT => {
-                self.decide_locally(slot, false);
-            }
-            Stage::Waiting => {
-                let slo = self.fig.groups[q.group].slo;
-                let last = self.now >= q.slo_at - (3.0 * self.typical).min(0.9 * slo);
-                let stuck = q.sent > 0 && self.pick(slot).is_none();
-                if last || stuck {
-                    self.give_up(slot, 2.0 * self.typical);
-                }
-            }
-            _ => {}
+        let last = self.now >= q.slo_at - (3.0 * self.typical).min(0.9 * self.fig.groups[q.group].slo);
+        if q.stage == Stage::Counting && self.now - q.since > self.fig.counter_wait + 4.0 * BEAT {
+            self.decide_locally(slot, false);
+        } else if q.stage == Stage::Waiting && (last || q.sent > 0 && self.pick(slot).is_none()) {
+            self.give_up(slot, 2.0 * self.typical);
         }
     }
 }
