--- a/crates/aspendrum-core/src/api.rs
+++ b/crates/aspendrum-core/src/api.rs
@@ -4,6 +4,7 @@
 pub type Ms = f64;
 pub type QueryId = u64;
 pub type ServerId = u32;
+/// At most 40 bits: names of counts hold it beside a window. Wider ones are mapped at the door.
 pub type AcctId = u64;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
