--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -758,8 +758,8 @@
     fn owe(&mut self, at: usize, units: f64) {
         let a = &mut self.accts[at];
         // What a sparse customer is refused stays counted until the window ends, as in the source: a call
-        // more for each would fill the counter.
-        if !a.sparse {
+        // more for each would fill the counter. Without a counter nothing is owed.
+        if !a.sparse && self.fig.counter {
             a.carry += units;
             self.owed.push_back((at, self.now + SETTLE_AFTER));
         }
--- a/crates/aspendrum-core/tests/decisions.rs
+++ b/crates/aspendrum-core/tests/decisions.rs
@@ -596,6 +596,15 @@
     assert!((10..60).all(|id| rig.sent(id) == 1 || rig.finals(id) == 0), "one query each is let in");
 }
 
+#[test]
+fn without_a_counter_none_is_called() {
+    let s = Settings { counter: false, ..settings(Semantics::Repeatable, RepeatGroup::All) };
+    let mut rig = Rig::with(&s, &[]);
+    (0..20).for_each(|id| rig.ask(id, 9));
+    rig.wait(2000.0);
+    assert_eq!((rig.calls.len(), rig.shed.len()), (0, 20), "what is given up owes nothing");
+}
+
 /// Who is told to come back after its SLO time comes back for nothing.
 #[test_case(4.2, 100 ; "soon enough")]
 #[test_case(4.9, 0 ; "too late to be of use")]
