Reading of a report, with its tuned value, goes into the module; small repeats gone

report() and its smoothing stood in state.rs, which decides nothing. The cost of a server is worked out once a look; dispatch scans the fleet only if something waits; a ceiling is told by its rate, not by a flag beside it; no placeholder figures. A comment named a field that is gone.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -58,6 +58,7 @@
 /// Multiples of it, taken to their fraction, lie evenly apart however many there are.
 const GOLDEN: f64 = 0.618_033_988_75;
 const CARRIED_TIME: Ms = 5000.0;
+const BUSY_GAIN: f64 = 0.02;
 const IDLE: Ms = 90_000.0;
 
 const BREAKER: [(Breaker, Signal, Breaker, Effect); 5] = [
@@ -98,7 +99,7 @@
     let part = CEILING_SHARE / a.spread;
     a.part = (a.part + part * fig.ceiling_rate * (now - a.part_at)).min(part * fig.ceiling_burst);
     a.part_at = now;
-    let can = !fig.ceiling || a.part - units >= keep * part * fig.ceiling_burst;
+    let can = fig.ceiling_rate <= 0.0 || a.part - units >= keep * part * fig.ceiling_burst;
     a.part -= if can { units } else { 0.0 };
     can
 }
@@ -152,9 +153,7 @@
                 self.queries.find(id).into_iter().for_each(|slot| self.queries[slot].streaming = true);
             }
             Event::ClientLeft { id } => self.queries.find(id).into_iter().for_each(|slot| self.close(slot)),
-            Event::Counted { name, outcome, total, rtt } => {
-                self.counted(name, outcome, f64::from(total), rtt)
-            }
+            Event::Counted { name, outcome, total, rtt } => self.counted(name, outcome, total.into(), rtt),
             Event::Probed { server, outcome, load, .. } => self.probed(server, outcome, &load),
             Event::Timer { .. } => self.beat(),
             Event::PeerSaid { .. } => {}
@@ -334,19 +333,17 @@
         let noise = self.fig.units_top * a.spread;
         let reborn = !a.seen || others < -noise;
         others = if reborn { (total - add).max(0.0) } else { others };
-        let filled = fig.rate * (self.now - a.at);
         if !a.seen && others > fig.burst {
             // A name older than this instance tells use but not its time.
             others = fig.burst / 2.0;
         }
-        a.level = (a.level + filled - others).clamp(-noise, fig.burst);
+        a.level = (a.level + fig.rate * (self.now - a.at) - others).clamp(-noise, fig.burst);
         (a.at, a.total, a.seen) = (self.now, total, true);
         (a.local, a.local_at) = (a.level.max(0.0) / a.spread, self.now);
     }
 
     fn decide(&mut self, slot: usize) {
-        let q = &self.queries[slot];
-        let (at, units) = (q.acct, q.units);
+        let Query { acct: at, units, .. } = self.queries[slot];
         let a = &mut self.accts[at];
         let fig = &self.fig.plans[a.plan];
         let inside = a.level >= units && spend_part(a, fig, units, 0.0, self.now);
@@ -358,8 +355,8 @@
         self.admit(slot, inside);
     }
 
-    /// The local count. `log`: the add was never sent (breaker open); else the call failed and `carry` or
-    /// `unsure` already holds its units.
+    /// The local count. `log`: the add was never sent (breaker open); else the call failed, and what
+    /// of its units was not added `carry` already holds.
     fn decide_locally(&mut self, slot: usize, log: bool) {
         let q = &self.queries[slot];
         let a = &mut self.accts[q.acct];
@@ -429,8 +426,9 @@
         for i in 0..self.servers.items.len() {
             let jitter = 0.95 + 0.1 * self.chance.roll();
             let s = &self.servers[i];
-            if self.usable(s) && self.reaches(q, resend, i) && self.cost(s) * jitter < least {
-                (best, least) = (Some(i), self.cost(s) * jitter);
+            let cost = self.cost(s) * jitter;
+            if cost < least && self.usable(s) && self.reaches(q, resend, i) {
+                (best, least) = (Some(i), cost);
             }
         }
         best
@@ -486,7 +484,7 @@
 
     /// Most important first, of equals the one with least time left, for as long as credits are left.
     fn dispatch(&mut self) {
-        loop {
+        while !self.waiting.is_empty() {
             let spare = self.spare();
             let mut order: Option<(f64, Ms, usize)> = None;
             for (i, &slot) in self.waiting.iter().enumerate() {
@@ -612,23 +610,28 @@
     }
 
     fn mark(&mut self, server: usize, mark: Mark) {
-        let now = self.now;
         let s = &mut self.servers[server];
         let Some(row) = STANDING.iter().find(|r| r.0 == s.standing && r.1 == mark) else { return };
         (s.standing, s.bad, s.probes) = (row.2, 0.0, 0);
         s.rtt = if row.2 == Standing::Trial { self.typical } else { s.rtt };
         if row.2 == Standing::Aside {
-            (s.aside_at, s.aside_for) = (now, (s.aside_for * 2.0).clamp(500.0, 8000.0));
+            (s.aside_at, s.aside_for) = (self.now, (s.aside_for * 2.0).clamp(500.0, 8000.0));
         }
         (s.credits, s.aside_for) = if row.2 == Standing::Ready { (2.0, 0.0) } else { (1.0, s.aside_for) };
     }
 
+    fn report(&mut self, server: usize, load: &Load) {
+        let Some(at) = self.fig.report_busy.filter(|at| *at < usize::from(load.n)) else { return };
+        let busy = f64::from(load.values[at]).clamp(0.0, 1.0);
+        self.servers[server].busy = busy;
+        self.busy += BUSY_GAIN * (busy - self.busy);
+    }
+
     fn probed(&mut self, id: ServerId, outcome: Outcome, load: &Load) {
         let Some(at) = self.servers.find(u64::from(id)) else { return };
         self.report(at, load);
         let s = &mut self.servers[at];
-        s.probing = false;
-        s.probes = if outcome == Outcome::Ok { s.probes + 1 } else { 0 };
+        (s.probing, s.probes) = (false, if outcome == Outcome::Ok { s.probes + 1 } else { 0 });
         if s.probes >= 2 && self.now - s.aside_at >= s.aside_for {
             self.mark(at, Mark::Probes);
         }
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -235,7 +235,6 @@
     pub open: u32,
     pub ceiling_rate: f64,
     pub ceiling_burst: f64,
-    pub ceiling: bool,
 }
 
 /// The figures that decisions use, worked out of the settings at start.
@@ -274,20 +273,16 @@
             window: g.repeat_window,
             importance: g.importance,
         };
-        let plan = |p: &Plan| {
-            let ceiling = p.ceiling_rate > 0.0;
-            PlanFig {
-                rate: p.rate / 1000.0,
-                burst: p.burst,
-                window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
-                price: p.price,
-                over_worth: p.over_worth,
-                over_cost: p.over_cost,
-                open: p.open,
-                ceiling_rate: p.ceiling_rate / 1000.0,
-                ceiling_burst: p.ceiling_burst,
-                ceiling,
-            }
+        let plan = |p: &Plan| PlanFig {
+            rate: p.rate / 1000.0,
+            burst: p.burst,
+            window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
+            price: p.price,
+            over_worth: p.over_worth,
+            over_cost: p.over_cost,
+            open: p.open,
+            ceiling_rate: p.ceiling_rate / 1000.0,
+            ceiling_burst: p.ceiling_burst,
         };
         Figures {
             groups: s.groups.iter().map(group).collect(),
@@ -306,12 +301,10 @@
             units_top: s.units_top,
             settles: s.cost_after,
             instances: f64::from(s.instances),
-            cold_budget: 0.0,
-            turn: 0.0,
-            crowd: 1.0,
             cold_share: s.cold_share,
             cold_time: s.cold_time,
             fall_window: s.fall_window,
+            ..Figures::default()
         }
     }
 }
@@ -412,14 +405,6 @@
         self.accts[acct].out -= u32::from(sent > 0);
         self.live.retain(|l| *l != slot);
     }
-
-    pub(crate) fn report(&mut self, server: usize, load: &Load) {
-        if let Some(at) = self.fig.report_busy.filter(|at| *at < usize::from(load.n)) {
-            let busy = f64::from(load.values[at]).clamp(0.0, 1.0);
-            self.servers[server].busy = busy;
-            self.busy += 0.02 * (busy - self.busy);
-        }
-    }
 }
 
 impl Acct {
