--- a/crates/aspendrum-core/src/lib.rs
+++ b/crates/aspendrum-core/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod api;
 pub mod control;
+pub mod settings;
 mod state;
--- a/crates/aspendrum-wirehost/src/settings.rs
+++ b/crates/aspendrum-core/src/settings.rs
@@ -1,10 +1,12 @@
-//! From the wire's path=value lines to the module's settings. Unknown keys are ignored; a needed
-//! one that is missing or absurd is refused by name.
+//! From path=value lines to the module's settings, for the simulator's wire and the limiter's configuration
+//! alike. Unknown keys are ignored; a needed one that is missing or absurd is refused by name.
 
-use crate::MS;
-use aspendrum_core::api::*;
+use crate::api::*;
 use std::collections::HashMap;
 
+/// The settings tell seconds, the module milliseconds.
+pub const MS: f64 = 1000.0;
+
 struct Pairs<'a>(HashMap<&'a str, &'a str>);
 
 impl<'a> Pairs<'a> {
--- a/crates/aspendrum-wirehost/src/frame.rs
+++ b/crates/aspendrum-wirehost/src/frame.rs
@@ -1,8 +1,7 @@
 //! The frame codec: big-endian headers, fixed records and one tail.
 
-use crate::settings;
-use crate::MS;
 use aspendrum_core::api::*;
+use aspendrum_core::settings::{self, MS};
 
 const HEADER: usize = 16;
 const EVENT: usize = 48;
--- a/crates/aspendrum-wirehost/src/lib.rs
+++ b/crates/aspendrum-wirehost/src/lib.rs
@@ -2,7 +2,3 @@
 
 pub mod frame;
 pub mod host;
-pub mod settings;
-
-/// The wire tells seconds, the module milliseconds.
-const MS: f64 = 1000.0;
--- a/crates/aspendrum-wirehost/tests/wire.rs
+++ b/crates/aspendrum-wirehost/tests/wire.rs
@@ -1,9 +1,9 @@
 //! The adapter against WIRE's worked frames, and one bad frame of each kind.
 
 use aspendrum_core::api::{Action, Event, ListKind};
+use aspendrum_core::settings;
 use aspendrum_wirehost::frame::{Batch, Reply, WireEvent};
 use aspendrum_wirehost::host::Host;
-use aspendrum_wirehost::settings;
 use test_case::test_case;
 
 const CLOCK: &str = "4020d3126e978d50";
--- /dev/null
+++ b/crates/aspendrum/src/clients.rs
@@ -0,0 +1,263 @@
+//! Connections of clients: taken in as long as there are any, read one query at a time, watched for the
+//! client's leaving while a query is in hand, and closed when they make room for others.
+
+use crate::desk::Note;
+use crate::hands::spawn;
+use crate::http::{self, Asked, Call, Parsed};
+use crate::pool::linger;
+use crate::query;
+use crate::ring::Ring;
+use crate::Shop;
+use aspendrum_core::api::Ms;
+use crossbeam_channel::{bounded, Receiver, Sender};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const IDLE: u8 = 0;
+const BUSY: u8 = 1;
+const CLOSED: u8 = 2;
+
+/// One client connection. Whoever closes it for room must find it idle, and a query is in hand only once it
+/// was marked busy, so no close can hit a query that was read.
+pub struct Client {
+    stream: Arc<TcpStream>,
+    state: AtomicU8,
+    /// When it last had an answer, in milliseconds since the limiter's start.
+    used: AtomicU64,
+    out: Mutex<Ring>,
+}
+
+impl Client {
+    fn turn(&self, from: u8, to: u8) -> bool {
+        self.state.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
+    /// Writes one whole answer. That nobody reads it any more is no failure of ours.
+    pub fn answer(&self, shop: &Shop, status: u16, advice: Ms, close: bool, kind: &[u8], body: &[u8]) {
+        let mut ring = self.out.lock().unwrap_or_else(PoisonError::into_inner);
+        // Draining began while the query was in hand: its client must not send another one here.
+        let close = close || shop.draining();
+        if http::reply(&mut ring, status, advice, close, kind, body) {
+            if let Err(e) = ring.drain(&mut &*self.stream) {
+                log::debug!("an answer found no reader: {e}");
+            }
+        }
+        if close {
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+    }
+}
+
+/// All client connections that are open.
+#[derive(Default)]
+pub struct Clients {
+    open: Mutex<HashMap<u64, Arc<Client>>>,
+}
+
+impl Clients {
+    fn open(&self) -> MutexGuard<'_, HashMap<u64, Arc<Client>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn count(&self) -> usize {
+        self.open().len()
+    }
+
+    /// Closes the connection that has been idle for longest, if one is idle for at least that long.
+    pub fn close_idle(&self, now: u64, at_least: u64) -> bool {
+        let open = self.open();
+        let age = |c: &&Arc<Client>| now.saturating_sub(c.used.load(Ordering::Relaxed));
+        let idle = open.values().filter(|c| c.state.load(Ordering::Acquire) == IDLE);
+        let Some(oldest) = idle.filter(|c| age(c) >= at_least).max_by_key(age) else { return false };
+        let closed = oldest.turn(IDLE, CLOSED);
+        if closed {
+            let _ = oldest.stream.shutdown(Shutdown::Both);
+        }
+        closed
+    }
+}
+
+/// Takes connections in until the limiter stops. Never stops accepting: a connection that the machine has
+/// accepted counts as taken.
+pub fn accept(shop: &Arc<Shop>, listener: &TcpListener) {
+    let (late, turned_away) = bounded(shop.limits.overflow);
+    let own = shop.clone();
+    let spare = spawn("spare", shop.limits.stack, move || turn_away(&own, &turned_away));
+    let mut next = 0;
+    while !shop.stopped() {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                next += 1;
+                shop.accepted.store(shop.age(), Ordering::Relaxed);
+                if let Some(stream) = seat(shop, stream, next) {
+                    // Nobody is free to read it: the spare thread answers that it is shed.
+                    if spare.is_err() || late.try_send(stream).is_err() {
+                        log::warn!("a connection found no room");
+                    }
+                }
+            }
+            // Out of descriptors, or the client is gone again.
+            Err(e) => {
+                log::debug!("accepting: {e}");
+                shop.clients.close_idle(shop.age(), 0);
+                thread::sleep(shop.limits.accept_pause);
+            }
+        }
+    }
+}
+
+/// Gives the connection a thread. Hands it back where there is no room or no thread.
+fn seat(shop: &Arc<Shop>, stream: TcpStream, key: u64) -> Option<TcpStream> {
+    let limits = &shop.limits;
+    if shop.clients.count() >= limits.client_sockets && !shop.clients.close_idle(shop.age(), 0) {
+        return Some(stream);
+    }
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_write_timeout(Some(limits.slow_client));
+    let client = Arc::new(Client {
+        stream: Arc::new(stream),
+        state: AtomicU8::new(IDLE),
+        used: AtomicU64::new(shop.age()),
+        out: Mutex::new(Ring::new(limits.ring, limits.head + limits.body)),
+    });
+    shop.clients.open().insert(key, client.clone());
+    let (own, theirs) = (shop.clone(), client.clone());
+    let body = move || {
+        attend(&own, &theirs);
+        own.clients.open().remove(&key);
+    };
+    if spawn("client", limits.stack, body).is_ok() {
+        return None;
+    }
+    shop.clients.open().remove(&key);
+    Arc::try_unwrap(client).ok().and_then(|c| Arc::into_inner(c.stream))
+}
+
+/// Answers, one after another, the connections that could not get a thread.
+fn turn_away(shop: &Arc<Shop>, streams: &Receiver<TcpStream>) {
+    for stream in streams {
+        let limits = &shop.limits;
+        let mut ring = Ring::new(limits.ring, limits.head + limits.body);
+        let mut out = Ring::new(limits.ring, limits.head);
+        let until = Instant::now() + limits.linger;
+        let mut status = 408;
+        while let Some(left) = until.checked_duration_since(Instant::now()).filter(|d| !d.is_zero()) {
+            match http::call(&mut ring, &shop.lanes, limits) {
+                Parsed::Whole(_) => status = 503,
+                Parsed::Bad(bad) => status = bad,
+                Parsed::More => {
+                    let limited = stream.set_read_timeout(Some(left));
+                    match limited.and_then(|()| ring.fill(&mut &stream)) {
+                        Ok(n) if n > 0 => continue,
+                        _ => break,
+                    }
+                }
+            }
+            break;
+        }
+        if http::reply(&mut out, status, 0.0, true, b"", b"") {
+            let _ = stream.set_write_timeout(Some(limits.linger));
+            let _ = out.drain(&mut &stream);
+        }
+        let _ = stream.shutdown(Shutdown::Write);
+    }
+}
+
+/// Reads a connection's queries one after another.
+fn attend(shop: &Arc<Shop>, client: &Arc<Client>) {
+    let limits = &shop.limits;
+    let mut ring = Ring::new(limits.ring, limits.head + limits.body);
+    let (done, ended) = bounded(1);
+    let mut begun: Option<Instant> = None;
+    loop {
+        match http::call(&mut ring, &shop.lanes, limits) {
+            Parsed::More => match more(&mut ring, client, &mut begun, limits.slow_client) {
+                Ok(true) => {}
+                Ok(false) => return refuse(shop, client, 408),
+                Err(_) => return,
+            },
+            Parsed::Bad(status) => return refuse(shop, client, status),
+            Parsed::Whole(Call::Ready { close }) => {
+                let close = close || shop.draining();
+                client.answer(shop, if shop.draining() { 503 } else { 200 }, 0.0, close, b"", b"");
+                if close {
+                    return;
+                }
+            }
+            Parsed::Whole(Call::Query(asked)) => {
+                if begun.take().is_some() {
+                    let _ = client.stream.set_read_timeout(None);
+                }
+                if !client.turn(IDLE, BUSY) || !in_hand(shop, client, asked, &mut ring, &done, &ended) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Waits for more of a query. False: it has taken too long since its first byte.
+fn more(ring: &mut Ring, client: &Client, begun: &mut Option<Instant>, slow: Duration) -> io::Result<bool> {
+    if !ring.is_empty() {
+        let since = begun.get_or_insert_with(Instant::now);
+        let Some(left) = slow.checked_sub(since.elapsed()).filter(|d| !d.is_zero()) else { return Ok(false) };
+        client.stream.set_read_timeout(Some(left))?;
+    }
+    match ring.fill(&mut &*client.stream) {
+        Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+        Ok(_) => Ok(true),
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ok(false),
+        Err(e) if e.kind() == ErrorKind::Interrupted => Ok(true),
+        Err(e) => Err(e),
+    }
+}
+
+fn refuse(shop: &Shop, client: &Client, status: u16) {
+    client.answer(shop, status, 0.0, true, b"", b"");
+    linger(&client.stream, shop.limits.linger, shop.limits.body);
+}
+
+/// Sees a query through on another thread, and watches meanwhile whether its client stays. False: the
+/// connection has come to its end.
+fn in_hand(
+    shop: &Arc<Shop>,
+    client: &Arc<Client>,
+    asked: Box<Asked>,
+    ring: &mut Ring,
+    done: &Sender<()>,
+    ended: &Receiver<()>,
+) -> bool {
+    let (id, at) = (shop.door.next_id(), Instant::now());
+    let (own, theirs, done) = (shop.clone(), client.clone(), done.clone());
+    let job = move || {
+        query::serve(&own, &theirs, &asked, id, at);
+        theirs.used.store(own.age(), Ordering::Relaxed);
+        theirs.turn(BUSY, IDLE);
+        let _ = done.try_send(());
+    };
+    if let Err(job) = shop.hands.run(Box::new(job)) {
+        // No thread to be had: this one does it, and cannot watch.
+        job();
+        return ended.try_recv().is_ok();
+    }
+    loop {
+        let stays = match ring.fill(&mut &*client.stream) {
+            Ok(n) => n > 0,
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            // It sends more than the ring holds: that is read when this query is through.
+            Err(e) => e.kind() == ErrorKind::OutOfMemory,
+        };
+        if !stays && ended.try_recv().is_ok() {
+            return false;
+        }
+        if !stays {
+            shop.door.tell(Note::Left { id });
+        }
+        return ended.recv().is_ok() && stays;
+    }
+}
--- /dev/null
+++ b/crates/aspendrum/src/desk.rs
@@ -0,0 +1,352 @@
+//! The desk: one thread that owns the module, the clock, the timers and the ids. Everybody tells it what
+//! happened through one bounded channel; it hands each of the module's actions to its owner and never waits
+//! for anybody.
+
+use crate::config::ms;
+use crate::counter::Counter;
+use crate::discovery::Wish;
+use crate::peers::Peers;
+use crate::pool::{Line, Pool};
+use crate::query::{self, Order};
+use crate::Shop;
+use aspendrum_core::api::*;
+use aspendrum_core::control::Control;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// What the desk is told.
+pub enum Note {
+    Query {
+        new: NewQuery,
+        orders: Sender<Order>,
+        line: Arc<Line>,
+    },
+    /// The client went away while its query was in hand.
+    Left {
+        id: QueryId,
+    },
+    /// The forward that was out has ended.
+    Ended {
+        id: QueryId,
+        forward: u8,
+        server: ServerId,
+        outcome: Outcome,
+        rtt: Ms,
+        load: Load,
+    },
+    /// The query got its answer without the desk; no order is read any more.
+    Quit {
+        id: QueryId,
+    },
+    Counted {
+        name: u64,
+        outcome: Outcome,
+        total: f32,
+        rtt: Ms,
+    },
+    Probed {
+        server: ServerId,
+        outcome: Outcome,
+        rtt: Ms,
+        load: Load,
+    },
+    Members {
+        list: ListKind,
+        version: u32,
+        entries: Vec<Member>,
+    },
+    Peer {
+        from: u16,
+        data: Vec<u8>,
+    },
+    Stop,
+}
+
+/// Unix time in milliseconds, as every machine reads it, but one that never steps.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Ms,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
+        Clock { start: Instant::now(), unix }
+    }
+
+    pub fn at(&self, when: Instant) -> Ms {
+        self.unix + when.saturating_duration_since(self.start).as_secs_f64() * 1000.0
+    }
+
+    pub fn now(&self) -> Ms {
+        self.at(Instant::now())
+    }
+
+    pub fn instant(&self, at: Ms) -> Instant {
+        self.start + ms(at - self.unix)
+    }
+}
+
+/// How others reach the desk.
+pub struct Door {
+    pub notes: Sender<Note>,
+    pub clock: Clock,
+    ids: AtomicU64,
+}
+
+impl Door {
+    pub fn new(notes: Sender<Note>, clock: Clock) -> Door {
+        Door { notes, clock, ids: AtomicU64::new(1) }
+    }
+
+    pub fn next_id(&self) -> QueryId {
+        self.ids.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Waits for room: the desk always drains its channel. False: there is no desk any more.
+    pub fn tell(&self, note: Note) -> bool {
+        self.notes.send(note).is_ok()
+    }
+}
+
+/// A query in hand, as the desk sees it.
+struct Seat {
+    orders: Sender<Order>,
+    line: Arc<Line>,
+    forwards: u8,
+    /// The forward that is out.
+    out: Option<(u8, ServerId)>,
+    /// Its final answer is given, or its client gone.
+    over: bool,
+}
+
+pub struct Desk {
+    pub control: Control,
+    pub shop: Arc<Shop>,
+    pub pool: Arc<Pool>,
+    pub counter: Option<Counter>,
+    pub wishes: Sender<Wish>,
+    pub peers: Option<Peers>,
+    seats: HashMap<QueryId, Seat>,
+    timers: BinaryHeap<Reverse<(u64, u32)>>,
+    actions: Vec<Action>,
+    /// What carrying out an action led to: the module hears it once the action's event is through.
+    later: Vec<Note>,
+    swept: Instant,
+}
+
+impl Desk {
+    pub fn new(
+        shop: Arc<Shop>,
+        settings: &Settings,
+        seed: u64,
+        counter: Option<Counter>,
+        wishes: Sender<Wish>,
+        peers: Option<Peers>,
+    ) -> Desk {
+        let mut actions = Vec::new();
+        let control = Control::new(shop.door.clock.now(), seed, settings, &mut actions);
+        let (seats, timers, pool) = (HashMap::new(), BinaryHeap::new(), shop.pool.clone());
+        Desk {
+            control,
+            shop,
+            pool,
+            counter,
+            wishes,
+            peers,
+            seats,
+            timers,
+            actions,
+            later: Vec::new(),
+            swept: Instant::now(),
+        }
+    }
+
+    pub fn run(mut self, notes: &Receiver<Note>) {
+        self.act();
+        loop {
+            let clock = self.shop.door.clock;
+            let note = match self.timers.peek() {
+                Some(Reverse((at, _))) => notes.recv_deadline(clock.instant(*at as f64 / 1000.0)),
+                None => notes.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            match note {
+                Ok(Note::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(note) => self.hear(note),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            while let Some(note) = self.later.pop() {
+                self.hear(note);
+            }
+            self.due();
+        }
+    }
+
+    fn tell(&mut self, event: &Event) {
+        self.control.handle(self.shop.door.clock.now(), event, &mut self.actions);
+        self.act();
+    }
+
+    fn due(&mut self) {
+        let now = (self.shop.door.clock.now() * 1000.0) as u64;
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
+            self.timers.pop();
+            self.tell(&Event::Timer { token });
+        }
+        if self.swept.elapsed() >= self.shop.limits.sweep {
+            self.swept = Instant::now();
+            self.pool.sweep();
+        }
+    }
+
+    fn hear(&mut self, note: Note) {
+        match note {
+            Note::Query { new, orders, line } => {
+                self.seats.insert(new.id, Seat { orders, line, forwards: 0, out: None, over: false });
+                self.tell(&Event::Query(new));
+            }
+            Note::Left { id } => {
+                if let Some(seat) = self.seats.get_mut(&id).filter(|s| !s.over) {
+                    seat.over = true;
+                    // Behind a forward that is out it is read once that has ended.
+                    let _ = seat.orders.try_send(Order::Gone);
+                    self.tell(&Event::ClientLeft { id });
+                    self.leave(id);
+                }
+            }
+            Note::Quit { id } => {
+                let Some(seat) = self.seats.get_mut(&id) else { return };
+                let out = seat.out.take();
+                if !std::mem::replace(&mut seat.over, true) {
+                    self.tell(&Event::ClientLeft { id });
+                }
+                if let Some((forward, server)) = out {
+                    self.moot(id, forward, server);
+                }
+                self.leave(id);
+            }
+            Note::Ended { id, forward, server, outcome, rtt, load } => {
+                let Some(seat) = self.seats.get_mut(&id) else { return };
+                seat.out = None;
+                seat.over |= outcome == Outcome::Ok;
+                let (over, used, actual) = (seat.over, 0, 0);
+                self.tell(&Event::ForwardEnded {
+                    id,
+                    forward,
+                    server,
+                    outcome,
+                    rtt,
+                    over,
+                    used,
+                    actual,
+                    load,
+                });
+                self.leave(id);
+            }
+            Note::Counted { name, outcome, total, rtt } => {
+                self.tell(&Event::Counted { name, outcome, total, rtt });
+            }
+            Note::Probed { server, outcome, rtt, load } => {
+                self.tell(&Event::Probed { server, outcome, rtt, load });
+            }
+            Note::Members { list, version, entries } => {
+                self.tell(&Event::Members { list, version, entries: &entries });
+            }
+            Note::Peer { from, data } => self.tell(&Event::PeerSaid { from, data: &data }),
+            Note::Stop => {}
+        }
+    }
+
+    /// Forgets a query once it is over and nothing of it is out.
+    fn leave(&mut self, id: QueryId) {
+        if self.seats.get(&id).is_some_and(|s| s.over && s.out.is_none()) {
+            self.seats.remove(&id);
+        }
+    }
+
+    /// A forward that nobody took up never ran.
+    fn moot(&mut self, id: QueryId, forward: u8, server: ServerId) {
+        let (outcome, load) = (Outcome::Moot, Load::default());
+        let event = Event::ForwardEnded {
+            id,
+            forward,
+            server,
+            outcome,
+            rtt: 0.0,
+            over: true,
+            used: 0,
+            actual: 0,
+            load,
+        };
+        self.tell(&event);
+    }
+
+    fn act(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.one(action);
+        }
+        self.actions = actions;
+    }
+
+    fn one(&mut self, action: Action) {
+        match action {
+            Action::Forward { id, server, timeout } => {
+                let Some(seat) = self.seats.get_mut(&id) else { return };
+                let forward = seat.forwards;
+                seat.forwards += 1;
+                seat.out = Some((forward, server));
+                if seat.orders.try_send(Order::Forward { forward, server, timeout }).is_err() {
+                    self.later.push(Note::Quit { id });
+                }
+            }
+            Action::Shed { id, retry_after } => self.finish(id, Order::Shed { advice: retry_after }),
+            Action::Drop { id } => self.finish(id, Order::Drop),
+            Action::Cancel { id, forward } => {
+                if let Some(seat) = self.seats.get(&id) {
+                    seat.line.cut(forward);
+                }
+            }
+            Action::Count { name, add, ttl } => {
+                let refused = self.counter.as_ref().is_none_or(|c| !c.call(name, add, ttl));
+                if refused {
+                    // A call that could not even be queued was not added.
+                    let outcome = Outcome::ConnectFailed;
+                    self.later.push(Note::Counted { name, outcome, total: 0.0, rtt: 0.0 });
+                }
+            }
+            Action::Probe { server } => query::probe(&self.shop, server),
+            Action::Close { server } => self.pool.close(server),
+            Action::Timer { token, wait } => {
+                let at = (self.shop.door.clock.now() + wait.max(0.0)) * 1000.0;
+                self.timers.push(Reverse((at as u64, token)));
+            }
+            Action::Fetch => drop(self.wishes.try_send(Wish::Fetch)),
+            Action::Watch { on } => drop(self.wishes.try_send(Wish::Watch(on))),
+            Action::Tell { to, data } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &data);
+                }
+            }
+            Action::Log(text) => log::info!("{text}"),
+            Action::Fault(text) => log::error!("{text}"),
+        }
+    }
+
+    fn finish(&mut self, id: QueryId, order: Order) {
+        let Some(seat) = self.seats.get_mut(&id) else { return };
+        seat.over = true;
+        // A full channel means that the query answers nobody's orders: it ends by its own deadline.
+        let _ = seat.orders.try_send(order);
+        if let Some((forward, _)) = seat.out {
+            // The answer is given now, and nobody is left to read what the server still sends.
+            seat.line.cut(forward);
+        }
+        self.leave(id);
+    }
+}
--- /dev/null
+++ b/crates/aspendrum/src/discovery.rs
@@ -0,0 +1,183 @@
+//! What discovery knows of the servers: the list held at the start, then the whole list, then one watch
+//! after another. Silence and nonsense leave the last list in force.
+
+use crate::desk::Note;
+use crate::pool::Conn;
+use crate::Shop;
+use aspendrum_core::api::{Health, ListKind, Member, Ms, Outcome, ServerId};
+use crossbeam_channel::Receiver;
+use serde_json::Value;
+use std::collections::HashSet;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const PATH: &str = "/registry/instances";
+
+/// What the module wants of discovery, where it must be asked.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Wish {
+    Watch(bool),
+    Fetch,
+}
+
+/// The names of places and machine kinds, in the order of the settings.
+pub struct Names {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// A list, or the changes to one.
+#[derive(Default)]
+pub struct Roster {
+    pub version: u64,
+    pub whole: bool,
+    pub entries: Vec<(Member, Option<SocketAddr>)>,
+}
+
+impl Roster {
+    /// One entry that makes no sense spoils the answer: left out of a whole list, its server would be gone.
+    pub fn read(list: &Value, names: &Names) -> Result<Roster, String> {
+        let number = |key: &str| list.get(key).and_then(Value::as_u64).ok_or(format!("{key} is no number"));
+        let hosts = list.get("hosts").and_then(Value::as_array).ok_or("hosts is no list")?;
+        let entry = |(i, host): (usize, &Value)| entry(host, names).map_err(|e| format!("hosts.{i}.{e}"));
+        Ok(Roster {
+            version: number("seq")?,
+            whole: list.get("whole").and_then(Value::as_bool).ok_or("whole is neither true nor false")?,
+            entries: hosts.iter().enumerate().map(entry).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+fn entry(host: &Value, names: &Names) -> Result<(Member, Option<SocketAddr>), String> {
+    let text = |key: &str| host.get(key).and_then(Value::as_str).ok_or(format!("{key} is no text"));
+    let number = |key: &str| host.get(key).and_then(Value::as_f64).filter(|n| n.is_finite() && *n >= 0.0);
+    let place = |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(0) as u8;
+    let health = match text("health")? {
+        "in_service" => Health::Ready,
+        "terminating" => Health::Draining,
+        "terminated" => Health::Gone,
+        other => return Err(format!("health is unknown: {other}")),
+    };
+    let dial = text("dial").ok().and_then(|d| d.parse().ok());
+    if dial.is_none() && health != Health::Gone {
+        return Err("dial is no address".into());
+    }
+    let member = Member {
+        server: server_id(text("host")?),
+        health,
+        cell: number("block").unwrap_or(0.0) as u16,
+        zone: place(&names.zones, text("site").unwrap_or("")),
+        size: number("share").unwrap_or(1.0) as f32,
+        kind: place(&names.kinds, text("class").unwrap_or("")),
+        started: number("born_ms").ok_or("born_ms is no number")? as Ms,
+    };
+    Ok((member, dial))
+}
+
+/// The same at every limiter, as the module expects it; of a few dozen names no two fall together.
+fn server_id(host: &str) -> ServerId {
+    host.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+/// Keeps the desk and the pool told until the limiter stops.
+pub struct Follower {
+    pub shop: Arc<Shop>,
+    pub addr: SocketAddr,
+    pub names: Names,
+    pub wishes: Receiver<Wish>,
+    /// Discovery tells only those who ask.
+    pub asks: bool,
+    pub version: u64,
+}
+
+impl Follower {
+    pub fn run(mut self) {
+        let (mut conn, mut watching, mut fetch) = (None, !self.asks, true);
+        while !self.shop.stopped() {
+            while let Ok(wish) = self.wishes.try_recv() {
+                fetch |= wish == Wish::Fetch;
+                watching = if let Wish::Watch(on) = wish { on } else { watching };
+            }
+            if !fetch && !watching {
+                let Ok(wish) = self.wishes.recv() else { return };
+                fetch |= wish == Wish::Fetch;
+                watching |= wish == Wish::Watch(true);
+                continue;
+            }
+            match self.ask(&mut conn, !fetch) {
+                Ok(roster) => {
+                    fetch = !roster.whole && roster.version < self.version;
+                    if !fetch {
+                        self.pass_on(roster);
+                    }
+                }
+                Err(why) => {
+                    log::info!("discovery: {why}");
+                    conn = None;
+                    if self.asks {
+                        watching = false;
+                        let (list, entries) = (ListKind::Failed, Vec::new());
+                        self.shop.door.tell(Note::Members { list, version: 0, entries });
+                    }
+                    std::thread::sleep(self.shop.limits.discovery_pause);
+                }
+            }
+        }
+    }
+
+    fn ask(&self, held: &mut Option<Conn>, watch: bool) -> Result<Roster, String> {
+        let limits = &self.shop.limits;
+        let mut conn = match held.take() {
+            Some(conn) => conn,
+            None => Conn::apart(self.addr, limits.connect_wait, limits).map_err(|e| e.to_string())?,
+        };
+        let hold = if watch { limits.watch_hold } else { Duration::ZERO };
+        let query = match watch {
+            true => format!("?from={}&hold_ms={}", self.version, hold.as_millis()),
+            false => String::new(),
+        };
+        let head = write!(conn.outward, "GET {PATH}{query} HTTP/1.1\r\nHost: discovery\r\n\r\n");
+        head.map_err(|e| e.to_string())?;
+        let failed = |how: Outcome| format!("{how:?}");
+        conn.send(limits.watch_late).map_err(failed)?;
+        let until = Instant::now() + hold + limits.watch_late;
+        let answer = conn.receive(until, &self.shop.lanes, limits).map_err(failed)?;
+        if answer.status != 200 {
+            return Err(format!("status {}", answer.status));
+        }
+        let list = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+        let roster = Roster::read(&list, &self.names)?;
+        if !answer.close {
+            *held = Some(conn);
+        }
+        Ok(roster)
+    }
+
+    fn pass_on(&mut self, roster: Roster) {
+        self.version = roster.version;
+        let list = if roster.whole { ListKind::Full } else { ListKind::Delta };
+        if roster.whole || !roster.entries.is_empty() {
+            place(&self.shop, &roster);
+            let entries = roster.entries.into_iter().map(|e| e.0).collect();
+            self.shop.door.tell(Note::Members { list, version: roster.version as u32, entries });
+        }
+    }
+}
+
+/// Addresses go to the pool before the module may name the servers.
+pub fn place(shop: &Shop, roster: &Roster) {
+    let mut named = HashSet::new();
+    for (member, dial) in &roster.entries {
+        if let Some(dial) = dial.filter(|_| member.health != Health::Gone) {
+            named.insert(member.server);
+            shop.pool.place(member.server, dial);
+        } else {
+            shop.pool.forget(member.server);
+        }
+    }
+    if roster.whole {
+        shop.pool.keep(&named);
+    }
+}
--- /dev/null
+++ b/crates/aspendrum/src/http.rs
@@ -0,0 +1,380 @@
+//! HTTP/1.1 as the protocol page words it: queries in, forwards out, answers both ways. Header names stay here.
+
+use crate::limits::Limits;
+use crate::ring::Ring;
+use aspendrum_core::api::{Load, LoadValue, Ms, Semantics};
+use aspendrum_core::settings::MS;
+use std::collections::HashMap;
+use std::io::Write;
+
+const TXN: &str = "X-Txn";
+const LANE: &str = "X-Lane";
+const PLAN: &str = "X-Plan";
+const REMAINING: &str = "X-Remaining";
+const RESENT: &str = "X-Resent";
+const QUOTA: &str = "X-Quota";
+const KEY: &str = "Idempotency-Key";
+const PRESSURE: &str = "X-Pressure";
+const TURNED_AWAY: &str = "X-Turned-Away";
+const CUSTOMER: &str = "client";
+const READY: &str = "/health/ready";
+pub const LIVE: &str = "/health/live";
+pub const STATS: &str = "/stats";
+/// Customers are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+const LONGEST_WAIT: Ms = 3_600_000.0;
+const METHODS: [&str; 5] = ["GET", "POST", "PUT", "PATCH", "DELETE"];
+/// Headers that belong to one hop, and those this hop writes itself.
+const OWN_HOP: [&str; 12] = [
+    "connection",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "proxy-connection",
+    "proxy-authorization",
+    "proxy-authenticate",
+    "content-length",
+    "x-remaining",
+];
+
+/// What stands in a buffer so far.
+pub enum Parsed<T> {
+    More,
+    Whole(T),
+    Bad(u16),
+}
+
+/// A query as a client asked it.
+pub struct Asked {
+    pub group: u16,
+    pub plan: u32,
+    pub acct: u64,
+    pub wait: Ms,
+    pub units: f32,
+    pub spread: f32,
+    pub first: f32,
+    pub client_repeat: bool,
+    pub write: bool,
+    /// The client wants the connection closed behind the answer.
+    pub close: bool,
+    /// The head of each forward, but for the time left and the length.
+    head: Vec<u8>,
+    body: Vec<u8>,
+}
+
+pub enum Call {
+    Ready { close: bool },
+    Query(Box<Asked>),
+}
+
+/// What the codec needs to know of the settings.
+pub struct Lanes {
+    pub groups: HashMap<String, u16>,
+    pub plans: HashMap<String, u32>,
+    pub semantics: Vec<Semantics>,
+    pub load_values: Vec<LoadValue>,
+}
+
+/// Takes one call off the ring once it is whole.
+pub fn call(ring: &mut Ring, lanes: &Lanes, limits: &Limits) -> Parsed<Call> {
+    let mut space = [httparse::EMPTY_HEADER; 64];
+    let mut head = httparse::Request::new(&mut space[..limits.headers.min(64)]);
+    let bytes = ring.whole();
+    let at = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(at)) if at <= limits.head => at,
+        Ok(httparse::Status::Partial) if bytes.len() < limits.head => return Parsed::More,
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Parsed::Bad(431),
+        Err(_) => return Parsed::Bad(400),
+    };
+    let length = match length(head.headers) {
+        Ok(Length::Known(n)) if n > limits.body => return Parsed::Bad(413),
+        Ok(Length::Known(n)) => n,
+        Ok(Length::Chunked) => return Parsed::Bad(411),
+        Ok(Length::Unknown) => 0,
+        Err(()) => return Parsed::Bad(400),
+    };
+    if bytes.len() < at + length {
+        return Parsed::More;
+    }
+    let parsed = match (head.method, head.path) {
+        (Some("GET"), Some(READY)) => Ok(Call::Ready { close: closes(head.headers, head.version) }),
+        (Some(method), Some(_)) if !METHODS.contains(&method) => Err(405),
+        (Some(_), Some(_)) => {
+            let query = asked(&head, &bytes[at..at + length], lanes);
+            query.map(|q| Call::Query(Box::new(q))).ok_or(400)
+        }
+        _ => Err(400),
+    };
+    ring.take(at + length);
+    parsed.map_or_else(Parsed::Bad, Parsed::Whole)
+}
+
+fn asked(head: &httparse::Request, body: &[u8], lanes: &Lanes) -> Option<Asked> {
+    let (method, path, headers) = (head.method?, head.path?, &*head.headers);
+    let group = *lanes.groups.get(header(headers, LANE)?)?;
+    let plan = *lanes.plans.get(header(headers, PLAN)?)?;
+    let semantics = *lanes.semantics.get(usize::from(group))?;
+    header(headers, TXN).filter(|id| !id.is_empty())?;
+    // Without its key nothing would drop a keyed query's repeat.
+    if semantics == Semantics::Keyed && header(headers, KEY).is_none_or(str::is_empty) {
+        return None;
+    }
+    let mut quota = [None; 3];
+    for pair in header(headers, QUOTA)?.split(',') {
+        let (name, value) = pair.trim().split_once('=')?;
+        let place = ["units", "spread", "first"].iter().position(|known| *known == name);
+        if let Some(place) = place {
+            quota[place] = Some(number(value)? as f32);
+        }
+    }
+    let mut out = Vec::with_capacity(512);
+    write!(out, "{method} {path} HTTP/1.1\r\n").ok()?;
+    for h in headers.iter().filter(|h| !OWN_HOP.iter().any(|own| own.eq_ignore_ascii_case(h.name))) {
+        out.extend_from_slice(h.name.as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(h.value);
+        out.extend_from_slice(b"\r\n");
+    }
+    Some(Asked {
+        group,
+        plan,
+        acct: customer(headers)?,
+        wait: remaining(header(headers, REMAINING)?)?,
+        units: quota[0]?,
+        spread: quota[1]?,
+        first: quota[2]?,
+        client_repeat: header(headers, RESENT) == Some("1"),
+        write: method != "GET",
+        close: closes(headers, head.version),
+        head: out,
+        body: body.to_vec(),
+    })
+}
+
+impl Asked {
+    /// Writes a forward that waits that long.
+    pub fn forward(&self, wait: Ms, out: &mut Ring) -> bool {
+        let (us, body) = ((wait * 1000.0).max(1.0) as u64, self.body.len());
+        out.put(&self.head)
+            && write!(out, "{REMAINING}: {us}u\r\n").is_ok()
+            && (body == 0 && !self.write || write!(out, "Content-Length: {body}\r\n").is_ok())
+            && out.put(b"\r\n")
+            && out.put(&self.body)
+    }
+}
+
+/// A server's whole answer to a forward or a probe.
+pub struct Answer {
+    pub status: u16,
+    pub turned_away: bool,
+    pub close: bool,
+    pub load: Load,
+    pub content_type: Vec<u8>,
+    pub body: Vec<u8>,
+}
+
+/// Takes one answer off the ring once it is whole, for `ended` means that nothing more comes. An answer that
+/// only the end of the connection delimits cannot be told from one that was cut off, so it is never whole.
+pub fn answer(ring: &mut Ring, lanes: &Lanes, limits: &Limits) -> Parsed<Answer> {
+    loop {
+        let mut space = [httparse::EMPTY_HEADER; 64];
+        let mut head = httparse::Response::new(&mut space[..limits.headers.min(64)]);
+        let bytes = ring.whole();
+        let at = match head.parse(bytes) {
+            Ok(httparse::Status::Complete(at)) => at,
+            Ok(httparse::Status::Partial) if bytes.len() < limits.head => return Parsed::More,
+            _ => return Parsed::Bad(502),
+        };
+        let status = head.code.unwrap_or(0);
+        if (100..200).contains(&status) && status != 101 {
+            ring.take(at);
+            continue;
+        }
+        let (taken, body) = match length(head.headers) {
+            _ if status == 204 || status == 304 => (at, Vec::new()),
+            Ok(Length::Known(n)) if n > limits.body => return Parsed::Bad(502),
+            Ok(Length::Known(n)) if bytes.len() < at + n => return Parsed::More,
+            Ok(Length::Known(n)) => (at + n, bytes[at..at + n].to_vec()),
+            Ok(Length::Chunked) => match chunks(&bytes[at..], limits.body) {
+                Parsed::Whole((size, body)) => (at + size, body),
+                Parsed::More => return Parsed::More,
+                Parsed::Bad(status) => return Parsed::Bad(status),
+            },
+            _ => return Parsed::Bad(502),
+        };
+        let told = header(head.headers, PRESSURE).unwrap_or("");
+        let answer = Answer {
+            status,
+            turned_away: header(head.headers, TURNED_AWAY) == Some("1"),
+            close: closes(head.headers, head.version),
+            load: load(told, &lanes.load_values),
+            content_type: raw(head.headers, "Content-Type").map_or(Vec::new(), <[u8]>::to_vec),
+            body,
+        };
+        ring.take(taken);
+        return Parsed::Whole(answer);
+    }
+}
+
+/// A load report in a probe's body.
+pub fn load_of_body(body: &[u8], values: &[LoadValue]) -> Load {
+    load(std::str::from_utf8(body).unwrap_or(""), values)
+}
+
+fn load(text: &str, values: &[LoadValue]) -> Load {
+    let mut load = Load::default();
+    let text = text.trim().trim_start_matches("TEXT").trim_start();
+    for (slot, value) in values.iter().enumerate().take(load.values.len()) {
+        let told = text.split([',', '\n']).filter_map(|pair| pair.trim().split_once('='));
+        let found = told.filter(|(name, _)| load_value(name) == *value).find_map(|(_, v)| number(v));
+        let Some(number) = found else { return Load::default() };
+        load.values[slot] = number as f32;
+        load.n = slot as u8 + 1;
+    }
+    load
+}
+
+/// Servers name the values as the deployment does, settings as the simulator's wire does.
+fn load_value(name: &str) -> LoadValue {
+    match name.trim() {
+        "inflight" | "busy_reqs" => LoadValue::InHand,
+        "queue" | "pending" => LoadValue::Waiting,
+        "util" | "cpu_share" => LoadValue::CpuShare,
+        "latency_ms" | "svc_ms" => LoadValue::ServiceMs,
+        "qps" | "served_ps" => LoadValue::AnsweredPerS,
+        "eps" | "failed_ps" => LoadValue::DroppedPerS,
+        _ => LoadValue::Unknown,
+    }
+}
+
+/// A whole answer of the limiter.
+pub fn reply(out: &mut Ring, status: u16, advice: Ms, close: bool, content_type: &[u8], body: &[u8]) -> bool {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Bad Gateway",
+    };
+    write!(out, "HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n", body.len()).is_ok()
+        && (advice <= 0.0 || write!(out, "Retry-After: {:.3}\r\n", advice / MS).is_ok())
+        && (!close || out.put(b"Connection: close\r\n"))
+        && (content_type.is_empty()
+            || out.put(b"Content-Type: ") && out.put(content_type) && out.put(b"\r\n"))
+        && out.put(b"\r\n")
+        && out.put(body)
+}
+
+/// A probe, or any other call without a body.
+pub fn get(out: &mut Ring, path: &str, host: &str) -> bool {
+    write!(out, "GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").is_ok()
+}
+
+enum Length {
+    Known(usize),
+    Chunked,
+    Unknown,
+}
+
+/// Two lengths, or a length beside chunks, are the door to smuggled queries.
+fn length(headers: &[httparse::Header]) -> Result<Length, ()> {
+    let mut found = Length::Unknown;
+    for h in headers {
+        let value = std::str::from_utf8(h.value).map_err(|_| ())?.trim();
+        let next = if h.name.eq_ignore_ascii_case("content-length") {
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            Length::Known(if digits { value.parse().unwrap_or(usize::MAX) } else { return Err(()) })
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(());
+            }
+            Length::Chunked
+        } else {
+            continue;
+        };
+        match (&found, &next) {
+            (Length::Unknown, _) => found = next,
+            (Length::Known(a), Length::Known(b)) if a == b => {}
+            _ => return Err(()),
+        }
+    }
+    Ok(found)
+}
+
+fn chunks(bytes: &[u8], most: usize) -> Parsed<(usize, Vec<u8>)> {
+    let (mut at, mut body) = (0, Vec::new());
+    loop {
+        let (skip, size) = match httparse::parse_chunk_size(&bytes[at..]) {
+            Ok(httparse::Status::Complete((skip, size))) => (skip, size),
+            Ok(httparse::Status::Partial) if bytes.len() - at < 64 => return Parsed::More,
+            _ => return Parsed::Bad(502),
+        };
+        if size > (most - body.len()) as u64 {
+            return Parsed::Bad(502);
+        }
+        let (from, to) = (at + skip, at + skip + size as usize);
+        if size == 0 {
+            // Trailers are read over, up to the empty line.
+            return match (bytes[from..].starts_with(b"\r\n"), find(&bytes[from..], b"\r\n\r\n")) {
+                (true, _) => Parsed::Whole((from + 2, body)),
+                (_, Some(end)) => Parsed::Whole((from + end + 4, body)),
+                _ => Parsed::More,
+            };
+        }
+        if bytes.len() < to + 2 {
+            return Parsed::More;
+        }
+        if &bytes[to..to + 2] != b"\r\n" {
+            return Parsed::Bad(502);
+        }
+        body.extend_from_slice(&bytes[from..to]);
+        at = to + 2;
+    }
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|w| w == what)
+}
+
+fn raw<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a [u8]> {
+    headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
+}
+
+fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a str> {
+    std::str::from_utf8(raw(headers, name)?).ok().map(str::trim)
+}
+
+fn closes(headers: &[httparse::Header], version: Option<u8>) -> bool {
+    let told = header(headers, "Connection").unwrap_or("");
+    let says = |word: &str| told.split(',').any(|t| t.trim().eq_ignore_ascii_case(word));
+    says("close") || version == Some(0) && !says("keep-alive")
+}
+
+fn customer(headers: &[httparse::Header]) -> Option<u64> {
+    let cookies = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("cookie"));
+    let mut pairs = cookies.filter_map(|h| std::str::from_utf8(h.value).ok()).flat_map(|v| v.split(';'));
+    let value = pairs.find_map(|p| p.trim().strip_prefix(CUSTOMER)?.strip_prefix('='))?;
+    u64::from_str_radix(value, 16).ok().filter(|n| *n < CUSTOMERS && !value.starts_with('+'))
+}
+
+/// A number and its unit, in milliseconds.
+fn remaining(text: &str) -> Option<Ms> {
+    let ms = match text.as_bytes().last()? {
+        b'm' => number(&text[..text.len() - 1])?,
+        b'u' => number(&text[..text.len() - 1])? / 1000.0,
+        _ => return None,
+    };
+    Some(ms.min(LONGEST_WAIT))
+}
+
+fn number(text: &str) -> Option<f64> {
+    text.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
+}
--- /dev/null
+++ b/crates/aspendrum/src/lib.rs
@@ -0,0 +1,163 @@
+//! The limiter on sockets, as a library: read a [`config::Config`], start a [`Limiter`], drain it in the end.
+//! Every decision is the module's (`aspendrum_core`); docs/architecture.md tells who owns what.
+
+pub mod clients;
+pub mod config;
+pub mod counter;
+pub mod desk;
+pub mod discovery;
+mod hands;
+pub mod http;
+pub mod limits;
+pub mod peers;
+pub mod pool;
+pub mod query;
+pub mod resp;
+pub mod ring;
+pub mod shutdown;
+
+use clients::Clients;
+use config::Config;
+use counter::Counter;
+use crossbeam_channel::bounded;
+use desk::{Clock, Desk, Door, Note};
+use discovery::Follower;
+use hands::{spawn, Hands};
+use http::Lanes;
+use limits::Limits;
+use peers::Peers;
+use pool::Pool;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// What the limiter's threads share.
+pub struct Shop {
+    pub limits: Arc<Limits>,
+    pub lanes: Lanes,
+    pub door: Arc<Door>,
+    pub pool: Arc<Pool>,
+    pub clients: Clients,
+    hands: Hands,
+    started: Instant,
+    /// When a connection was last taken in, as `age` tells it.
+    accepted: AtomicU64,
+    draining: AtomicBool,
+    stopped: AtomicBool,
+}
+
+impl Shop {
+    /// Milliseconds since the start.
+    pub fn age(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    pub fn draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    pub fn stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+}
+
+/// A limiter at work.
+pub struct Limiter {
+    shop: Arc<Shop>,
+    addr: SocketAddr,
+}
+
+impl Limiter {
+    pub fn start(config: Config) -> Result<Limiter, String> {
+        let limits = Arc::new(Limits::of(&config));
+        let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+        // Bound first: the machine holds connections from here on, and each is taken in.
+        let listener = TcpListener::bind(config.listen).map_err(failed("listen"))?;
+        let addr = listener.local_addr().map_err(failed("listen"))?;
+
+        let (notes, told) = bounded(limits.desk_queue);
+        let door = Arc::new(Door::new(notes, Clock::start()));
+        let shop = Arc::new(Shop {
+            lanes: Lanes {
+                groups: config.groups,
+                plans: config.plans,
+                semantics: config.settings.groups.iter().map(|g| g.semantics).collect(),
+                load_values: config.settings.load_values.clone(),
+            },
+            door: door.clone(),
+            pool: Arc::new(Pool::new(limits.clone())),
+            clients: Clients::default(),
+            hands: Hands::new(limits.stack, limits.idle_hands),
+            started: Instant::now(),
+            accepted: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            limits: limits.clone(),
+        });
+
+        let counter = config.counter.map(|addr| Counter::start(addr, &door, &limits)).transpose();
+        let counter = counter.map_err(failed("counter"))?;
+        let (peers, all) = (config.peers, config.peers_all);
+        let listen = config.peer_listen;
+        let peers = listen.map(|listen| Peers::start(listen, peers, all, &door, limits.stack)).transpose();
+        let peers = peers.map_err(failed("peer_listen"))?;
+
+        // The list held before comes first of all, as the module expects it.
+        discovery::place(&shop, &config.known);
+        let version = config.known.version;
+        let entries = config.known.entries.into_iter().map(|e| e.0).collect();
+        let list = aspendrum_core::api::ListKind::Cached;
+        door.tell(Note::Members { list, version: version as u32, entries });
+
+        let (wish, wishes) = bounded(limits.orders);
+        let desk = Desk::new(shop.clone(), &config.settings, config.seed, counter, wish, peers);
+        let guard = DeskGuard;
+        let desk = move || {
+            desk.run(&told);
+            std::mem::forget(guard);
+        };
+        spawn("desk", limits.stack, desk).map_err(failed("desk"))?;
+        let asks = config.settings.discovery_asks;
+        let (names, own) = (config.names, shop.clone());
+        let follower = Follower { shop: own, addr: config.discovery, names, wishes, asks, version };
+        spawn("discovery", limits.stack, move || follower.run()).map_err(failed("discovery"))?;
+        let own = shop.clone();
+        let door = move || clients::accept(&own, &listener);
+        spawn("door", limits.stack, door).map_err(failed("accept"))?;
+        log::info!("{} listens on {addr}", config.name);
+        Ok(Limiter { shop, addr })
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Answers all that it has taken, then stops.
+    pub fn drain(self) {
+        shutdown::drain(&self.shop);
+        self.stop();
+    }
+
+    /// Stops at once.
+    pub fn stop(self) {
+        self.shop.stopped.store(true, Ordering::Release);
+        self.shop.door.tell(Note::Stop);
+        // Wakes the thread that accepts.
+        let _ = TcpStream::connect_timeout(&self.addr, self.shop.limits.connect_wait);
+    }
+}
+
+/// Without its desk a limiter only sheds, for ever: better to end and be started again.
+struct DeskGuard;
+
+impl Drop for DeskGuard {
+    fn drop(&mut self) {
+        log::error!("the desk failed");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/aspendrum/src/limits.rs
@@ -0,0 +1,85 @@
+//! All sizes, counts and times of the input and output in one place, filled at start and handed down.
+//! What is decided about queries is not here but in the module.
+
+use crate::config::{ms, Config};
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Descriptors: what clients may hold, what servers may hold; the rest is for the counter, discovery and
+    /// the program's own.
+    pub client_sockets: usize,
+    pub server_sockets: usize,
+    /// Sockets over the clients' share that are still answered, each with a shed.
+    pub overflow: usize,
+    pub head: usize,
+    pub headers: usize,
+    pub body: usize,
+    pub ring: usize,
+    pub stack: usize,
+    pub desk_queue: usize,
+    pub orders: usize,
+    pub lanes: usize,
+    pub lane_queue: usize,
+    pub idle_hands: Duration,
+    /// From a query's first byte to its last, and for writing an answer.
+    pub slow_client: Duration,
+    pub linger: Duration,
+    pub connect_wait: Duration,
+    pub probe_wait: Duration,
+    pub idle_server: Duration,
+    /// A query's own end if the desk does not say anything: so long after the client's time.
+    pub desk_late: Duration,
+    pub counter_wait: Duration,
+    pub counter_idle: Duration,
+    pub counter_silence: Duration,
+    pub watch_hold: Duration,
+    pub watch_late: Duration,
+    pub discovery_pause: Duration,
+    pub discovery_answer: usize,
+    pub sweep: Duration,
+    /// After a SIGTERM: how long idle connections stay open, and how long a fresh one may take to ask.
+    pub drain_open: Duration,
+    pub drain_fresh: Duration,
+    pub accept_pause: Duration,
+}
+
+impl Limits {
+    pub fn of(config: &Config) -> Limits {
+        // The program's own: standard streams, listener, signals, counter, discovery, peers, and spare ones.
+        let own = 40.min(config.sockets / 4);
+        let free = config.sockets - own;
+        Limits {
+            client_sockets: free / 2,
+            server_sockets: free - free / 2 - free / 16,
+            overflow: free / 16,
+            head: 8 << 10,
+            headers: 64,
+            body: 64 << 10,
+            ring: 1 << 10,
+            stack: 128 << 10,
+            desk_queue: 4096,
+            orders: 8,
+            lanes: 2,
+            lane_queue: 1024,
+            idle_hands: ms(10_000.0),
+            slow_client: ms(10_000.0),
+            linger: ms(200.0),
+            connect_wait: config.connect_wait,
+            probe_wait: config.connect_wait,
+            idle_server: config.keepalive / 2,
+            desk_late: ms(20.0),
+            counter_wait: ms(config.settings.counter_wait),
+            counter_idle: ms(2000.0),
+            counter_silence: ms(1000.0),
+            watch_hold: ms(5000.0),
+            watch_late: ms(1000.0),
+            discovery_pause: ms(100.0),
+            discovery_answer: 4 << 20,
+            sweep: ms(1000.0),
+            drain_open: ms(450.0),
+            drain_fresh: ms(150.0),
+            accept_pause: ms(5.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/aspendrum/src/main.rs
@@ -0,0 +1,64 @@
+//! The command line. Everything else is in the library.
+
+use aspendrum::config::{Config, CONFIG_VARIABLE};
+use aspendrum::{shutdown, Limiter};
+use clap::{Args, Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "aspendrum", about = "A limiter that keeps each customer of a shared back end to its plan")]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs the limiter in the foreground until SIGTERM
+    Serve(Source),
+    /// Reads and checks the configuration, and says what is wrong with it
+    CheckConfig(Source),
+    /// Prints the version
+    Version,
+}
+
+#[derive(Args)]
+struct Source {
+    /// The configuration file; without it, the one that EDGE_CONFIG names
+    #[arg(long)]
+    config: Option<PathBuf>,
+}
+
+impl Source {
+    fn load(self) -> Result<Config, String> {
+        let told = self.config.or_else(|| std::env::var_os(CONFIG_VARIABLE).map(PathBuf::from));
+        Config::load(&told.ok_or(format!("no --config, and {CONFIG_VARIABLE} is not set"))?)
+    }
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let done = match Line::parse().command {
+        Command::Serve(source) => source.load().and_then(serve),
+        Command::CheckConfig(source) => source.load().map(|c| println!("{}: well-formed", c.name)),
+        Command::Version => {
+            println!("aspendrum {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("aspendrum: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(config: Config) -> Result<(), String> {
+    let limiter = Limiter::start(config)?;
+    shutdown::wait_for_signal().map_err(|e| format!("signals: {e}"))?;
+    limiter.drain();
+    Ok(())
+}
--- /dev/null
+++ b/crates/aspendrum/src/pool.rs
@@ -0,0 +1,249 @@
+//! Connections to servers: opened when none is idle, kept between forwards, the newest used first, closed
+//! well before a server would close them, and bounded in number. Nothing is ever sent twice from here.
+
+use crate::http::{self, Answer, Lanes, Parsed};
+use crate::limits::Limits;
+use crate::ring::Ring;
+use aspendrum_core::api::{Outcome, ServerId};
+use std::collections::{HashMap, HashSet};
+use std::io::{ErrorKind, Read};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// A connection that carries one call at a time.
+pub struct Conn {
+    pub stream: Arc<TcpStream>,
+    inward: Ring,
+    pub outward: Ring,
+    idle_since: Instant,
+    _place: Place,
+}
+
+/// One of the descriptors that servers may hold.
+struct Place(Arc<AtomicUsize>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Conn {
+    fn open(addr: SocketAddr, wait: Duration, limits: &Limits, place: Place) -> std::io::Result<Conn> {
+        let stream = TcpStream::connect_timeout(&addr, wait.max(Duration::from_millis(1)))?;
+        stream.set_nodelay(true)?;
+        let ring = || Ring::new(limits.ring, limits.head + limits.body);
+        let (inward, outward, idle_since) = (ring(), ring(), Instant::now());
+        Ok(Conn { stream: Arc::new(stream), inward, outward, idle_since, _place: place })
+    }
+
+    /// A connection outside the pool's count, for discovery.
+    pub fn apart(addr: SocketAddr, wait: Duration, limits: &Limits) -> std::io::Result<Conn> {
+        Conn::open(addr, wait, limits, Place(Arc::new(AtomicUsize::new(1))))
+    }
+
+    /// Nothing may lie on an idle connection: bytes belong to no call, and an end means that whatever is
+    /// written now might or might not run.
+    fn still_good(&self) -> bool {
+        let mut byte = [0];
+        let quiet = self.stream.set_nonblocking(true).is_ok()
+            && matches!(self.stream.peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock);
+        quiet && self.stream.set_nonblocking(false).is_ok() && self.inward.is_empty()
+    }
+
+    /// Writes what stands in the outward ring. A failure means that the last byte was never written.
+    pub fn send(&mut self, wait: Duration) -> Result<(), Outcome> {
+        let (ring, mut to) = (&mut self.outward, &*self.stream);
+        let limited = to.set_write_timeout(Some(wait.max(Duration::from_millis(1))));
+        limited.and_then(|()| ring.drain(&mut to)).map_err(|_| Outcome::ConnectFailed)
+    }
+
+    /// Reads one whole answer.
+    pub fn receive(&mut self, until: Instant, lanes: &Lanes, limits: &Limits) -> Result<Answer, Outcome> {
+        let mut from = &*self.stream;
+        loop {
+            match http::answer(&mut self.inward, lanes, limits) {
+                Parsed::Whole(answer) => return Ok(answer),
+                Parsed::Bad(_) => return Err(Outcome::Error),
+                Parsed::More => {}
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(Outcome::TimedOut);
+            }
+            let limited = from.set_read_timeout(Some(left.max(Duration::from_millis(1))));
+            match limited.and_then(|()| self.inward.fill(&mut from)) {
+                Ok(0) => return Err(Outcome::Reset),
+                Ok(_) => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(Outcome::Reset),
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct Shelf {
+    dial: Option<SocketAddr>,
+    idle: Vec<Conn>,
+}
+
+pub struct Pool {
+    shelves: Mutex<HashMap<ServerId, Shelf>>,
+    open: Arc<AtomicUsize>,
+    limits: Arc<Limits>,
+}
+
+impl Pool {
+    pub fn new(limits: Arc<Limits>) -> Pool {
+        Pool { shelves: Mutex::default(), open: Arc::default(), limits }
+    }
+
+    fn shelves(&self) -> MutexGuard<'_, HashMap<ServerId, Shelf>> {
+        self.shelves.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What discovery says of a server's address. One that moved keeps no connection to its old place.
+    pub fn place(&self, server: ServerId, dial: SocketAddr) {
+        let mut shelves = self.shelves();
+        let shelf = shelves.entry(server).or_default();
+        if shelf.dial != Some(dial) {
+            *shelf = Shelf { dial: Some(dial), idle: Vec::new() };
+        }
+    }
+
+    /// Closes what is idle to a server.
+    pub fn close(&self, server: ServerId) {
+        let closed = self.shelves().get_mut(&server).map(|s| std::mem::take(&mut s.idle));
+        drop(closed);
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&self, server: ServerId) {
+        let closed = self.shelves().remove(&server);
+        drop(closed);
+    }
+
+    /// Forgets all but these.
+    pub fn keep(&self, named: &HashSet<ServerId>) {
+        let mut closed = Vec::new();
+        let mut shelves = self.shelves();
+        shelves.retain(|server, shelf| {
+            let keep = named.contains(server);
+            closed.extend((!keep).then(|| std::mem::take(shelf)));
+            keep
+        });
+    }
+
+    /// An idle connection, or a new one. None: the server cannot be reached, so nothing ran.
+    pub fn take(&self, server: ServerId, wait: Duration) -> Option<Conn> {
+        loop {
+            let (dial, conn) = {
+                let mut shelves = self.shelves();
+                let shelf = shelves.get_mut(&server)?;
+                (shelf.dial?, shelf.idle.pop())
+            };
+            match conn {
+                Some(conn) if conn.idle_since.elapsed() < self.limits.idle_server && conn.still_good() => {
+                    return Some(conn)
+                }
+                Some(_) => {}
+                None => return Conn::open(dial, wait, &self.limits, self.seat()?).ok(),
+            }
+        }
+    }
+
+    pub fn give_back(&self, server: ServerId, mut conn: Conn) {
+        conn.idle_since = Instant::now();
+        if let Some(shelf) = self.shelves().get_mut(&server) {
+            if shelf.dial == conn.stream.peer_addr().ok() {
+                shelf.idle.push(conn);
+            }
+        }
+    }
+
+    /// A place among the descriptors; when all are taken, the longest idle connection makes room.
+    fn seat(&self) -> Option<Place> {
+        if self.open.load(Ordering::Relaxed) >= self.limits.server_sockets {
+            let mut shelves = self.shelves();
+            let oldest = shelves.values_mut().filter(|s| !s.idle.is_empty());
+            let oldest = oldest.min_by_key(|s| s.idle.first().map(|c| c.idle_since))?;
+            drop(oldest.idle.remove(0));
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Some(Place(self.open.clone()))
+    }
+
+    /// Closes what has been idle for long.
+    pub fn sweep(&self) {
+        let old = self.limits.idle_server;
+        let mut closed = Vec::new();
+        for shelf in self.shelves().values_mut() {
+            let n = shelf.idle.iter().take_while(|c| c.idle_since.elapsed() >= old).count();
+            closed.extend(shelf.idle.drain(..n));
+        }
+    }
+}
+
+/// The socket of the forward that is out, so that the desk can cut it off at once.
+#[derive(Default)]
+pub struct Line {
+    state: Mutex<LineState>,
+}
+
+#[derive(Default)]
+struct LineState {
+    /// Forwards up to this number (from one) are called off.
+    cut: u16,
+    out: Option<(u8, Arc<TcpStream>)>,
+}
+
+impl Line {
+    fn state(&self) -> MutexGuard<'_, LineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// False: the forward was called off before it began.
+    pub fn enter(&self, forward: u8, stream: &Arc<TcpStream>) -> bool {
+        let mut state = self.state();
+        let open = state.cut <= u16::from(forward);
+        if open {
+            state.out = Some((forward, stream.clone()));
+        }
+        open
+    }
+
+    /// Behind this the connection is safe from a late cut. True: it was cut.
+    pub fn leave(&self, forward: u8) -> bool {
+        let mut state = self.state();
+        state.out = None;
+        state.cut > u16::from(forward)
+    }
+
+    pub fn cut(&self, forward: u8) {
+        let mut state = self.state();
+        state.cut = state.cut.max(u16::from(forward) + 1);
+        if let Some((_, stream)) = state.out.take_if(|o| o.0 <= forward) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Reads over what still comes, for a moment: a close with unread bytes resets the connection, and the
+/// answer just written might never be read.
+pub fn linger(stream: &TcpStream, wait: Duration, most: usize) {
+    let until = Instant::now() + wait;
+    let mut space = [0; 1024];
+    let mut left = most;
+    let _ = stream.shutdown(Shutdown::Write);
+    let _ = stream.set_read_timeout(Some(wait));
+    while let Ok(n) = (&mut &*stream).read(&mut space) {
+        if n == 0 || n >= left || Instant::now() >= until {
+            return;
+        }
+        left -= n;
+    }
+}
--- /dev/null
+++ b/crates/aspendrum/src/query.rs
@@ -0,0 +1,176 @@
+//! The life of one query, from the moment it is read to its answer's last byte, and that of a probe. The
+//! desk chooses; this thread carries out and always gives exactly one answer, even if the desk says nothing.
+
+use crate::clients::Client;
+use crate::config::ms;
+use crate::desk::Note;
+use crate::http::{self, Answer, Asked};
+use crate::pool::{Conn, Line};
+use crate::Shop;
+use aspendrum_core::api::*;
+use crossbeam_channel::bounded;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// What the desk orders for a query.
+pub enum Order {
+    Forward {
+        forward: u8,
+        server: ServerId,
+        timeout: Ms,
+    },
+    Shed {
+        advice: Ms,
+    },
+    Drop,
+    /// The client is gone: there is nobody to answer.
+    Gone,
+}
+
+/// From here to the end it is one query's life. `at` is when its last byte was read.
+pub fn serve(shop: &Shop, client: &Client, asked: &Asked, id: QueryId, at: Instant) {
+    let limits = &shop.limits;
+    let until = at + ms(asked.wait);
+    let close = asked.close || shop.draining();
+
+    // The desk hears of it, and the module decides when it may go on and where.
+    let (desk, orders) = bounded(limits.orders);
+    let line = Arc::new(Line::default());
+    let new = NewQuery {
+        id,
+        group: asked.group,
+        until: shop.door.clock.at(until),
+        acct: asked.acct,
+        plan: asked.plan,
+        spread: asked.spread,
+        units: asked.units,
+        first: asked.first,
+        client_repeat: asked.client_repeat,
+        write: asked.write,
+    };
+    let taken = shop.door.tell(Note::Query { new, orders: desk, line: line.clone() });
+
+    // Each order is carried out; one of them ends the query. A desk that stays silent past the client's time
+    // does not leave the query without an answer, and one that may have run is not called shed.
+    let mut may_have_run = false;
+    loop {
+        let order = if taken { orders.recv_deadline(until + limits.desk_late).ok() } else { None };
+        match order {
+            Some(Order::Forward { forward, server, timeout }) => {
+                let wait = if timeout > 0.0 { (Instant::now() + ms(timeout)).min(until) } else { until };
+                let begun = Instant::now();
+                let (outcome, answer) = carry(shop, &line, asked, forward, server, wait);
+                let rtt = begun.elapsed().as_secs_f64() * 1000.0;
+                let load = answer.as_ref().map_or(Load::default(), |a| a.load);
+                let proven = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+                may_have_run |= !proven;
+                // The answer goes on before anything else is done.
+                let served = answer.filter(|_| outcome == Outcome::Ok);
+                if let Some(answer) = &served {
+                    client.answer(shop, 200, 0.0, close, &answer.content_type, &answer.body);
+                }
+                shop.door.tell(Note::Ended { id, forward, server, outcome, rtt, load });
+                if served.is_some() {
+                    return;
+                }
+            }
+            Some(Order::Shed { advice }) => return client.answer(shop, 503, advice, close, b"", b""),
+            Some(Order::Drop) => return client.answer(shop, 504, 0.0, close, b"", b""),
+            Some(Order::Gone) => return,
+            None => {
+                let status = if may_have_run { 504 } else { 503 };
+                client.answer(shop, status, 0.0, close, b"", b"");
+                shop.door.tell(Note::Quit { id });
+                return;
+            }
+        }
+    }
+}
+
+/// One forward, sent once. The outcome goes by the last byte written: before it the query never ran, after
+/// it it may have.
+fn carry(
+    shop: &Shop,
+    line: &Line,
+    asked: &Asked,
+    forward: u8,
+    server: ServerId,
+    until: Instant,
+) -> (Outcome, Option<Answer>) {
+    let left = || until.saturating_duration_since(Instant::now());
+    if left().is_zero() {
+        return (Outcome::Moot, None);
+    }
+    let Some(mut conn) = shop.pool.take(server, left().min(shop.limits.connect_wait)) else {
+        return (Outcome::ConnectFailed, None);
+    };
+    if !line.enter(forward, &conn.stream) {
+        shop.pool.give_back(server, conn);
+        return (Outcome::Moot, None);
+    }
+    let wait = left().as_secs_f64() * 1000.0;
+    let sent = if asked.forward(wait, &mut conn.outward) { conn.send(left()) } else { Err(Outcome::Moot) };
+    let got = sent.and_then(|()| conn.receive(until, &shop.lanes, &shop.limits));
+    let cut = line.leave(forward);
+    match got {
+        // What came back whole counts, even if the cut came in the same moment.
+        Ok(answer) => {
+            let outcome = outcome(&answer);
+            if !cut && !answer.close {
+                shop.pool.give_back(server, conn);
+            }
+            (outcome, Some(answer))
+        }
+        Err(Outcome::ConnectFailed) => (Outcome::ConnectFailed, None),
+        Err(_) if cut => (Outcome::Cancelled, None),
+        Err(outcome) => (outcome, None),
+    }
+}
+
+fn outcome(answer: &Answer) -> Outcome {
+    match answer.status {
+        200 => Outcome::Ok,
+        503 | 504 if answer.turned_away => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// Asks after a server, on a thread of its own; the desk hears of it in any case.
+pub fn probe(shop: &Arc<Shop>, server: ServerId) {
+    let own = shop.clone();
+    let job = move || {
+        let begun = Instant::now();
+        let (outcome, load) = match ask(&own, server, begun + own.limits.probe_wait) {
+            Ok(told) => told,
+            Err(outcome) => (outcome, Load::default()),
+        };
+        let rtt = begun.elapsed().as_secs_f64() * 1000.0;
+        own.door.tell(Note::Probed { server, outcome, rtt, load });
+    };
+    if shop.hands.run(Box::new(job)).is_err() {
+        let (outcome, load) = (Outcome::ConnectFailed, Load::default());
+        let _ = shop.door.notes.try_send(Note::Probed { server, outcome, rtt: 0.0, load });
+    }
+}
+
+fn ask(shop: &Shop, server: ServerId, until: Instant) -> Result<(Outcome, Load), Outcome> {
+    let path = if shop.lanes.load_values.is_empty() { http::LIVE } else { http::STATS };
+    let wait = || until.saturating_duration_since(Instant::now());
+    let mut conn: Conn = shop.pool.take(server, wait()).ok_or(Outcome::ConnectFailed)?;
+    http::get(&mut conn.outward, path, "origin.svc");
+    conn.send(wait())?;
+    let answer = conn.receive(until, &shop.lanes, &shop.limits)?;
+    let load = match answer.load.n {
+        0 => http::load_of_body(&answer.body, &shop.lanes.load_values),
+        _ => answer.load,
+    };
+    if !answer.close {
+        shop.pool.give_back(server, conn);
+    }
+    let outcome = match answer.status {
+        200 => Outcome::Ok,
+        503 => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    Ok((outcome, load))
+}
--- /dev/null
+++ b/crates/aspendrum/src/shutdown.rs
@@ -0,0 +1,38 @@
+//! A planned end: connections are taken in for as long as they may come, everything taken is answered, each
+//! answer closes its connection, and then idle connections are closed.
+
+use crate::Shop;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::time::Duration;
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// Waits for the signal to end.
+pub fn wait_for_signal() -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    signals.forever().next();
+    Ok(())
+}
+
+/// Returns once nothing is left to answer. Never gives up on a query: whoever started us may.
+pub fn drain(shop: &Shop) {
+    let limits = &shop.limits;
+    let begun = shop.age();
+    shop.drain();
+    let (open, fresh) = (limits.drain_open.as_millis() as u64, limits.drain_fresh.as_millis() as u64);
+    loop {
+        let now = shop.age();
+        let quiet = now.saturating_sub(shop.accepted.load(Ordering::Relaxed)) >= fresh;
+        if now - begun >= open {
+            // Between queries a close is allowed; a client whose query crosses it sends that again.
+            while shop.clients.close_idle(now, fresh) {}
+            if quiet && shop.clients.count() == 0 {
+                return;
+            }
+        }
+        sleep(STEP);
+    }
+}
