Readers park on an empty channel instead of yielding the processor

The channels stay; their readers look, then park (mail.rs), and idle hands are called last come first. Read and write time-outs of server connections are set only when they change, and a connection keeps its address instead of asking for it.

--- a/crates/aspendrum/src/counter.rs
+++ b/crates/aspendrum/src/counter.rs
@@ -6,10 +6,10 @@
 use crate::desk::{Door, Note};
 use crate::hands::spawn;
 use crate::limits::Limits;
+use crate::mail::{self, Inbox, Nothing, Post};
 use crate::resp::{self, Parsed, Reply};
 use crate::ring::Ring;
 use aspendrum_core::api::{Ms, Outcome};
-use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use std::collections::VecDeque;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -48,19 +48,17 @@
 }
 
 pub struct Counter {
-    lanes: Vec<Sender<Call>>,
+    lanes: Vec<Post<Call>>,
 }
 
 impl Counter {
     pub fn start(addr: SocketAddr, door: &Arc<Door>, limits: &Arc<Limits>) -> std::io::Result<Counter> {
         let mut lanes = Vec::new();
         for _ in 0..limits.lanes {
-            let (to, calls) = bounded(limits.lane_queue);
             let (link, door, limits) = (Mutex::new(None), door.clone(), limits.clone());
-            let stack = limits.stack;
+            let (room, stack) = (limits.lane_queue, limits.stack);
             let lane = Arc::new(Lane { link, door, limits, addr });
-            spawn("counter", stack, move || run(&lane, &calls))?;
-            lanes.push(to);
+            lanes.push(mail::with(room, |calls| spawn("counter", stack, move || run(&lane, &calls)))?);
         }
         Ok(Counter { lanes })
     }
@@ -69,25 +67,21 @@
     pub fn call(&self, name: u64, add: f32, ttl: Ms) -> bool {
         let lane = name as usize % self.lanes.len().max(1);
         let call = Call { name, add, ttl, at: Instant::now() };
-        self.lanes.get(lane).is_some_and(|to| to.try_send(call).is_ok())
+        self.lanes.get(lane).is_some_and(|to| to.offer(call))
     }
 }
 
-fn run(lane: &Arc<Lane>, calls: &Receiver<Call>) {
+fn run(lane: &Arc<Lane>, calls: &Inbox<Call>) {
     let mut batch = Vec::new();
     loop {
-        let first = match lane.next_due() {
-            Some(due) => calls.recv_deadline(due),
-            None => calls.recv().map_err(|_| RecvTimeoutError::Disconnected),
-        };
-        match first {
+        match calls.next(lane.next_due()) {
             Ok(call) => {
                 batch.push(call);
-                batch.extend(calls.try_iter());
+                batch.extend(calls.waiting());
                 lane.write(&mut batch);
             }
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
+            Err(Nothing::Yet) => {}
+            Err(Nothing::Ever) => return,
         }
         lane.expire();
     }
--- a/crates/aspendrum/src/desk.rs
+++ b/crates/aspendrum/src/desk.rs
@@ -5,13 +5,14 @@
 use crate::config::ms;
 use crate::counter::Counter;
 use crate::discovery::Wish;
+use crate::mail::{Inbox, Nothing, Post};
 use crate::peers::Peers;
 use crate::pool::{Line, Pool};
 use crate::query::{self, Order};
 use crate::Shop;
 use aspendrum_core::api::*;
 use aspendrum_core::control::Control;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::Sender;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -22,7 +23,7 @@
 pub enum Note {
     Query {
         new: NewQuery,
-        orders: Sender<Order>,
+        orders: Post<Order>,
         line: Arc<Line>,
     },
     /// The client went away while its query was in hand.
@@ -94,13 +95,13 @@
 
 /// How others reach the desk.
 pub struct Door {
-    pub notes: Sender<Note>,
+    notes: Post<Note>,
     pub clock: Clock,
     ids: AtomicU64,
 }
 
 impl Door {
-    pub fn new(notes: Sender<Note>, clock: Clock) -> Door {
+    pub fn new(notes: Post<Note>, clock: Clock) -> Door {
         Door { notes, clock, ids: AtomicU64::new(1) }
     }
 
@@ -110,18 +111,23 @@
 
     /// The same, but not beyond that time.
     pub fn tell_by(&self, until: Instant, note: Note) -> bool {
-        self.notes.send_deadline(note, until).is_ok()
+        self.notes.send(note, Some(until))
+    }
+
+    /// For the desk's own thread, which must not wait for itself.
+    pub fn offer(&self, note: Note) -> bool {
+        self.notes.offer(note)
     }
 
     /// Waits for room: the desk always drains its channel. False: there is no desk any more.
     pub fn tell(&self, note: Note) -> bool {
-        self.notes.send(note).is_ok()
+        self.notes.send(note, None)
     }
 }
 
 /// A query in hand, as the desk sees it.
 struct Seat {
-    orders: Sender<Order>,
+    orders: Post<Order>,
     line: Arc<Line>,
     forwards: u8,
     /// The forward that is out.
@@ -172,18 +178,15 @@
         }
     }
 
-    pub fn run(mut self, notes: &Receiver<Note>) {
+    pub fn run(mut self, notes: &Inbox<Note>) {
         self.act();
         loop {
             let clock = self.shop.door.clock;
-            let note = match self.timers.peek() {
-                Some(Reverse((at, _))) => notes.recv_deadline(clock.instant(*at as f64 / 1000.0)),
-                None => notes.recv().map_err(|_| RecvTimeoutError::Disconnected),
-            };
-            match note {
-                Ok(Note::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+            let due = self.timers.peek().map(|Reverse((at, _))| clock.instant(*at as f64 / 1000.0));
+            match notes.next(due) {
+                Ok(Note::Stop) | Err(Nothing::Ever) => return,
                 Ok(note) => self.hear(note),
-                Err(RecvTimeoutError::Timeout) => {}
+                Err(Nothing::Yet) => {}
             }
             while let Some(note) = self.later.pop() {
                 self.hear(note);
@@ -219,7 +222,7 @@
                 if let Some(seat) = self.seats.get_mut(&id).filter(|s| !s.over) {
                     seat.over = true;
                     // Behind a forward that is out it is read once that has ended.
-                    let _ = seat.orders.try_send(Order::Gone);
+                    let _ = seat.orders.offer(Order::Gone);
                     self.tell(&Event::ClientLeft { id });
                     self.leave(id);
                 }
@@ -306,7 +309,7 @@
                 let forward = seat.forwards;
                 seat.forwards += 1;
                 seat.out = Some((forward, server));
-                if seat.orders.try_send(Order::Forward { forward, server, timeout }).is_err() {
+                if !seat.orders.offer(Order::Forward { forward, server, timeout }) {
                     self.later.push(Note::Quit { id });
                 }
             }
@@ -347,7 +350,7 @@
         let Some(seat) = self.seats.get_mut(&id) else { return };
         seat.over = true;
         // A full channel means that the query answers nobody's orders: it ends by its own deadline.
-        let _ = seat.orders.try_send(order);
+        let _ = seat.orders.offer(order);
         if let Some((forward, _)) = seat.out {
             // The answer is given now, and nobody is left to read what the server still sends.
             seat.line.cut(forward);
--- a/crates/aspendrum/src/discovery.rs
+++ b/crates/aspendrum/src/discovery.rs
@@ -141,7 +141,7 @@
         let head = write!(conn.outward, "GET {PATH}{query} HTTP/1.1\r\nHost: discovery\r\n\r\n");
         head.map_err(|e| e.to_string())?;
         let failed = |how: Outcome| format!("{how:?}");
-        conn.send(limits.watch_late).map_err(failed)?;
+        conn.send().map_err(failed)?;
         let until = Instant::now() + hold + limits.watch_late;
         let answer = conn.receive(until, &self.shop.lanes, limits).map_err(failed)?;
         if answer.status != 200 {
--- a/crates/aspendrum/src/hands.rs
+++ b/crates/aspendrum/src/hands.rs
@@ -1,49 +1,72 @@
 //! Small-stack threads that carry out one job at a time and wait a while for the next.
 
-use crossbeam_channel::{bounded, Receiver, Sender, TrySendError};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, Thread};
+use std::time::{Duration, Instant};
 
 pub type Job = Box<dyn FnOnce() + Send>;
 
+/// A thread that waits, and the place where its next job is laid.
+struct Hand {
+    thread: Thread,
+    job: Arc<Mutex<Option<Job>>>,
+}
+
+#[derive(Clone)]
 pub struct Hands {
-    free: Sender<Job>,
-    jobs: Receiver<Job>,
+    /// The one that came last is called first: its stack and caches are warm, and the others may go.
+    idle: Arc<Mutex<Vec<Hand>>>,
     stack: usize,
-    idle: Duration,
+    wait: Duration,
+}
+
+fn lock<T>(place: &Mutex<T>) -> MutexGuard<'_, T> {
+    place.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Hands {
-    pub fn new(stack: usize, idle: Duration) -> Hands {
-        // No room: a job goes over only to a thread that waits for one.
-        let (free, jobs) = bounded(0);
-        Hands { free, jobs, stack, idle }
+    pub fn new(stack: usize, wait: Duration) -> Hands {
+        Hands { idle: Arc::default(), stack, wait }
     }
 
     /// Hands the job back if no thread is free and none can be started.
     pub fn run(&self, job: Job) -> Result<(), Job> {
-        let job = match self.free.try_send(job) {
-            Ok(()) => return Ok(()),
-            Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) => job,
-        };
-        let first = Arc::new(Mutex::new(Some(job)));
-        let (theirs, jobs, idle) = (first.clone(), self.jobs.clone(), self.idle);
-        let take = |place: &Mutex<Option<Job>>| place.lock().unwrap_or_else(PoisonError::into_inner).take();
-        let body = move || {
-            let mut next = take(&theirs);
-            while let Some(job) = next {
-                // A job that fails must not take a thread along that others may wait for.
-                if catch_unwind(AssertUnwindSafe(job)).is_err() {
-                    log::error!("a job failed");
+        let free = lock(&self.idle).pop();
+        if let Some(hand) = free {
+            *lock(&hand.job) = Some(job);
+            hand.thread.unpark();
+            return Ok(());
+        }
+        let place = Arc::new(Mutex::new(Some(job)));
+        let (own, theirs) = (self.clone(), place.clone());
+        match spawn("hand", self.stack, move || own.work(&theirs)) {
+            Ok(_) => Ok(()),
+            Err(_) => lock(&place).take().map_or(Ok(()), Err),
+        }
+    }
+
+    fn work(&self, place: &Arc<Mutex<Option<Job>>>) {
+        loop {
+            let Some(job) = lock(place).take() else { return };
+            // A job that fails must not take a thread along that others may wait for.
+            if catch_unwind(AssertUnwindSafe(job)).is_err() {
+                log::error!("a job failed");
+            }
+            lock(&self.idle).push(Hand { thread: thread::current(), job: place.clone() });
+            let until = Instant::now() + self.wait;
+            while lock(place).is_none() {
+                let left = until.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    let mut idle = lock(&self.idle);
+                    // Whoever took it off the list has a job for it.
+                    if let Some(at) = idle.iter().position(|h| Arc::ptr_eq(&h.job, place)) {
+                        idle.remove(at);
+                        return;
+                    }
                 }
-                next = jobs.recv_timeout(idle).ok();
+                thread::park_timeout(left.max(Duration::from_millis(1)));
             }
-        };
-        match spawn("hand", self.stack, body) {
-            Ok(_) => Ok(()),
-            Err(_) => take(&first).map_or(Ok(()), Err),
         }
     }
 }
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -9,6 +9,7 @@
 mod hands;
 pub mod http;
 pub mod limits;
+pub mod mail;
 pub mod peers;
 pub mod pool;
 pub mod query;
@@ -80,7 +81,18 @@
         let listener = TcpListener::bind(config.listen).map_err(failed("listen"))?;
         let addr = listener.local_addr().map_err(failed("listen"))?;
 
-        let (notes, told) = bounded(limits.desk_queue);
+        // The desk's thread waits for the desk, which needs the door to itself.
+        let (give, desk) = bounded::<Desk>(1);
+        let start = |told| {
+            spawn("desk", limits.stack, move || {
+                let guard = DeskGuard;
+                if let Ok(desk) = desk.recv() {
+                    desk.run(&told);
+                }
+                std::mem::forget(guard);
+            })
+        };
+        let notes = mail::with(limits.desk_queue, start).map_err(failed("desk"))?;
         let door = Arc::new(Door::new(notes, Clock::start()));
         let shop = Arc::new(Shop {
             lanes: Lanes {
@@ -116,12 +128,7 @@
 
         let (wish, wishes) = bounded(limits.orders);
         let desk = Desk::new(shop.clone(), &config.settings, config.seed, counter, wish, peers);
-        let guard = DeskGuard;
-        let desk = move || {
-            desk.run(&told);
-            std::mem::forget(guard);
-        };
-        spawn("desk", limits.stack, desk).map_err(failed("desk"))?;
+        give.send(desk).map_err(|e| format!("desk: {e}"))?;
         let asks = config.settings.discovery_asks;
         let (names, own) = (config.names, shop.clone());
         let follower = Follower { shop: own, addr: config.discovery, names, wishes, asks, version };
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -29,6 +29,9 @@
     pub linger: Duration,
     pub connect_wait: Duration,
     pub probe_wait: Duration,
+    /// How long one write to a server may take, and how long one read waits before the time is looked at.
+    pub server_write: Duration,
+    pub server_read: Duration,
     pub idle_server: Duration,
     /// A query's own end if the desk does not say anything: so long after the client's time.
     pub desk_late: Duration,
@@ -70,6 +73,8 @@
             linger: ms(200.0),
             connect_wait: config.connect_wait,
             probe_wait: config.connect_wait,
+            server_write: config.connect_wait,
+            server_read: ms(500.0),
             idle_server: config.keepalive / 2,
             desk_late: ms(20.0),
             counter_wait: ms(config.settings.counter_wait),
--- a/crates/aspendrum/src/pool.rs
+++ b/crates/aspendrum/src/pool.rs
@@ -18,6 +18,9 @@
     inward: Ring,
     pub outward: Ring,
     idle_since: Instant,
+    dial: SocketAddr,
+    /// The time a read may take, as last set: setting it anew for each forward would cost a system call.
+    read_wait: Duration,
     _place: Place,
 }
 
@@ -34,9 +37,11 @@
     fn open(addr: SocketAddr, wait: Duration, limits: &Limits, place: Place) -> std::io::Result<Conn> {
         let stream = TcpStream::connect_timeout(&addr, wait.max(Duration::from_millis(1)))?;
         stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(limits.server_write))?;
         let ring = || Ring::new(limits.ring, limits.ring_top);
         let (inward, outward, idle_since) = (ring(), ring(), Instant::now());
-        Ok(Conn { stream: Arc::new(stream), inward, outward, idle_since, _place: place })
+        let (stream, dial, read_wait) = (Arc::new(stream), addr, Duration::ZERO);
+        Ok(Conn { stream, inward, outward, idle_since, dial, read_wait, _place: place })
     }
 
     /// A connection outside the pool's count, for discovery.
@@ -54,10 +59,8 @@
     }
 
     /// Writes what stands in the outward ring. A failure means that the last byte was never written.
-    pub fn send(&mut self, wait: Duration) -> Result<(), Outcome> {
-        let (ring, mut to) = (&mut self.outward, &*self.stream);
-        let limited = to.set_write_timeout(Some(wait.max(Duration::from_millis(1))));
-        limited.and_then(|()| ring.drain(&mut to)).map_err(|_| Outcome::ConnectFailed)
+    pub fn send(&mut self) -> Result<(), Outcome> {
+        self.outward.drain(&mut &*self.stream).map_err(|_| Outcome::ConnectFailed)
     }
 
     /// Reads one whole answer.
@@ -73,7 +76,10 @@
             if left.is_zero() {
                 return Err(Outcome::TimedOut);
             }
-            let limited = from.set_read_timeout(Some(left.max(Duration::from_millis(1))));
+            // Short of the end it is looked at again each time that the usual wait is over.
+            let wait = left.clamp(Duration::from_millis(1), limits.server_read);
+            let limited = if wait == self.read_wait { Ok(()) } else { from.set_read_timeout(Some(wait)) };
+            self.read_wait = wait;
             match limited.and_then(|()| self.inward.fill(&mut from)) {
                 Ok(0) => return Err(Outcome::Reset),
                 Ok(_) => {}
@@ -159,7 +165,7 @@
     pub fn give_back(&self, server: ServerId, mut conn: Conn) {
         conn.idle_since = Instant::now();
         if let Some(shelf) = self.shelves().get_mut(&server) {
-            if shelf.dial == conn.stream.peer_addr().ok() {
+            if shelf.dial == Some(conn.dial) {
                 shelf.idle.push(conn);
             }
         }
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -5,10 +5,10 @@
 use crate::config::ms;
 use crate::desk::Note;
 use crate::http::{self, Answer, Asked};
+use crate::mail;
 use crate::pool::{Conn, Line};
 use crate::Shop;
 use aspendrum_core::api::*;
-use crossbeam_channel::bounded;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -35,7 +35,7 @@
     let close = asked.close;
 
     // The desk hears of it, and the module decides when it may go on and where.
-    let (desk, orders) = bounded(limits.orders);
+    let (desk, orders) = mail::here(limits.orders);
     let line = Arc::new(Line::default());
     let new = NewQuery {
         id,
@@ -56,7 +56,7 @@
     // does not leave the query without an answer, and one that may have run is not called shed.
     let mut may_have_run = false;
     loop {
-        let order = if taken { orders.recv_deadline(last).ok() } else { None };
+        let order = if taken { orders.next(Some(last)).ok() } else { None };
         match order {
             Some(Order::Forward { forward, server, timeout }) => {
                 let wait = if timeout > 0.0 { (Instant::now() + ms(timeout)).min(until) } else { until };
@@ -109,7 +109,7 @@
         return (Outcome::Moot, None);
     }
     let wait = left().as_secs_f64() * 1000.0;
-    let sent = if asked.forward(wait, &mut conn.outward) { conn.send(left()) } else { Err(Outcome::Moot) };
+    let sent = if asked.forward(wait, &mut conn.outward) { conn.send() } else { Err(Outcome::Moot) };
     let got = sent.and_then(|()| conn.receive(until, &shop.lanes, &shop.limits));
     let cut = line.leave(forward);
     match got {
@@ -149,7 +149,7 @@
     };
     if shop.hands.run(Box::new(job)).is_err() {
         let (outcome, load) = (Outcome::ConnectFailed, Load::default());
-        let _ = shop.door.notes.try_send(Note::Probed { server, outcome, rtt: 0.0, load });
+        shop.door.offer(Note::Probed { server, outcome, rtt: 0.0, load });
     }
 }
 
@@ -158,7 +158,7 @@
     let wait = || until.saturating_duration_since(Instant::now());
     let mut conn: Conn = shop.pool.take(server, wait()).ok_or(Outcome::ConnectFailed)?;
     http::get(&mut conn.outward, path, "origin.svc");
-    conn.send(wait())?;
+    conn.send()?;
     let answer = conn.receive(until, &shop.lanes, &shop.limits)?;
     let load = match answer.load.n {
         0 => http::load_of_body(&answer.body, &shop.lanes.load_values),
--- a/crates/aspendrum/tests/suite/pieces.rs
+++ b/crates/aspendrum/tests/suite/pieces.rs
@@ -6,17 +6,17 @@
 use aspendrum::desk::{Clock, Door, Note};
 use aspendrum::discovery::{Names, Roster};
 use aspendrum::limits::Limits;
+use aspendrum::mail::{self, Inbox};
 use aspendrum::pool::Line;
 use aspendrum::resp::{self, Parsed, Reply};
 use aspendrum::ring::Ring;
 use aspendrum_core::api::{Health, Outcome};
-use crossbeam_channel::{bounded, Receiver};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
 #[test]
@@ -139,15 +139,15 @@
     assert!(!line.enter(1, &stream));
 }
 
-fn calls(counter: SocketAddr) -> (Counter, Receiver<Note>) {
+fn calls(counter: SocketAddr) -> (Counter, Inbox<Note>) {
     let config = Config::read(&config(&[], counter, counter).to_string()).unwrap();
-    let (notes, told) = bounded(100);
+    let (notes, told) = mail::here(100);
     let door = Arc::new(Door::new(notes, Clock::start()));
     (Counter::start(counter, &door, &Arc::new(Limits::of(&config))).unwrap(), told)
 }
 
-fn counted(told: &Receiver<Note>) -> (u64, Outcome, f32) {
-    match told.recv_timeout(Duration::from_secs(2)) {
+fn counted(told: &Inbox<Note>) -> (u64, Outcome, f32) {
+    match told.next(Some(Instant::now() + Duration::from_secs(2))) {
         Ok(Note::Counted { name, outcome, total, .. }) => (name, outcome, total),
         _ => panic!("nothing was told"),
     }
