An idle connection on its way out still answers a query that had come; signals asked for first

Seen by reading: a close for room or at a planned end shut both sides, so a query that lay unread in the socket was lost with it (clients.rs, close_idle). Only the reading side is shut now; what had come is answered with Connection: close. A SIGTERM during the start would have killed the program; a fault inside a query's thread left its client waiting for ever; each is answered now. Discovery's trouble is logged once, not ten times a second.

--- a/crates/aspendrum/src/clients.rs
+++ b/crates/aspendrum/src/clients.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -22,8 +23,8 @@
 const BUSY: u8 = 1;
 const CLOSED: u8 = 2;
 
-/// One client connection. Whoever closes it for room must find it idle, and a query is in hand only once it
-/// was marked busy, so no close can hit a query that was read.
+/// One client connection. Whoever closes it must find it idle, and shuts only the side that is read: a query
+/// that had come by then is still read, and gets the connection's last answer.
 pub struct Client {
     stream: Arc<TcpStream>,
     state: AtomicU8,
@@ -50,7 +51,7 @@
     ) -> bool {
         let mut ring = self.out.lock().unwrap_or_else(PoisonError::into_inner);
         // Draining began while the query was in hand: its client must not send another one here.
-        let close = close || shop.draining();
+        let close = close || shop.draining() || self.state.load(Ordering::Acquire) == CLOSED;
         let fits = http::reply(&mut ring, status, advice, close, kind, body);
         let written = fits && ring.drain(&mut &*self.stream).is_ok();
         if !written {
@@ -75,7 +76,7 @@
         self.open().len()
     }
 
-    /// Closes the connection that has been idle for longest, if one is idle for at least that long.
+    /// Closes the connection that has been idle for longest, if one has been for at least that long.
     pub fn close_idle(&self, now: u64, at_least: u64) -> bool {
         let open = self.open();
         let age = |c: &&Arc<Client>| now.saturating_sub(c.used.load(Ordering::Relaxed));
@@ -83,7 +84,7 @@
         let Some(oldest) = idle.filter(|c| age(c) >= at_least).max_by_key(age) else { return false };
         let closed = oldest.turn(IDLE, CLOSED);
         if closed {
-            let _ = oldest.stream.shutdown(Shutdown::Both);
+            let _ = oldest.stream.shutdown(Shutdown::Read);
         }
         closed
     }
@@ -199,7 +200,8 @@
                 if begun.take().is_some() {
                     let _ = client.stream.set_read_timeout(None);
                 }
-                if !client.turn(IDLE, BUSY) || !in_hand(shop, client, asked, &mut ring, &done, &ended) {
+                client.turn(IDLE, BUSY);
+                if !in_hand(shop, client, asked, &mut ring, &done, &ended) {
                     return;
                 }
             }
@@ -241,7 +243,12 @@
     let (id, at) = (shop.door.next_id(), Instant::now());
     let (own, theirs, done) = (shop.clone(), client.clone(), done.clone());
     let job = move || {
-        let stays = query::serve(&own, &theirs, &asked, id, at);
+        // A fault of ours must leave neither the client without an answer nor the desk with the query.
+        let life = AssertUnwindSafe(|| query::serve(&own, &theirs, &asked, id, at));
+        let stays = catch_unwind(life).unwrap_or_else(|_| {
+            own.door.tell(Note::Quit { id });
+            theirs.answer(&own, 502, 0.0, true, b"", b"")
+        });
         theirs.used.store(own.age(), Ordering::Relaxed);
         theirs.turn(BUSY, if stays { IDLE } else { CLOSED });
         let _ = done.try_send(stays);
@@ -255,8 +262,9 @@
         job();
         return ended.try_recv().unwrap_or(false);
     }
-    // What was sent ahead is read when this query is through; its sender is not watched.
-    if !ring.is_empty() {
+    // What was sent ahead is read when this query is through, and nothing more is read of a connection on its
+    // way out; neither client is watched.
+    if !ring.is_empty() || client.state.load(Ordering::Acquire) == CLOSED {
         return ended.recv().unwrap_or(false);
     }
     loop {
--- a/crates/aspendrum/src/discovery.rs
+++ b/crates/aspendrum/src/discovery.rs
@@ -2,13 +2,13 @@
 //! after another. Silence and nonsense leave the last list in force.
 
 use crate::desk::Note;
+use crate::http;
 use crate::pool::Conn;
 use crate::Shop;
 use aspendrum_core::api::{Health, ListKind, Member, Ms, Outcome, ServerId};
 use crossbeam_channel::Receiver;
 use serde_json::Value;
 use std::collections::HashSet;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -95,6 +95,7 @@
 impl Follower {
     pub fn run(mut self) {
         let (mut conn, mut watching, mut fetch) = (None, !self.asks, true);
+        let mut trouble = String::new();
         while !self.shop.stopped() {
             while let Ok(wish) = self.wishes.try_recv() {
                 fetch |= wish == Wish::Fetch;
@@ -108,14 +109,18 @@
             }
             match self.ask(&mut conn, !fetch) {
                 Ok(roster) => {
+                    trouble.clear();
                     fetch = !roster.whole && roster.version < self.version;
                     if !fetch {
                         self.pass_on(roster);
                     }
                 }
                 Err(why) => {
-                    log::info!("discovery: {why}");
                     conn = None;
+                    if why != trouble {
+                        log::warn!("discovery: {why}; the last list stays");
+                        trouble = why;
+                    }
                     if self.asks {
                         watching = false;
                         let (list, entries) = (ListKind::Failed, Vec::new());
@@ -138,8 +143,7 @@
             true => format!("?from={}&hold_ms={}", self.version, hold.as_millis()),
             false => String::new(),
         };
-        let head = write!(conn.outward, "GET {PATH}{query} HTTP/1.1\r\nHost: discovery\r\n\r\n");
-        head.map_err(|e| e.to_string())?;
+        http::get(&mut conn.outward, &format!("{PATH}{query}"));
         let failed = |how: Outcome| format!("{how:?}");
         conn.send().map_err(failed)?;
         let until = Instant::now() + hold + limits.watch_late;
--- a/crates/aspendrum/src/http.rs
+++ b/crates/aspendrum/src/http.rs
@@ -17,6 +17,8 @@
 const PRESSURE: &str = "X-Pressure";
 const TURNED_AWAY: &str = "X-Turned-Away";
 const CUSTOMER: &str = "client";
+/// Whom servers are addressed as.
+const SERVICE: &str = "origin.svc";
 const READY: &str = "/health/ready";
 pub const LIVE: &str = "/health/live";
 pub const STATS: &str = "/stats";
@@ -274,8 +276,8 @@
 }
 
 /// A probe, or any other call without a body.
-pub fn get(out: &mut Ring, path: &str, host: &str) -> bool {
-    write!(out, "GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").is_ok()
+pub fn get(out: &mut Ring, path: &str) -> bool {
+    write!(out, "GET {path} HTTP/1.1\r\nHost: {SERVICE}\r\n\r\n").is_ok()
 }
 
 enum Length {
--- a/crates/aspendrum/src/main.rs
+++ b/crates/aspendrum/src/main.rs
@@ -1,7 +1,8 @@
 //! The command line. Everything else is in the library.
 
 use aspendrum::config::{Config, CONFIG_VARIABLE};
-use aspendrum::{shutdown, Limiter};
+use aspendrum::shutdown::End;
+use aspendrum::Limiter;
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -57,8 +58,9 @@
 }
 
 fn serve(config: Config) -> Result<(), String> {
+    let mut end = End::expect().map_err(|e| format!("signals: {e}"))?;
     let limiter = Limiter::start(config)?;
-    shutdown::wait_for_signal().map_err(|e| format!("signals: {e}"))?;
+    end.wait();
     limiter.drain();
     Ok(())
 }
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -157,7 +157,7 @@
     let path = if shop.lanes.load_values.is_empty() { http::LIVE } else { http::STATS };
     let wait = || until.saturating_duration_since(Instant::now());
     let mut conn: Conn = shop.pool.take(server, wait()).ok_or(Outcome::ConnectFailed)?;
-    http::get(&mut conn.outward, path, "origin.svc");
+    http::get(&mut conn.outward, path);
     conn.send()?;
     let answer = conn.receive(until, &shop.lanes, &shop.limits)?;
     let load = match answer.load.n {
--- a/crates/aspendrum/src/shutdown.rs
+++ b/crates/aspendrum/src/shutdown.rs
@@ -10,11 +10,17 @@
 
 const STEP: Duration = Duration::from_millis(10);
 
-/// Waits for the signal to end.
-pub fn wait_for_signal() -> std::io::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    signals.forever().next();
-    Ok(())
+/// The signals to end. Asked for before anything else, so that none comes too early.
+pub struct End(Signals);
+
+impl End {
+    pub fn expect() -> std::io::Result<End> {
+        Signals::new([SIGTERM, SIGINT]).map(End)
+    }
+
+    pub fn wait(&mut self) {
+        self.0.forever().next();
+    }
 }
 
 /// Returns once nothing is left to answer. Never gives up on a query: whoever started us may.
