Room for 4,096 waiting connections; a client gone before the desk knew its query is told

Seen by reading: the listener let 128 connections wait (ss), so a front that comes back with all its clients at once has some turned away by the machine for a second (lib.rs, start). A client that left while its query was on the way to the desk was told too early and then forgotten, and its forward ran on for nobody (clients.rs, in_hand). Events that go to the module as they are pass the desk in one form. Checked: 20 clients that leave at once leave no server connection behind; six copies of the tests at once.

--- a/crates/aspendrum/src/clients.rs
+++ b/crates/aspendrum/src/clients.rs
@@ -14,7 +14,7 @@
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,10 +30,16 @@
     state: AtomicU8,
     /// When it last showed a sign of life or had an answer, in milliseconds since the limiter's start.
     used: AtomicU64,
+    /// It went away while its query was in hand.
+    gone: AtomicBool,
     out: Mutex<Ring>,
 }
 
 impl Client {
+    pub fn gone(&self) -> bool {
+        self.gone.load(Ordering::SeqCst)
+    }
+
     fn turn(&self, from: u8, to: u8) -> bool {
         self.state.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
@@ -138,6 +144,7 @@
         stream: Arc::new(stream),
         state: AtomicU8::new(IDLE),
         used: AtomicU64::new(shop.age()),
+        gone: AtomicBool::new(false),
         out: Mutex::new(Ring::new(limits.ring, limits.ring_top)),
     });
     shop.clients.open().insert(key, client.clone());
@@ -284,6 +291,7 @@
             return false;
         }
         if !stays {
+            client.gone.store(true, Ordering::SeqCst);
             shop.door.tell(Note::Left { id });
         }
         return ended.recv().unwrap_or(false) && stays;
--- a/crates/aspendrum/src/counter.rs
+++ b/crates/aspendrum/src/counter.rs
@@ -9,7 +9,7 @@
 use crate::mail::{self, Post};
 use crate::resp::{self, Parsed, Reply};
 use crate::ring::Ring;
-use aspendrum_core::api::{Ms, Outcome};
+use aspendrum_core::api::{Event, Ms, Outcome};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -115,7 +115,7 @@
     /// name keep their order, and the desk, which takes this lock too, is never waited for.
     fn tell(&self, late: &mut VecDeque<Note>, name: u64, at: Instant, outcome: Outcome, total: f32) {
         let rtt = at.elapsed().as_secs_f64() * 1000.0;
-        late.push_back(Note::Counted { name, outcome, total, rtt });
+        late.push_back(Note::Told(Event::Counted { name, outcome, total, rtt }));
         self.deliver(late);
     }
 
--- a/crates/aspendrum/src/desk.rs
+++ b/crates/aspendrum/src/desk.rs
@@ -44,18 +44,8 @@
     Quit {
         id: QueryId,
     },
-    Counted {
-        name: u64,
-        outcome: Outcome,
-        total: f32,
-        rtt: Ms,
-    },
-    Probed {
-        server: ServerId,
-        outcome: Outcome,
-        rtt: Ms,
-        load: Load,
-    },
+    /// What goes to the module as it is.
+    Told(Event<'static>),
     Members {
         list: ListKind,
         version: u32,
@@ -260,12 +250,7 @@
                 });
                 self.leave(id);
             }
-            Note::Counted { name, outcome, total, rtt } => {
-                self.tell(&Event::Counted { name, outcome, total, rtt });
-            }
-            Note::Probed { server, outcome, rtt, load } => {
-                self.tell(&Event::Probed { server, outcome, rtt, load });
-            }
+            Note::Told(event) => self.tell(&event),
             Note::Members { list, version, entries } => {
                 self.tell(&Event::Members { list, version, entries: &entries });
             }
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -28,6 +28,7 @@
 use limits::Limits;
 use peers::Peers;
 use pool::Pool;
+use socket2::SockRef;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -79,6 +80,9 @@
         let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         // Bound first: the machine holds connections from here on, and each is taken in.
         let listener = TcpListener::bind(config.listen).map_err(failed("listen"))?;
+        // The standard library lets 128 wait; a front that comes back with all its clients at once brings more,
+        // and whom the machine turns away comes again a second later.
+        let _ = SockRef::from(&listener).listen(limits.backlog);
         let addr = listener.local_addr().map_err(failed("listen"))?;
 
         // The desk's thread waits for the desk, which needs the door to itself.
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -13,6 +13,8 @@
     /// Sockets over the clients' share that are still answered, each with a shed.
     pub overflow: usize,
     pub spare_hands: usize,
+    /// Connections that may wait with the machine to be taken in.
+    pub backlog: i32,
     pub head: usize,
     pub headers: usize,
     pub body: usize,
@@ -69,6 +71,7 @@
             server_sockets: free / 4,
             overflow: free / 16,
             spare_hands: SPARE_HANDS,
+            backlog: 4096,
             head: 8 << 10,
             headers: 64,
             body: 64 << 10,
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -51,6 +51,10 @@
     };
     let last = until + limits.desk_late;
     let taken = shop.door.tell_by(last, Note::Query { new, orders: desk, line: line.clone() });
+    // Its connection's thread may have told so before the desk knew the query.
+    if client.gone() {
+        shop.door.tell(Note::Left { id });
+    }
 
     // Each order is carried out; one of them ends the query. A desk that stays silent past the client's time
     // does not leave the query without an answer, and one that may have run is not called shed.
@@ -148,11 +152,11 @@
             Err(outcome) => (outcome, Load::default()),
         };
         let rtt = begun.elapsed().as_secs_f64() * 1000.0;
-        own.door.tell(Note::Probed { server, outcome, rtt, load });
+        own.door.tell(Note::Told(Event::Probed { server, outcome, rtt, load }));
     };
     if shop.hands.run(Box::new(job)).is_err() {
         let (outcome, load) = (Outcome::ConnectFailed, Load::default());
-        let _ = shop.door.offer(Note::Probed { server, outcome, rtt: 0.0, load });
+        let _ = shop.door.offer(Note::Told(Event::Probed { server, outcome, rtt: 0.0, load }));
     }
 }
 
--- a/crates/aspendrum/tests/suite/limiter.rs
+++ b/crates/aspendrum/tests/suite/limiter.rs
@@ -219,3 +219,18 @@
     assert_eq!(answers.matches("HTTP/1.1 200").count(), 1);
     limiter.stop();
 }
+
+// A client may be gone before the desk has even heard of its query.
+#[test]
+fn clients_that_leave_at_once_leave_nothing_behind() {
+    let (addr, seen) = server(Does::Hangs);
+    let limiter = limiter(&[addr]);
+    for _ in 0..20 {
+        let mut stream = connect(&limiter);
+        stream.write_all(query("pay").replace("900m", "60000m").as_bytes()).unwrap();
+    }
+    thread::sleep(Duration::from_millis(100));
+    assert!(soon(|| seen.ended.load(Ordering::SeqCst) == seen.connections.load(Ordering::SeqCst)));
+    assert_eq!(status(&ask(&mut connect(&limiter), &query("pay"))), 504);
+    limiter.stop();
+}
--- a/crates/aspendrum/tests/suite/pieces.rs
+++ b/crates/aspendrum/tests/suite/pieces.rs
@@ -10,7 +10,7 @@
 use aspendrum::pool::Line;
 use aspendrum::resp::{self, Parsed, Reply};
 use aspendrum::ring::Ring;
-use aspendrum_core::api::{Health, Outcome};
+use aspendrum_core::api::{Event, Health, Outcome};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -153,7 +153,7 @@
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(6) {
         counter.expire();
-        if let Ok(Note::Counted { name, outcome, total, .. }) =
+        if let Ok(Note::Told(Event::Counted { name, outcome, total, .. })) =
             told.next(Some(Instant::now() + Duration::from_millis(5)))
         {
             return (name, outcome, total);
