--- a/crates/aspendrum/src/counter.rs
+++ b/crates/aspendrum/src/counter.rs
@@ -106,6 +106,12 @@
     }
 }
 
+impl Drop for Counter {
+    fn drop(&mut self) {
+        self.opener.close();
+    }
+}
+
 impl Lane {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/aspendrum/src/mail.rs
+++ b/crates/aspendrum/src/mail.rs
@@ -73,13 +73,12 @@
         self.reader.unpark();
         sent
     }
-}
 
-impl<T> Drop for Post<T> {
-    fn drop(&mut self) {
-        // The reader must see that nothing comes any more; it is woken once the sender is gone.
-        let (gone, _) = bounded(0);
-        drop(std::mem::replace(&mut self.mail, gone));
+    /// Tells a reader that waits without end that nothing comes any more. Not done by every post that goes: a
+    /// query's goes when its hand has long gone to sleep, and would wake it for nothing.
+    pub fn close(&mut self) {
+        let (nobody, _) = bounded(0);
+        self.mail = nobody;
         self.reader.unpark();
     }
 }
