--- a/crates/aspendrum/src/clients.rs
+++ b/crates/aspendrum/src/clients.rs
@@ -204,10 +204,10 @@
         match call {
             Parsed::More => match more(&mut ring, client, &mut begun, limits.slow_client) {
                 Ok(true) => client.used.store(shop.age(), Ordering::Relaxed),
-                Ok(false) => return refuse(shop, client, 408),
+                Ok(false) => return reject(shop, client, 408),
                 Err(_) => return,
             },
-            Parsed::Bad(status) => return refuse(shop, client, status),
+            Parsed::Bad(status) => return reject(shop, client, status),
             Parsed::Whole(Call::Ready { close }) => {
                 let status = if shop.draining() { 503 } else { 200 };
                 if !client.answer(shop, status, 0.0, close, b"", b"") {
@@ -240,7 +240,7 @@
     }
 }
 
-fn refuse(shop: &Shop, client: &Client, status: u16) {
+fn reject(shop: &Shop, client: &Client, status: u16) {
     client.answer(shop, status, 0.0, true, b"", b"");
     linger(&client.stream, shop.limits.linger, shop.limits.body);
 }
--- a/crates/aspendrum/src/desk.rs
+++ b/crates/aspendrum/src/desk.rs
@@ -335,7 +335,7 @@
     fn finish(&mut self, id: QueryId, order: Order) {
         let Some(seat) = self.seats.get_mut(&id) else { return };
         seat.over = true;
-        // A full channel means that the query answers nobody's orders: it ends by its own deadline.
+        // A full channel means that the query answers nobody's orders: it ends by its own time.
         let _ = seat.orders.offer(order);
         if let Some((forward, _)) = seat.out {
             // The answer is given now, and nobody is left to read what the server still sends.
--- a/crates/aspendrum/src/http.rs
+++ b/crates/aspendrum/src/http.rs
@@ -1,4 +1,5 @@
-//! HTTP/1.1 as the protocol page words it: queries in, forwards out, answers both ways. Header names stay here.
+//! HTTP/1.1 as the protocol page words it: queries in, forwards out, answers both ways. Header names stay
+//! here.
 
 use crate::limits::Limits;
 use crate::ring::Ring;
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -80,7 +80,7 @@
         let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
         // Bound first: the machine holds connections from here on, and each is taken in.
         let listener = TcpListener::bind(config.listen).map_err(failed("listen"))?;
-        // The standard library lets 128 wait; a front that comes back with all its clients at once brings more,
+        // The standard library lets 128 wait; a front that comes back with all its clients brings more,
         // and whom the machine turns away comes again a second later.
         let _ = SockRef::from(&listener).listen(limits.backlog);
         let addr = listener.local_addr().map_err(failed("listen"))?;
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -73,9 +73,9 @@
                 let proven = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
                 may_have_run |= !proven;
                 // The answer goes on before anything else is done.
-                let served = answer.filter(|_| outcome == Outcome::Ok);
+                let answered = answer.filter(|_| outcome == Outcome::Ok);
                 let stays =
-                    served.map(|a| client.answer(shop, 200, 0.0, asked.close, &a.content_type, &a.body));
+                    answered.map(|a| client.answer(shop, 200, 0.0, asked.close, &a.content_type, &a.body));
                 shop.door.tell(Note::Ended { id, forward, server, outcome, rtt, actual, load });
                 if let Some(stays) = stays {
                     return stays;
--- a/crates/aspendrum/src/resp.rs
+++ b/crates/aspendrum/src/resp.rs
@@ -12,7 +12,7 @@
 pub enum Reply {
     Total(f32),
     /// Turned away or not understood: nothing was added.
-    Refused,
+    TurnedAway,
 }
 
 #[derive(Debug, PartialEq)]
@@ -41,7 +41,7 @@
     };
     let text = std::str::from_utf8(&line[..end]).unwrap_or("");
     let (taken, reply) = match first {
-        b'-' => (end + 3, Reply::Refused),
+        b'-' => (end + 3, Reply::TurnedAway),
         b':' | b'+' => match total(text) {
             Some(total) => (end + 3, Reply::Total(total)),
             None => return Parsed::Nonsense,
