--- a/crates/aspendrum/src/clients.rs
+++ b/crates/aspendrum/src/clients.rs
@@ -2,7 +2,7 @@
 //! client's leaving while a query is in hand, and closed when they make room for others.
 
 use crate::desk::Note;
-use crate::hands::spawn;
+use crate::hands::{lock, spawn};
 use crate::http::{self, Asked, Call, Parsed};
 use crate::pool::linger;
 use crate::query;
@@ -15,7 +15,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -55,7 +55,7 @@
         kind: &[u8],
         body: &[u8],
     ) -> bool {
-        let mut ring = self.out.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ring = lock(&self.out);
         // Draining began while the query was in hand: its client must not send another one here.
         let close = close || shop.draining() || self.state.load(Ordering::Acquire) == CLOSED;
         let fits = http::reply(&mut ring, status, advice, close, kind, body);
@@ -75,7 +75,7 @@
 
 impl Clients {
     fn open(&self) -> MutexGuard<'_, HashMap<u64, Arc<Client>>> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.open)
     }
 
     pub fn count(&self) -> usize {
--- a/crates/aspendrum/src/counter.rs
+++ b/crates/aspendrum/src/counter.rs
@@ -3,17 +3,18 @@
 //! its turn and thrown away. The desk writes calls itself where a connection stands: a thread between them
 //! cost a sixth of a limiter's time. Connecting, which can take long, is the opener's.
 
+use crate::config::as_ms;
 use crate::desk::{Door, Note};
-use crate::hands::spawn;
+use crate::hands::{lock, spawn};
 use crate::limits::Limits;
 use crate::mail::{self, Post};
 use crate::resp::{self, Parsed, Reply};
 use crate::ring::Ring;
 use aspendrum_core::api::{Event, Ms, Outcome};
 use std::collections::VecDeque;
-use std::io::{ErrorKind, Write};
+use std::io::ErrorKind;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 struct Call {
@@ -33,6 +34,7 @@
 
 struct Link {
     stream: Arc<TcpStream>,
+    outward: Ring,
     pending: VecDeque<Pending>,
     /// When something was last written or read, and when something was last read.
     used: Instant,
@@ -114,13 +116,13 @@
 
 impl Lane {
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Everything goes through the desk's inbox, under the lane's lock and without waiting: so outcomes of a
     /// name keep their order, and the desk, which takes this lock too, is never waited for.
     fn tell(&self, late: &mut VecDeque<Note>, name: u64, at: Instant, outcome: Outcome, total: f32) {
-        let rtt = at.elapsed().as_secs_f64() * 1000.0;
+        let rtt = as_ms(at.elapsed());
         late.push_back(Note::Told(Event::Counted { name, outcome, total, rtt }));
         self.deliver(late);
     }
@@ -152,17 +154,10 @@
 
     fn write(&self, state: &mut State, call: Call) {
         let Some(link) = state.link.as_mut() else { return };
-        let (mut bytes, mut written) = (Vec::with_capacity(96), 0);
-        resp::add(&mut bytes, call.name, call.add, call.ttl);
-        while written < bytes.len() {
-            match (&mut &*link.stream).write(&bytes[written..]) {
-                Ok(n) if n > 0 => written += n,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                _ => break,
-            }
-        }
+        resp::add(&mut link.outward, call.name, call.add, call.ttl);
+        let written = link.outward.drain(&mut &*link.stream);
         link.used = Instant::now();
-        if written == bytes.len() {
+        if written.is_ok() {
             return link.pending.push_back(Pending { name: call.name, at: call.at, told: false });
         }
         // Without its last byte it was not added. Those before it stand in line first.
@@ -208,7 +203,8 @@
             return self.unsent(&mut state);
         }
         let (now, pending) = (Instant::now(), VecDeque::new());
-        state.link = Some(Link { stream, pending, used: now, heard: now });
+        let outward = Ring::new(self.limits.ring, self.limits.head);
+        state.link = Some(Link { stream, outward, pending, used: now, heard: now });
         while let Some(call) = state.queued.pop_front() {
             if state.link.is_none() {
                 state.queued.push_front(call);
--- a/crates/aspendrum/src/desk.rs
+++ b/crates/aspendrum/src/desk.rs
@@ -2,12 +2,12 @@
 //! happened through one bounded channel; it hands each of the module's actions to its owner and never waits
 //! for anybody.
 
-use crate::config::ms;
+use crate::config::{as_ms, ms};
 use crate::counter::Counter;
 use crate::discovery::Wish;
 use crate::mail::{Inbox, Nothing, Post};
 use crate::peers::Peers;
-use crate::pool::{Line, Pool};
+use crate::pool::Line;
 use crate::query::{self, Order};
 use crate::Shop;
 use aspendrum_core::api::*;
@@ -67,12 +67,12 @@
 
 impl Clock {
     pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, as_ms);
         Clock { start: Instant::now(), unix }
     }
 
     pub fn at(&self, when: Instant) -> Ms {
-        self.unix + when.saturating_duration_since(self.start).as_secs_f64() * 1000.0
+        self.unix + as_ms(when.saturating_duration_since(self.start))
     }
 
     pub fn now(&self) -> Ms {
@@ -100,11 +100,6 @@
         self.ids.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// The same, but not beyond that time.
-    pub fn tell_by(&self, until: Instant, note: Note) -> bool {
-        self.notes.send(note, Some(until))
-    }
-
     /// For whoever must not wait for the desk, the desk itself among them.
     pub fn offer(&self, note: Note) -> Result<(), Note> {
         self.notes.offer(note)
@@ -114,6 +109,11 @@
     pub fn tell(&self, note: Note) -> bool {
         self.notes.send(note, None)
     }
+
+    /// The same, but not beyond that time.
+    pub fn tell_by(&self, until: Instant, note: Note) -> bool {
+        self.notes.send(note, Some(until))
+    }
 }
 
 /// A query in hand, as the desk sees it.
@@ -130,7 +130,6 @@
 pub struct Desk {
     pub control: Control,
     pub shop: Arc<Shop>,
-    pub pool: Arc<Pool>,
     pub counter: Option<Counter>,
     pub wishes: Sender<Wish>,
     pub peers: Option<Peers>,
@@ -153,11 +152,10 @@
     ) -> Desk {
         let mut actions = Vec::new();
         let control = Control::new(shop.door.clock.now(), seed, settings, &mut actions);
-        let (seats, timers, pool) = (HashMap::new(), BinaryHeap::new(), shop.pool.clone());
+        let (seats, timers) = (HashMap::new(), BinaryHeap::new());
         Desk {
             control,
             shop,
-            pool,
             counter,
             wishes,
             peers,
@@ -202,7 +200,7 @@
         }
         if self.swept.elapsed() >= self.shop.limits.sweep {
             self.swept = Instant::now();
-            self.pool.sweep();
+            self.shop.pool.sweep();
         }
     }
 
@@ -227,10 +225,14 @@
                 if !std::mem::replace(&mut seat.over, true) {
                     self.tell(&Event::ClientLeft { id });
                 }
-                if let Some((forward, server)) = out {
-                    self.moot(id, forward, server);
+                match out {
+                    // A forward that nobody took up never ran.
+                    Some((forward, server)) => {
+                        let (outcome, rtt, actual, load) = (Outcome::Moot, 0.0, 0, Load::default());
+                        self.hear(Note::Ended { id, forward, server, outcome, rtt, actual, load });
+                    }
+                    None => self.leave(id),
                 }
-                self.leave(id);
             }
             Note::Ended { id, forward, server, outcome, rtt, actual, load } => {
                 let Some(seat) = self.seats.get_mut(&id) else { return };
@@ -266,23 +268,6 @@
         }
     }
 
-    /// A forward that nobody took up never ran.
-    fn moot(&mut self, id: QueryId, forward: u8, server: ServerId) {
-        let (outcome, load) = (Outcome::Moot, Load::default());
-        let event = Event::ForwardEnded {
-            id,
-            forward,
-            server,
-            outcome,
-            rtt: 0.0,
-            over: true,
-            used: 0,
-            actual: 0,
-            load,
-        };
-        self.tell(&event);
-    }
-
     fn act(&mut self) {
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
@@ -315,7 +300,7 @@
                 }
             }
             Action::Probe { server } => query::probe(&self.shop, server),
-            Action::Close { server } => self.pool.close(server),
+            Action::Close { server } => self.shop.pool.close(server),
             Action::Timer { token, wait } => {
                 let at = (self.shop.door.clock.now() + wait.max(0.0)) * 1000.0;
                 self.timers.push(Reverse((at as u64, token)));
--- a/crates/aspendrum/src/discovery.rs
+++ b/crates/aspendrum/src/discovery.rs
@@ -97,14 +97,18 @@
         let (mut conn, mut watching, mut fetch) = (None, !self.asks, true);
         let mut trouble = String::new();
         while !self.shop.stopped() {
-            while let Ok(wish) = self.wishes.try_recv() {
-                fetch |= wish == Wish::Fetch;
-                watching = if let Wish::Watch(on) = wish { on } else { watching };
+            let idle = !fetch && !watching;
+            let first = if idle { self.wishes.recv().ok() } else { None };
+            if idle && first.is_none() {
+                return;
+            }
+            for wish in first.into_iter().chain(self.wishes.try_iter()) {
+                match wish {
+                    Wish::Fetch => fetch = true,
+                    Wish::Watch(on) => watching = on,
+                }
             }
             if !fetch && !watching {
-                let Ok(wish) = self.wishes.recv() else { return };
-                fetch |= wish == Wish::Fetch;
-                watching |= wish == Wish::Watch(true);
                 continue;
             }
             match self.ask(&mut conn, !fetch) {
@@ -138,12 +142,13 @@
             Some(conn) => conn,
             None => Conn::apart(self.addr, limits.connect_wait, limits).map_err(|e| e.to_string())?,
         };
-        let hold = if watch { limits.watch_hold } else { Duration::ZERO };
-        let query = match watch {
-            true => format!("?from={}&hold_ms={}", self.version, hold.as_millis()),
-            false => String::new(),
+        let (hold, path) = if watch {
+            let hold = limits.watch_hold;
+            (hold, format!("{PATH}?from={}&hold_ms={}", self.version, hold.as_millis()))
+        } else {
+            (Duration::ZERO, PATH.to_string())
         };
-        http::get(&mut conn.outward, &format!("{PATH}{query}"));
+        http::get(&mut conn.outward, &path);
         let failed = |how: Outcome| format!("{how:?}");
         conn.send().map_err(failed)?;
         let until = Instant::now() + hold + limits.watch_late;
@@ -163,15 +168,13 @@
         self.version = roster.version;
         let list = if roster.whole { ListKind::Full } else { ListKind::Delta };
         if roster.whole || !roster.entries.is_empty() {
-            place(&self.shop, &roster);
-            let entries = roster.entries.into_iter().map(|e| e.0).collect();
-            self.shop.door.tell(Note::Members { list, version: roster.version as u32, entries });
+            tell(&self.shop, list, roster);
         }
     }
 }
 
-/// Addresses go to the pool before the module may name the servers.
-pub fn place(shop: &Shop, roster: &Roster) {
+/// A list goes to the pool, then to the desk: the module must not name a server whose address is not known.
+pub fn tell(shop: &Shop, list: ListKind, roster: Roster) {
     let mut named = HashSet::new();
     for (member, dial) in &roster.entries {
         if let Some(dial) = dial.filter(|_| member.health != Health::Gone) {
@@ -184,4 +187,6 @@
     if roster.whole {
         shop.pool.keep(&named);
     }
+    let entries = roster.entries.into_iter().map(|e| e.0).collect();
+    shop.door.tell(Note::Members { list, version: roster.version as u32, entries });
 }
--- a/crates/aspendrum/src/hands.rs
+++ b/crates/aspendrum/src/hands.rs
@@ -21,7 +21,8 @@
     wait: Duration,
 }
 
-fn lock<T>(place: &Mutex<T>) -> MutexGuard<'_, T> {
+/// No lock is held over anything that may fail half-way, so what a failed thread left behind is sound.
+pub fn lock<T>(place: &Mutex<T>) -> MutexGuard<'_, T> {
     place.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -57,15 +58,18 @@
             let until = Instant::now() + self.wait;
             while lock(place).is_none() {
                 let left = until.saturating_duration_since(Instant::now());
-                if left.is_zero() {
-                    let mut idle = lock(&self.idle);
-                    // Whoever took it off the list has a job for it.
-                    if let Some(at) = idle.iter().position(|h| Arc::ptr_eq(&h.job, place)) {
-                        idle.remove(at);
-                        return;
-                    }
+                if !left.is_zero() {
+                    thread::park_timeout(left);
+                    continue;
                 }
-                thread::park_timeout(left.max(Duration::from_millis(1)));
+                let mut idle = lock(&self.idle);
+                if let Some(at) = idle.iter().position(|h| Arc::ptr_eq(&h.job, place)) {
+                    idle.remove(at);
+                    return;
+                }
+                drop(idle);
+                // Whoever took it off the list has a job for it, and wakes it behind laying it there.
+                thread::park();
             }
         }
     }
--- a/crates/aspendrum/src/http.rs
+++ b/crates/aspendrum/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 as the protocol page words it: queries in, forwards out, answers both ways. Header names stay
 //! here.
 
-use crate::limits::Limits;
+use crate::limits::{Limits, HEADERS};
 use crate::ring::Ring;
 use aspendrum_core::api::{Load, LoadValue, Ms, Semantics};
 use aspendrum_core::settings::MS;
@@ -85,8 +85,8 @@
 
 /// Takes one call off the ring once it is whole.
 pub fn call(ring: &mut Ring, lanes: &Lanes, limits: &Limits) -> Parsed<Call> {
-    let mut space = [httparse::EMPTY_HEADER; 64];
-    let mut head = httparse::Request::new(&mut space[..limits.headers.min(64)]);
+    let mut space = [httparse::EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Request::new(&mut space);
     let bytes = ring.whole();
     let at = match head.parse(bytes) {
         Ok(httparse::Status::Complete(at)) if at <= limits.head => at,
@@ -182,12 +182,12 @@
     pub body: Vec<u8>,
 }
 
-/// Takes one answer off the ring once it is whole, for `ended` means that nothing more comes. An answer that
-/// only the end of the connection delimits cannot be told from one that was cut off, so it is never whole.
+/// Takes one answer off the ring once it is whole. An answer that only the end of the connection delimits
+/// cannot be told from one that was cut off, so it is never whole.
 pub fn answer(ring: &mut Ring, lanes: &Lanes, limits: &Limits) -> Parsed<Answer> {
     loop {
-        let mut space = [httparse::EMPTY_HEADER; 64];
-        let mut head = httparse::Response::new(&mut space[..limits.headers.min(64)]);
+        let mut space = [httparse::EMPTY_HEADER; HEADERS];
+        let mut head = httparse::Response::new(&mut space);
         let bytes = ring.whole();
         let at = match head.parse(bytes) {
             Ok(httparse::Status::Complete(at)) if at <= limits.head => at,
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ring;
 pub mod shutdown;
 
+use aspendrum_core::api::ListKind;
 use clients::Clients;
 use config::Config;
 use counter::Counter;
@@ -124,11 +125,8 @@
         let peers = peers.map_err(failed("peer_listen"))?;
 
         // The list held before comes first of all, as the module expects it.
-        discovery::place(&shop, &config.known);
         let version = config.known.version;
-        let entries = config.known.entries.into_iter().map(|e| e.0).collect();
-        let list = aspendrum_core::api::ListKind::Cached;
-        door.tell(Note::Members { list, version: version as u32, entries });
+        discovery::tell(&shop, ListKind::Cached, config.known);
 
         let (wish, wishes) = bounded(limits.orders);
         let desk = Desk::new(shop.clone(), &config.settings, config.seed, counter, wish, peers);
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -16,7 +16,6 @@
     /// Connections that may wait with the machine to be taken in.
     pub backlog: i32,
     pub head: usize,
-    pub headers: usize,
     pub body: usize,
     /// A ring's size at the start, and at the most: a whole message, with what this hop adds to its head.
     pub ring: usize,
@@ -46,9 +45,8 @@
     pub watch_hold: Duration,
     pub watch_late: Duration,
     pub discovery_pause: Duration,
-    pub discovery_answer: usize,
     pub sweep: Duration,
-    /// After a SIGTERM: how long idle connections stay open, and how long a fresh one may take to ask.
+    /// After a SIGTERM: how long idle connections stay open, and how often it is looked whether all are gone.
     pub drain_open: Duration,
     pub drain_step: Duration,
     /// No connection is closed for room, or at the end, that has shown a sign of life since.
@@ -58,6 +56,8 @@
 
 /// What one client with the largest query and answer costs at the most: bodies, rings, two stacks.
 const CLIENT_KB: usize = 160;
+/// Headers of one message; parsing needs the number where it is built.
+pub const HEADERS: usize = 64;
 /// Threads that answer connections for which there is no room.
 const SPARE_HANDS: usize = 4;
 
@@ -66,17 +66,17 @@
         // The program's own: standard streams, listener, signals, counter, discovery, peers, and spare ones.
         let own = 40.min(config.sockets / 4);
         let free = config.sockets - own;
+        let (head, body) = (8 << 10, 64 << 10);
         Limits {
             client_sockets: (free / 8 * 5).min(config.memory_mb as usize * 1024 / CLIENT_KB),
             server_sockets: free / 4,
             overflow: free / 16,
             spare_hands: SPARE_HANDS,
             backlog: 4096,
-            head: 8 << 10,
-            headers: 64,
-            body: 64 << 10,
+            head,
+            body,
             ring: 1 << 10,
-            ring_top: (8 << 10) + (64 << 10) + 512,
+            ring_top: head + body + 512,
             stack: 128 << 10,
             desk_queue: 4096,
             orders: 8,
@@ -98,7 +98,6 @@
             watch_hold: ms(5000.0),
             watch_late: ms(1000.0),
             discovery_pause: ms(100.0),
-            discovery_answer: 4 << 20,
             sweep: ms(1000.0),
             drain_open: ms(450.0),
             drain_step: ms(10.0),
--- a/crates/aspendrum/src/pool.rs
+++ b/crates/aspendrum/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to servers: opened when none is idle, kept between forwards, the newest used first, closed
 //! well before a server would close them, and bounded in number. Nothing is ever sent twice from here.
 
+use crate::hands::lock;
 use crate::http::{self, Answer, Lanes, Parsed};
 use crate::limits::Limits;
 use crate::ring::Ring;
@@ -9,7 +10,7 @@
 use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// A connection that carries one call at a time.
@@ -109,7 +110,7 @@
     }
 
     fn shelves(&self) -> MutexGuard<'_, HashMap<ServerId, Shelf>> {
-        self.shelves.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.shelves)
     }
 
     /// What discovery says of a server's address. One that moved keeps no connection to its old place.
@@ -123,25 +124,19 @@
 
     /// Closes what is idle to a server.
     pub fn close(&self, server: ServerId) {
-        let closed = self.shelves().get_mut(&server).map(|s| std::mem::take(&mut s.idle));
-        drop(closed);
+        if let Some(shelf) = self.shelves().get_mut(&server) {
+            shelf.idle.clear();
+        }
     }
 
     /// Forgets a server that is gone.
     pub fn forget(&self, server: ServerId) {
-        let closed = self.shelves().remove(&server);
-        drop(closed);
+        self.shelves().remove(&server);
     }
 
     /// Forgets all but these.
     pub fn keep(&self, named: &HashSet<ServerId>) {
-        let mut closed = Vec::new();
-        let mut shelves = self.shelves();
-        shelves.retain(|server, shelf| {
-            let keep = named.contains(server);
-            closed.extend((!keep).then(|| std::mem::take(shelf)));
-            keep
-        });
+        self.shelves().retain(|server, _| named.contains(server));
     }
 
     /// An idle connection, or a new one. None: the server cannot be reached, so nothing ran.
@@ -186,10 +181,8 @@
     /// Closes what has been idle for long.
     pub fn sweep(&self) {
         let old = self.limits.idle_server;
-        let mut closed = Vec::new();
         for shelf in self.shelves().values_mut() {
-            let n = shelf.idle.iter().take_while(|c| c.idle_since.elapsed() >= old).count();
-            closed.extend(shelf.idle.drain(..n));
+            shelf.idle.retain(|c| c.idle_since.elapsed() < old);
         }
     }
 }
@@ -209,7 +202,7 @@
 
 impl Line {
     fn state(&self) -> MutexGuard<'_, LineState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// False: the forward was called off before it began.
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -2,11 +2,11 @@
 //! desk chooses; this thread carries out and always gives exactly one answer, even if the desk says nothing.
 
 use crate::clients::Client;
-use crate::config::ms;
+use crate::config::{as_ms, ms};
 use crate::desk::Note;
 use crate::http::{self, Answer, Asked};
 use crate::mail;
-use crate::pool::{Conn, Line};
+use crate::pool::Line;
 use crate::Shop;
 use aspendrum_core::api::*;
 use std::sync::Arc;
@@ -65,7 +65,7 @@
                 let wait = if timeout > 0.0 { (Instant::now() + ms(timeout)).min(until) } else { until };
                 let begun = Instant::now();
                 let (outcome, answer) = carry(shop, &line, asked, forward, server, wait);
-                let rtt = begun.elapsed().as_secs_f64() * 1000.0;
+                let rtt = as_ms(begun.elapsed());
                 let load = answer.as_ref().map_or(Load::default(), |a| a.load);
                 // A server that names no units took those that were asked for.
                 let charged = answer.as_ref().filter(|_| outcome == Outcome::Ok);
@@ -115,7 +115,7 @@
         shop.pool.give_back(server, conn);
         return (Outcome::Moot, None);
     }
-    let wait = left().as_secs_f64() * 1000.0;
+    let wait = as_ms(left());
     let sent = if asked.forward(wait, &mut conn.outward) { conn.send() } else { Err(Outcome::Moot) };
     let got = sent.and_then(|()| conn.receive(until, &shop.lanes, &shop.limits));
     let cut = line.leave(forward);
@@ -151,7 +151,7 @@
             Ok(told) => told,
             Err(outcome) => (outcome, Load::default()),
         };
-        let rtt = begun.elapsed().as_secs_f64() * 1000.0;
+        let rtt = as_ms(begun.elapsed());
         log::debug!("probe of {server:x}: {outcome:?} {:?}", &load.values[..usize::from(load.n)]);
         own.door.tell(Note::Told(Event::Probed { server, outcome, rtt, load }));
     };
@@ -164,7 +164,7 @@
 fn ask(shop: &Shop, server: ServerId, until: Instant) -> Result<(Outcome, Load), Outcome> {
     let path = if shop.lanes.load_values.is_empty() { http::LIVE } else { http::STATS };
     let wait = || until.saturating_duration_since(Instant::now());
-    let mut conn: Conn = shop.pool.take(server, wait()).ok_or(Outcome::ConnectFailed)?;
+    let mut conn = shop.pool.take(server, wait()).ok_or(Outcome::ConnectFailed)?;
     http::get(&mut conn.outward, path);
     conn.send()?;
     let answer = conn.receive(until, &shop.lanes, &shop.limits)?;
--- a/crates/aspendrum/src/resp.rs
+++ b/crates/aspendrum/src/resp.rs
@@ -24,7 +24,7 @@
 }
 
 /// Writes one call that adds `add` to a number that lives `ttl` if it is new.
-pub fn add(out: &mut Vec<u8>, name: u64, add: f32, ttl: Ms) {
+pub fn add(out: &mut impl Write, name: u64, add: f32, ttl: Ms) {
     let (name, add, ttl) = (name.to_string(), add.to_string(), (ttl.ceil().max(1.0) as u64).to_string());
     // Writing to memory does not fail.
     let _ = write!(out, "*4\r\n");
--- a/crates/aspendrum/src/ring.rs
+++ b/crates/aspendrum/src/ring.rs
@@ -15,10 +15,6 @@
         Ring { buf: Vec::new(), start: 0, len: 0, small: small.min(top), top }
     }
 
-    pub fn len(&self) -> usize {
-        self.len
-    }
-
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
@@ -70,7 +66,7 @@
         }
     }
 
-    /// Writes all it holds. On a failure the bytes that did go out are taken, so `len` tells what did not.
+    /// Writes all it holds. On a failure it keeps what did not go out.
     pub fn drain(&mut self, to: &mut impl Write) -> io::Result<()> {
         while self.len > 0 {
             match to.write(self.whole()) {
@@ -89,7 +85,6 @@
             return;
         }
         let size = need.next_power_of_two().clamp(self.small, self.top);
-        self.whole();
         self.buf.rotate_left(self.start);
         self.start = 0;
         self.buf.reserve_exact(size - self.buf.len());
