SIGHUP reads the configuration again and moves discovery and counter at once

Now: main.rs reads the file with the reader of the start; a bad file is named and changes nothing. The desk moves the counter: calls not yet written go to the new place, written ones are read out at the old one (their adds were made). The watch of discovery is cut and the whole list fetched from the new agent. Also: only -BUSY and -ERR prove that the counter added nothing (resp.rs took any error for that). Tests: the program itself under SIGHUP with a good and a bad file; a counter that moves with a call pending.

--- a/crates/aspendrum/src/counter.rs
+++ b/crates/aspendrum/src/counter.rs
@@ -55,29 +55,77 @@
     /// Calls that wait for the connection; there are some only while it is being opened.
     queued: VecDeque<Call>,
     opening: bool,
+    /// The counter has moved: nothing new goes here, and what is pending is read out.
+    retired: bool,
     /// What the desk's inbox had no room for.
     late: VecDeque<Note>,
 }
 
 pub struct Counter {
+    addr: SocketAddr,
     lanes: Vec<Arc<Lane>>,
+    /// Lanes to where the counter was before, until their last call is answered or over.
+    retired: Vec<Arc<Lane>>,
     opener: Post<Arc<Lane>>,
+    door: Arc<Door>,
+    limits: Arc<Limits>,
 }
 
 impl Counter {
     pub fn start(addr: SocketAddr, door: &Arc<Door>, limits: &Arc<Limits>) -> std::io::Result<Counter> {
-        let lane = |_| {
-            let (state, door, limits) = (Mutex::default(), door.clone(), limits.clone());
-            Arc::new(Lane { state, door, limits, addr })
-        };
-        let opener = mail::with(limits.lanes, |lanes: mail::Inbox<Arc<Lane>>| {
+        // Room for the lanes of two places: a move may find the old ones still waiting to be opened.
+        let opener = mail::with(2 * limits.lanes, |lanes: mail::Inbox<Arc<Lane>>| {
             spawn("counter", limits.stack, move || {
                 while let Ok(lane) = lanes.next(None) {
                     lane.open();
                 }
             })
         })?;
-        Ok(Counter { lanes: (0..limits.lanes).map(lane).collect(), opener })
+        let (retired, door, limits) = (Vec::new(), door.clone(), limits.clone());
+        let mut counter = Counter { addr, lanes: Vec::new(), retired, opener, door, limits };
+        counter.lanes = counter.lanes_to(addr);
+        Ok(counter)
+    }
+
+    fn lanes_to(&self, addr: SocketAddr) -> Vec<Arc<Lane>> {
+        let lane = |_| {
+            let (state, door, limits) = (Mutex::default(), self.door.clone(), self.limits.clone());
+            Arc::new(Lane { state, door, limits, addr })
+        };
+        (0..self.limits.lanes).map(lane).collect()
+    }
+
+    /// Goes over to another address at once. Calls that were not written yet go there, those that were are
+    /// read out: their adds have been made or will be. Both places answer true totals, so that an answer
+    /// from the new one may overtake one of the same name.
+    pub fn move_to(&mut self, addr: SocketAddr) {
+        if addr == self.addr {
+            return;
+        }
+        log::info!("the counter is at {addr} now");
+        self.addr = addr;
+        let lanes = self.lanes_to(addr);
+        let old = std::mem::replace(&mut self.lanes, lanes);
+        for (from, to) in old.iter().zip(&self.lanes) {
+            let mut state = from.state();
+            state.retired = true;
+            let unwritten = std::mem::take(&mut state.queued);
+            from.rest(&mut state);
+            drop(state);
+            let mut state = to.state();
+            state.queued = unwritten;
+            self.open(to, &mut state);
+        }
+        self.retired.extend(old);
+    }
+
+    fn open(&self, lane: &Arc<Lane>, state: &mut State) {
+        if !state.opening {
+            state.opening = self.opener.offer(lane.clone()).is_ok();
+        }
+        if !state.opening || state.queued.len() > lane.limits.lane_queue {
+            lane.unsent(state);
+        }
     }
 
     /// Makes one call. What becomes of it is told to the desk, in the order of the calls of its name.
@@ -94,17 +142,16 @@
             return lane.write(&mut state, call);
         }
         state.queued.push_back(call);
-        if !state.opening {
-            state.opening = self.opener.offer(lane.clone()).is_ok();
-        }
-        if !state.opening || state.queued.len() > lane.limits.lane_queue {
-            lane.unsent(&mut state);
-        }
+        self.open(lane, &mut state);
     }
 
     /// Tells the desk of calls whose time is over; the desk looks in with each of its beats.
-    pub fn expire(&self) {
+    pub fn expire(&mut self) {
         self.lanes.iter().for_each(|lane| lane.expire());
+        self.retired.retain(|lane| {
+            lane.expire();
+            !lane.done()
+        });
     }
 }
 
@@ -142,6 +189,18 @@
         }
     }
 
+    /// Ends a retired lane's connection once nothing is pending there.
+    fn rest(&self, state: &mut State) {
+        if state.retired && state.link.as_ref().is_some_and(|l| l.pending.is_empty()) {
+            self.broke(state, None);
+        }
+    }
+
+    fn done(&self) -> bool {
+        let state = self.state();
+        state.link.is_none() && state.late.is_empty() && !state.opening
+    }
+
     /// Ends the connection, if it still is that one. What was written and not answered may have been added.
     fn broke(&self, state: &mut State, only: Option<&Arc<TcpStream>>) {
         if let Some(link) = state.link.take_if(|l| only.is_none_or(|s| Arc::ptr_eq(s, &l.stream))) {
@@ -197,6 +256,9 @@
         });
         let mut state = self.state();
         state.opening = false;
+        if state.retired {
+            return;
+        }
         let Ok(stream) = stream else { return self.unsent(&mut state) };
         let (lane, theirs) = (self.clone(), stream.clone());
         if spawn("counter in", self.limits.stack, move || lane.read(&theirs)).is_err() {
@@ -250,6 +312,9 @@
             if !p.told {
                 self.tell(&mut state.late, p.name, p.at, outcome, total);
             }
+            if state.retired && link.pending.is_empty() {
+                return false;
+            }
         }
     }
 }
--- a/crates/aspendrum/src/desk.rs
+++ b/crates/aspendrum/src/desk.rs
@@ -15,6 +15,7 @@
 use crossbeam_channel::Sender;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -55,6 +56,10 @@
         from: u16,
         data: Vec<u8>,
     },
+    /// A new configuration names another counter.
+    CounterMoved {
+        to: SocketAddr,
+    },
     Stop,
 }
 
@@ -193,7 +198,7 @@
         let now = (self.shop.door.clock.now() * 1000.0) as u64;
         while let Some(Reverse((_, token))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
             self.timers.pop();
-            if let Some(counter) = &self.counter {
+            if let Some(counter) = &mut self.counter {
                 counter.expire();
             }
             self.tell(&Event::Timer { token });
@@ -257,6 +262,11 @@
                 self.tell(&Event::Members { list, version, entries: &entries });
             }
             Note::Peer { from, data } => self.tell(&Event::PeerSaid { from, data: &data }),
+            Note::CounterMoved { to } => {
+                if let Some(counter) = &mut self.counter {
+                    counter.move_to(to);
+                }
+            }
             Note::Stop => {}
         }
     }
--- a/crates/aspendrum/src/discovery.rs
+++ b/crates/aspendrum/src/discovery.rs
@@ -2,6 +2,7 @@
 //! after another. Silence and nonsense leave the last list in force.
 
 use crate::desk::Note;
+use crate::hands::lock;
 use crate::http;
 use crate::pool::Conn;
 use crate::Shop;
@@ -9,8 +10,8 @@
 use crossbeam_channel::Receiver;
 use serde_json::Value;
 use std::collections::HashSet;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const PATH: &str = "/registry/instances";
@@ -81,10 +82,55 @@
     host.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
 }
 
+/// Where discovery is reached, and the connection to it.
+pub struct Agent(Mutex<Place>);
+
+struct Place {
+    addr: SocketAddr,
+    stream: Option<Arc<TcpStream>>,
+    moved: bool,
+}
+
+impl Agent {
+    pub fn at(addr: SocketAddr) -> Agent {
+        Agent(Mutex::new(Place { addr, stream: None, moved: false }))
+    }
+
+    /// Ends the connection to the old place at once: a watch there may say nothing for seconds, and whatever
+    /// it would still tell is in the whole list that is fetched from the new one. False: it is there already.
+    pub fn move_to(&self, addr: SocketAddr) -> bool {
+        let mut place = lock(&self.0);
+        if place.addr == addr {
+            return false;
+        }
+        if let Some(stream) = place.stream.take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        (place.addr, place.moved) = (addr, true);
+        true
+    }
+
+    fn addr(&self) -> SocketAddr {
+        lock(&self.0).addr
+    }
+
+    /// Tells once that it has moved.
+    fn moved(&self) -> bool {
+        std::mem::take(&mut lock(&self.0).moved)
+    }
+
+    /// False: it has moved meanwhile, and this connection is of no use.
+    fn reached(&self, conn: &Conn) -> bool {
+        let mut place = lock(&self.0);
+        place.stream = (place.addr == conn.dial).then(|| conn.stream.clone());
+        place.stream.is_some()
+    }
+}
+
 /// Keeps the desk and the pool told until the limiter stops.
 pub struct Follower {
     pub shop: Arc<Shop>,
-    pub addr: SocketAddr,
+    pub agent: Arc<Agent>,
     pub names: Names,
     pub wishes: Receiver<Wish>,
     /// Discovery tells only those who ask.
@@ -108,6 +154,9 @@
                     Wish::Watch(on) => watching = on,
                 }
             }
+            if self.agent.moved() {
+                (conn, fetch) = (None, true);
+            }
             if !fetch && !watching {
                 continue;
             }
@@ -119,6 +168,8 @@
                         self.pass_on(roster);
                     }
                 }
+                // What was cut off by the move is no failure of discovery's.
+                Err(_) if self.agent.moved() => (conn, fetch) = (None, true),
                 Err(why) => {
                     conn = None;
                     if why != trouble {
@@ -140,8 +191,11 @@
         let limits = &self.shop.limits;
         let mut conn = match held.take() {
             Some(conn) => conn,
-            None => Conn::apart(self.addr, limits.connect_wait, limits).map_err(|e| e.to_string())?,
+            None => Conn::apart(self.agent.addr(), limits.connect_wait, limits).map_err(|e| e.to_string())?,
         };
+        if !self.agent.reached(&conn) {
+            return Err("its address has changed".into());
+        }
         let (hold, path) = if watch {
             let hold = limits.watch_hold;
             (hold, format!("{PATH}?from={}&hold_ms={}", self.version, hold.as_millis()))
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -21,9 +21,9 @@
 use clients::Clients;
 use config::Config;
 use counter::Counter;
-use crossbeam_channel::bounded;
+use crossbeam_channel::{bounded, Sender};
 use desk::{Clock, Desk, Door, Note};
-use discovery::Follower;
+use discovery::{Agent, Follower, Wish};
 use hands::{spawn, Hands};
 use http::Lanes;
 use limits::Limits;
@@ -73,6 +73,9 @@
 pub struct Limiter {
     shop: Arc<Shop>,
     addr: SocketAddr,
+    agent: Arc<Agent>,
+    wish: Sender<Wish>,
+    counts: bool,
 }
 
 impl Limiter {
@@ -117,6 +120,7 @@
             limits: limits.clone(),
         });
 
+        let counts = config.counter.is_some();
         let counter = config.counter.map(|addr| Counter::start(addr, &door, &limits)).transpose();
         let counter = counter.map_err(failed("counter"))?;
         let (peers, all) = (config.peers, config.peers_all);
@@ -129,23 +133,40 @@
         discovery::tell(&shop, ListKind::Cached, config.known);
 
         let (wish, wishes) = bounded(limits.orders);
-        let desk = Desk::new(shop.clone(), &config.settings, config.seed, counter, wish, peers);
+        let desk = Desk::new(shop.clone(), &config.settings, config.seed, counter, wish.clone(), peers);
         give.send(desk).map_err(|e| format!("desk: {e}"))?;
         let asks = config.settings.discovery_asks;
         let (names, own) = (config.names, shop.clone());
-        let follower = Follower { shop: own, addr: config.discovery, names, wishes, asks, version };
+        let agent = Arc::new(Agent::at(config.discovery));
+        let follower = Follower { shop: own, agent: agent.clone(), names, wishes, asks, version };
         spawn("discovery", limits.stack, move || follower.run()).map_err(failed("discovery"))?;
         let own = shop.clone();
         let door = move || clients::accept(&own, &listener);
         spawn("door", limits.stack, door).map_err(failed("accept"))?;
         log::info!("{} listens on {addr}", config.name);
-        Ok(Limiter { shop, addr })
+        Ok(Limiter { shop, addr, agent, wish, counts })
     }
 
     pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
+    /// Goes over to the addresses of a new configuration, serving throughout. Everything else in it is for
+    /// the next start.
+    pub fn reload(&self, config: &Config) -> Result<(), String> {
+        if config.counter.is_some() != self.counts {
+            return Err("setting Specifics.Counter cannot change while the limiter runs".into());
+        }
+        if let Some(counter) = config.counter {
+            self.shop.door.tell(Note::CounterMoved { to: counter });
+        }
+        if self.agent.move_to(config.discovery) {
+            // Where discovery is only asked, it may be waiting for a wish.
+            let _ = self.wish.try_send(Wish::Fetch);
+        }
+        Ok(())
+    }
+
     /// Answers all that it has taken, then stops.
     pub fn drain(self) {
         shutdown::drain(&self.shop);
--- a/crates/aspendrum/src/main.rs
+++ b/crates/aspendrum/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line. Everything else is in the library.
 
 use aspendrum::config::{Config, CONFIG_VARIABLE};
-use aspendrum::shutdown::End;
+use aspendrum::shutdown::{Told, Wanted};
 use aspendrum::Limiter;
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
@@ -16,7 +16,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Runs the limiter in the foreground until SIGTERM
+    /// Runs the limiter in the foreground until SIGTERM; SIGHUP reads the configuration again
     Serve(Source),
     /// Reads and checks the configuration, and says what is wrong with it
     CheckConfig(Source),
@@ -32,8 +32,8 @@
 }
 
 impl Source {
-    fn load(self) -> Result<Config, String> {
-        let told = self.config.or_else(|| std::env::var_os(CONFIG_VARIABLE).map(PathBuf::from));
+    fn load(&self) -> Result<Config, String> {
+        let told = self.config.clone().or_else(|| std::env::var_os(CONFIG_VARIABLE).map(PathBuf::from));
         Config::load(&told.ok_or(format!("no --config, and {CONFIG_VARIABLE} is not set"))?)
     }
 }
@@ -41,7 +41,7 @@
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let done = match Line::parse().command {
-        Command::Serve(source) => source.load().and_then(serve),
+        Command::Serve(source) => serve(&source),
         Command::CheckConfig(source) => source.load().map(|c| println!("{}: well-formed", c.name)),
         Command::Version => {
             println!("aspendrum {}", env!("CARGO_PKG_VERSION"));
@@ -57,10 +57,16 @@
     }
 }
 
-fn serve(config: Config) -> Result<(), String> {
-    let mut end = End::expect().map_err(|e| format!("signals: {e}"))?;
-    let limiter = Limiter::start(config)?;
-    end.wait();
+fn serve(source: &Source) -> Result<(), String> {
+    let mut told = Told::expect().map_err(|e| format!("signals: {e}"))?;
+    let limiter = Limiter::start(source.load()?)?;
+    while told.wait() == Wanted::Reload {
+        // Read whole and checked whole, by the reader of the start: a bad file changes nothing.
+        match source.load().and_then(|config| limiter.reload(&config)) {
+            Ok(()) => log::info!("the configuration is read again"),
+            Err(text) => log::error!("the configuration stays as it was: {text}"),
+        }
+    }
     limiter.drain();
     Ok(())
 }
--- a/crates/aspendrum/src/pool.rs
+++ b/crates/aspendrum/src/pool.rs
@@ -19,7 +19,7 @@
     inward: Ring,
     pub outward: Ring,
     idle_since: Instant,
-    dial: SocketAddr,
+    pub dial: SocketAddr,
     /// The time a read may take, as last set: setting it anew for each forward would cost a system call.
     read_wait: Duration,
     _place: Place,
--- a/crates/aspendrum/src/resp.rs
+++ b/crates/aspendrum/src/resp.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, PartialEq)]
 pub enum Reply {
     Total(f32),
-    /// Turned away or not understood: nothing was added.
+    /// Turned away or not understood, in the protocol's own words: nothing was added.
     TurnedAway,
 }
 
@@ -41,7 +41,9 @@
     };
     let text = std::str::from_utf8(&line[..end]).unwrap_or("");
     let (taken, reply) = match first {
-        b'-' => (end + 3, Reply::TurnedAway),
+        // Only these two words prove it. Whatever else comes may stand in for a total that was added, and
+        // added once more it would count twice.
+        b'-' if matches!(text.split(' ').next(), Some("BUSY" | "ERR")) => (end + 3, Reply::TurnedAway),
         b':' | b'+' => match total(text) {
             Some(total) => (end + 3, Reply::Total(total)),
             None => return Parsed::Nonsense,
--- a/crates/aspendrum/src/shutdown.rs
+++ b/crates/aspendrum/src/shutdown.rs
@@ -1,22 +1,34 @@
-//! A planned end: connections are taken in for as long as they may come, everything taken is answered, each
-//! answer closes its connection, and then idle connections are closed.
+//! The signals, and a planned end: connections are taken in for as long as they may come, everything taken is
+//! answered, each answer closes its connection, and then idle connections are closed.
 
 use crate::Shop;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
 
-/// The signals to end. Asked for before anything else, so that none comes too early.
-pub struct End(Signals);
+/// What the operator wants.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wanted {
+    End,
+    /// The configuration has been replaced.
+    Reload,
+}
+
+/// The signals. Asked for before anything else, so that none comes too early: one that nobody has asked for
+/// ends the program with all that it holds.
+pub struct Told(Signals);
 
-impl End {
-    pub fn expect() -> std::io::Result<End> {
-        Signals::new([SIGTERM, SIGINT]).map(End)
+impl Told {
+    pub fn expect() -> std::io::Result<Told> {
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map(Told)
     }
 
-    pub fn wait(&mut self) {
-        self.0.forever().next();
+    pub fn wait(&mut self) -> Wanted {
+        match self.0.forever().next() {
+            Some(SIGHUP) => Wanted::Reload,
+            _ => Wanted::End,
+        }
     }
 }
 
--- a/crates/aspendrum/tests/suite/limiter.rs
+++ b/crates/aspendrum/tests/suite/limiter.rs
@@ -1,9 +1,13 @@
 //! A whole limiter on loopback among stand-ins: what becomes of a query when something around it fails.
 
 use crate::helper::*;
+use serde_json::{json, Value};
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener};
-use std::sync::atomic::Ordering;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -244,3 +248,56 @@
     assert_eq!(status(&ask(&mut stream, &query("look"))), 200);
     limiter.stop();
 }
+
+/// The program itself, with its configuration in a file.
+fn program(name: &str, config: &Value) -> (Child, PathBuf) {
+    let path = std::env::temp_dir().join(format!("aspendrum-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).unwrap();
+    let program =
+        Command::new(env!("CARGO_BIN_EXE_aspendrum")).args(["serve", "--config"]).arg(&path).spawn();
+    (program.unwrap(), path)
+}
+
+fn signal(program: &Child, which: &str) {
+    assert!(Command::new("kill").args([which, &program.id().to_string()]).status().unwrap().success());
+}
+
+// SIGHUP ended the program, with all that it had taken. A new file moves it to its new addresses, a bad one
+// changes nothing.
+#[test]
+fn a_new_configuration_moves_discovery_and_counter_and_a_bad_one_nothing() {
+    let (before, after) = (server(WELL), server(WELL));
+    let list =
+        |server, seq| discovery(json!({"seq": seq, "whole": true, "hosts": hosts(&[server])}).to_string());
+    let (here, there) = (list(before.0, 2), list(after.0, 3));
+    let calls = Arc::new(AtomicUsize::new(0));
+    let heard = calls.clone();
+    let moved = listen(move |mut stream| {
+        while stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {
+            heard.fetch_add(1, Ordering::SeqCst);
+            let _ = stream.write_all(b"$1\r\n1\r\n");
+        }
+    });
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut config = config(&[before.0], counter(None), here);
+    config["listen"] = json!(free.to_string());
+    let (mut program, path) = program("reload", &config);
+    let asks = || {
+        let mut stream = TcpStream::connect(free).unwrap();
+        status(&ask(&mut stream, &query("pay")))
+    };
+    assert!(soon(|| TcpStream::connect(free).is_ok()));
+    assert_eq!(asks(), 200);
+    std::fs::write(&path, "{\"discovery\":\"127.0.0.1:9\",\"counter\":[").unwrap();
+    signal(&program, "-HUP");
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!((asks(), after.1.queries.load(Ordering::SeqCst)), (200, 0));
+    (config["discovery"], config["counter"]) = (json!(there.to_string()), json!(moved.to_string()));
+    std::fs::write(&path, config.to_string()).unwrap();
+    signal(&program, "-HUP");
+    assert!(soon(|| asks() == 200 && after.1.queries.load(Ordering::SeqCst) > 0));
+    assert!(calls.load(Ordering::SeqCst) > 0);
+    signal(&program, "-TERM");
+    assert!(program.wait().unwrap().success());
+    let _ = std::fs::remove_file(path);
+}
--- a/crates/aspendrum/tests/suite/pieces.rs
+++ b/crates/aspendrum/tests/suite/pieces.rs
@@ -1,6 +1,6 @@
 //! Each piece by itself: rings, codecs, configuration, lists, and the counter's calls.
 
-use crate::helper::*;
+use crate::helper::{counter as helper_counter, *};
 use aspendrum::config::Config;
 use aspendrum::counter::Counter;
 use aspendrum::desk::{Clock, Door, Note};
@@ -69,6 +69,8 @@
 #[test_case(":7\r\n", Parsed::Whole(Reply::Total(7.0)) ; "a whole number")]
 #[test_case("-BUSY\r\n", Parsed::Whole(Reply::TurnedAway) ; "turned away")]
 #[test_case("-ERR no such call\r\n", Parsed::Whole(Reply::TurnedAway) ; "not understood")]
+#[test_case("-OOPS 12\r\n", Parsed::Nonsense ; "an error of another kind may have added")]
+#[test_case("-BUSYBODY\r\n", Parsed::Nonsense ; "only nearly turned away")]
 #[test_case("$4\r\n12", Parsed::More ; "half")]
 #[test_case("$", Parsed::More ; "hardly begun")]
 #[test_case("$-1\r\n", Parsed::Nonsense ; "none")]
@@ -149,7 +151,7 @@
 }
 
 /// Looks in as the desk does, with each beat.
-fn counted(counter: &Counter, told: &Inbox<Note>) -> (u64, Outcome, f32) {
+fn counted(counter: &mut Counter, told: &Inbox<Note>) -> (u64, Outcome, f32) {
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(6) {
         counter.expire();
@@ -164,9 +166,9 @@
 
 #[test]
 fn answers_of_a_name_come_in_the_order_of_its_calls() {
-    let (counter, told) = calls(counter(None), 5.0);
+    let (mut counter, told) = calls(counter(None), 5.0);
     (0..50).for_each(|n| counter.call(6, n as f32, 1000.0));
-    let totals: Vec<f32> = (0..50).map(|_| counted(&counter, &told).2).collect();
+    let totals: Vec<f32> = (0..50).map(|_| counted(&mut counter, &told).2).collect();
     assert!(totals.windows(2).all(|w| w[0] <= w[1]) && totals[49] == 1225.0);
 }
 
@@ -181,12 +183,12 @@
             let _ = stream.write_all(reply.as_bytes());
         }
     });
-    let (counter, told) = calls(addr, 0.2);
+    let (mut counter, told) = calls(addr, 0.2);
     counter.call(6, 1.0, 1000.0);
-    assert_eq!(counted(&counter, &told), (6, Outcome::TimedOut, 0.0));
+    assert_eq!(counted(&mut counter, &told), (6, Outcome::TimedOut, 0.0));
     thread::sleep(Duration::from_millis(500));
     counter.call(6, 1.0, 1000.0);
-    assert_eq!(counted(&counter, &told), (6, Outcome::Ok, 222.0));
+    assert_eq!(counted(&mut counter, &told), (6, Outcome::Ok, 222.0));
 }
 
 #[test]
@@ -194,19 +196,19 @@
     let addr = listen(|mut stream| {
         let _ = stream.read(&mut [0; 8]);
     });
-    let (counter, told) = calls(addr, 1.0);
+    let (mut counter, told) = calls(addr, 1.0);
     for _ in 0..3 {
         counter.call(6, 1.0, 1000.0);
-        assert_eq!(counted(&counter, &told), (6, Outcome::TimedOut, 0.0));
+        assert_eq!(counted(&mut counter, &told), (6, Outcome::TimedOut, 0.0));
     }
 }
 
 #[test]
 fn a_counter_that_cannot_be_reached_has_added_nothing() {
     let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let (counter, told) = calls(gone, 1.0);
+    let (mut counter, told) = calls(gone, 1.0);
     counter.call(6, 1.0, 1000.0);
-    assert_eq!(counted(&counter, &told), (6, Outcome::ConnectFailed, 0.0));
+    assert_eq!(counted(&mut counter, &told), (6, Outcome::ConnectFailed, 0.0));
 }
 
 // The danger: a counter that keeps connections open and answers nothing more, after its machine vanished.
@@ -219,11 +221,31 @@
             let _ = stream.write_all(if first { b"" } else { b"$1\r\n5\r\n" });
         }
     });
-    let (counter, told) = calls(addr, 0.2);
+    let (mut counter, told) = calls(addr, 0.2);
     let mut outcomes = Vec::new();
     for _ in 0..8 {
         counter.call(6, 1.0, 1000.0);
-        outcomes.push(counted(&counter, &told).1);
+        outcomes.push(counted(&mut counter, &told).1);
     }
     assert_eq!((outcomes[0], outcomes[7]), (Outcome::TimedOut, Outcome::Ok));
 }
+
+// A new configuration names another counter: what was written to the old one has been added there, so it is
+// read out and not sent again; whatever comes next goes to the new one.
+#[test]
+fn a_counter_that_moves_is_read_out_at_its_old_place() {
+    let old = listen(|mut stream| {
+        let _ = stream.read(&mut [0; 4096]);
+        thread::sleep(Duration::from_millis(300));
+        let _ = stream.write_all(b"$3\r\n111\r\n");
+        // Held open, as a counter that leaves does for a while.
+        let _ = stream.read(&mut [0; 4096]);
+    });
+    let (mut counter, told) = calls(old, 2.0);
+    counter.call(6, 1.0, 1000.0);
+    thread::sleep(Duration::from_millis(50));
+    counter.move_to(helper_counter(Some("$3\r\n222\r\n")));
+    counter.call(8, 1.0, 1000.0);
+    assert_eq!(counted(&mut counter, &told), (8, Outcome::Ok, 222.0));
+    assert_eq!(counted(&mut counter, &told), (6, Outcome::Ok, 111.0));
+}
