Sums of an outage ride on the next add; one cut of the asking share a round of failures

Cause: replay() sent four sums at a time from each limiter, 16 calls of 4 ms against a time-out of 30; they failed and opened the breaker again. counted() cut the share for each of the calls that failed together. Half of all calls only settled; a third of the local refusals came with half the store free. Ruled out: our own delay (median 70 us through a limiter), lost answers, the reload itself. Now: sums ride on the customer's next add and the breaker closes with the probe's answer; one cut a round; settling waits longer the fewer ask; a local count renewed by a read holds up to twice the even part; an amount turned away is settled again.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -32,7 +32,6 @@
 /// One of hundreds of limiters gets few answers to learn of a jam from, and none may go on holding many.
 const EASE_HASTE: f64 = 4.0;
 const EASE_LEAST: f64 = 0.01;
-const REPLAYS_OUT: u32 = 4;
 const STRAINED_FOR: Ms = 2000.0;
 /// The share of queries that ask the counter: more with each prompt answer and with time, less with each
 /// late or missing one. Late is over half of the time-out: the line is seen growing before calls fail.
@@ -61,12 +60,9 @@
 const BUSY_GAIN: f64 = 0.02;
 const IDLE: Ms = 90_000.0;
 
-const BREAKER: [(Breaker, Signal, Breaker, Effect); 5] = [
+const BREAKER: [(Breaker, Signal, Breaker, Effect); 2] = [
     (Breaker::Closed, Signal::Failures, Breaker::Open, Effect::ProbeSoon),
-    (Breaker::Open, Signal::ProbeAnswered, Breaker::Replaying, Effect::Replay),
-    (Breaker::Replaying, Signal::ReplayAnswered, Breaker::Replaying, Effect::Replay),
-    (Breaker::Replaying, Signal::Settled, Breaker::Closed, Effect::Nothing),
-    (Breaker::Replaying, Signal::ReplayLost, Breaker::Open, Effect::ProbeSoon),
+    (Breaker::Open, Signal::ProbeAnswered, Breaker::Closed, Effect::Replay),
 ];
 
 /// Aside on bad marks, back on trial by probes, ready again by an answer: a probe shows only that the
@@ -242,18 +238,22 @@
         if answered && rtt < LATE * self.fig.counter_wait {
             self.ask = (self.ask * (1.0 + ASK_GAIN)).min(1.0);
         } else {
-            self.ask = (self.ask * (1.0 - ASK_CUT)).max(ASK_LEAST);
+            // Calls that were out together fail together, from one cause: each cutting by itself, a single
+            // stall of the counter or of this limiter took the share to its least.
+            if self.now - rtt >= self.cut_at {
+                (self.ask, self.cut_at) = ((self.ask * (1.0 - ASK_CUT)).max(ASK_LEAST), self.now);
+            }
             self.strained_until = self.now + STRAINED_FOR;
         }
         if answered {
             self.failures = 0;
             self.read(at, total, call.add);
         } else {
-            let a = &mut self.accts[at];
             // A counter works on calls that nobody waits for: what it answers too late it has added, and
             // adding it again would count it twice.
-            let lost = outcome != Outcome::TimedOut && !a.sparse;
-            a.carry += if lost { call.add } else { 0.0 };
+            if outcome != Outcome::TimedOut {
+                self.owe(at, call.add);
+            }
             self.failures += 1;
             if self.failures >= FAILURES && self.breaker == Breaker::Closed {
                 self.probe_acct = at;
@@ -269,11 +269,6 @@
                     _ => self.let_go(slot),
                 }
             }
-            Asker::Replay(sum) => {
-                self.replays = self.replays.saturating_sub(1);
-                self.accts[at].level -= sum;
-                self.signal(if answered { Signal::ReplayAnswered } else { Signal::ReplayLost });
-            }
             Asker::Settle => {}
             Asker::Probe => {
                 self.counter_probing = false;
@@ -288,31 +283,23 @@
         match row.3 {
             Effect::ProbeSoon => self.counter_probe_at = self.now + PROBE_EVERY,
             Effect::Replay => self.replay(),
-            Effect::Nothing => {}
         }
     }
 
-    /// A few sums at a time: all customers' at once would fill the counter's line, fail, and open the
-    /// breaker again, for ever.
+    /// Each sum rides on its customer's next add, or settles alone where none comes soon: calls of their own,
+    /// four at a time, filled the line of a small counter, failed, and kept the breaker open all day.
     fn replay(&mut self) {
         self.failures = 0;
-        while self.breaker == Breaker::Replaying && self.replays < REPLAYS_OUT {
-            let Some(at) = self.logged.pop() else { break };
+        for at in std::mem::take(&mut self.logged) {
             let a = &mut self.accts[at];
             let fig = &self.fig.plans[a.plan];
             a.turn_window(self.now, fig);
             let window = if a.sparse { a.turn(self.now, fig).fract() * fig.window } else { fig.window };
             let sum: f64 = a.log.drain(..).filter(|g| g.0 >= self.now - window).map(|g| g.1).sum();
-            a.carry += sum;
             // A sparse customer's waits for the next add: hundreds of limiters' sums would fill the line.
-            if a.carry != 0.0 && !a.sparse {
-                let add = std::mem::take(&mut a.carry);
-                self.replays += 1;
-                self.call(at, Asker::Replay(sum), add);
-            }
-        }
-        if self.replays == 0 {
-            self.signal(Signal::Settled);
+            a.carry += if a.sparse { sum } else { 0.0 };
+            a.level -= if a.sparse { 0.0 } else { sum };
+            self.owe(at, sum);
         }
     }
 
@@ -339,7 +326,8 @@
         }
         a.level = (a.level + fig.rate * (self.now - a.at) - others).clamp(-noise, fig.burst);
         (a.at, a.total, a.seen) = (self.now, total, true);
-        (a.local, a.local_at) = (a.level.max(0.0) / a.spread, self.now);
+        // Traffic is uneven and the next read soon: up to twice the even part until then.
+        (a.local, a.local_at) = (a.level.max(0.0) * 2.0 / (a.spread + 1.0), self.now);
     }
 
     fn decide(&mut self, slot: usize) {
@@ -362,7 +350,8 @@
         let a = &mut self.accts[q.acct];
         let fig = &self.fig.plans[a.plan];
         let (cap, rate) = (fig.burst / a.spread, fig.rate / a.spread);
-        a.local = (a.local + rate * (self.now - a.local_at)).min(cap.max(q.units));
+        let top = if a.sparse { cap } else { cap.max(a.local) };
+        a.local = (a.local + rate * (self.now - a.local_at)).min(top.max(q.units));
         a.local_at = self.now;
         let inside = a.local >= q.units && spend_part(a, fig, q.units, 0.0, self.now);
         if inside {
@@ -745,8 +734,11 @@
     /// A refund waits a moment for the customer's next add; if none comes it goes by itself, lest the other
     /// limiters take refused units for use for as long as this one hears nothing of the customer.
     fn settle(&mut self) {
-        while let Some(&(at, _)) = self.owed.front().filter(|o| o.1 <= self.now) {
-            if self.breaker == Breaker::Closed && self.accts[at].carry != 0.0 {
+        // Kept while the breaker is open: an amount that nobody settles would keep its customer for ever.
+        while let Some(&(at, _)) =
+            self.owed.front().filter(|o| o.1 <= self.now && self.breaker == Breaker::Closed)
+        {
+            if self.accts[at].carry != 0.0 {
                 let chance = self.ask_chance(self.stake);
                 if self.chance.roll() >= chance {
                     return;
@@ -764,7 +756,8 @@
         // more for each would fill the counter. Without a counter nothing is owed.
         if !a.sparse && self.fig.counter {
             a.carry += units;
-            self.owed.push_back((at, self.now + SETTLE_AFTER));
+            // A strained counter gets fewer and larger sums: half of its calls were such.
+            self.owed.push_back((at, self.now + SETTLE_AFTER / self.ask));
         }
     }
 
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -8,23 +8,18 @@
     #[default]
     Closed,
     Open,
-    Replaying,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Signal {
     Failures,
     ProbeAnswered,
-    ReplayAnswered,
-    Settled,
-    ReplayLost,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Effect {
     ProbeSoon,
     Replay,
-    Nothing,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug, Default)]
@@ -118,7 +113,6 @@
 #[derive(Clone, Copy)]
 pub enum Asker {
     Query(usize),
-    Replay(f64),
     Settle,
     Probe,
 }
@@ -326,7 +320,8 @@
     pub(crate) probe_acct: usize,
     pub(crate) counter_probe_at: Ms,
     pub(crate) counter_probing: bool,
-    pub(crate) replays: u32,
+    /// Calls made before this are part of a failure that the share was cut for already.
+    pub(crate) cut_at: Ms,
     pub(crate) servers: Slab<Server>,
     pub(crate) accts: Slab<Acct>,
     pub(crate) queries: Slab<Query>,
