Queries read strictly, silent and half-sent connections closed in time, floods seated last

Checked with a log of each answer, each refusal and the lateness of the beat: no stall of the processor; a spoilt answer is told as a failure and goes on elsewhere (that is the 90 ms at the 99th percentile, not a delay of ours). Lines at fault: http.rs asked() took any units, spread, first, method, path, doubled header, a time of 0; length() failed on any header that is no UTF-8; clients.rs more() began its time with the first byte; close_idle() spared newcomers and closed usual clients; pool.rs take() blocked in connect where no cut could reach it, and gave a connection on at once. Now: refused before the module hears; a name still open is refused (409); a 4xx of a server ends the query and says nothing of the server; 2 s for a first query, 4 s idle; strangers make room first; connections rest 10 ms between forwards and are dropped with anything behind the answer; the socket is on the line before it connects; connections use the threads of hands.

--- a/crates/aspendrum-core/src/api.rs
+++ b/crates/aspendrum-core/src/api.rs
@@ -69,7 +69,8 @@
     Nothing,
 }
 
-/// A load report: `n` values in the order of `Settings::load_values`; none if `n` is 0.
+/// A load report: `n` values in the order of `Settings::load_values`; none if `n` is 0. One that could not be
+/// read is not a number.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     pub n: u8,
--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -239,8 +239,8 @@
             self.ask = (self.ask * (1.0 + ASK_GAIN)).min(1.0);
         } else {
             // Calls that were out together fail together, from one cause: each cutting by itself, a single
-            // stall of the counter or of this limiter took the share to its least.
-            if self.now - rtt >= self.cut_at {
+            // stall of the counter or of this limiter took the share to its least. Nor does an outage tell what the counter will bear.
+            if self.now - rtt >= self.cut_at && self.breaker == Breaker::Closed {
                 (self.ask, self.cut_at) = ((self.ask * (1.0 - ASK_CUT)).max(ASK_LEAST), self.now);
             }
             self.strained_until = self.now + STRAINED_FOR;
@@ -612,6 +612,9 @@
     fn report(&mut self, server: usize, load: &Load) {
         let Some(at) = self.fig.report_busy.filter(|at| *at < usize::from(load.n)) else { return };
         let busy = f64::from(load.values[at]).clamp(0.0, 1.0);
+        if busy.is_nan() {
+            return;
+        }
         self.servers[server].busy = busy;
         self.busy += BUSY_GAIN * (busy - self.busy);
     }
--- a/crates/aspendrum/src/clients.rs
+++ b/crates/aspendrum/src/clients.rs
@@ -4,13 +4,14 @@
 use crate::desk::Note;
 use crate::hands::{lock, spawn};
 use crate::http::{self, Asked, Call, Parsed};
+use crate::limits::Limits;
 use crate::pool::linger;
 use crate::query;
 use crate::ring::Ring;
 use crate::Shop;
 use aspendrum_core::api::Ms;
 use crossbeam_channel::{bounded, Receiver, Sender};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -28,8 +29,13 @@
 pub struct Client {
     stream: Arc<TcpStream>,
     state: AtomicU8,
-    /// When it last showed a sign of life or had an answer, in milliseconds since the limiter's start.
+    /// When it was taken in, and when it last showed a sign of life or had an answer, in milliseconds since
+    /// the limiter's start.
+    opened: u64,
     used: AtomicU64,
+    /// It has asked a well-formed query. Until then it may be anybody: floods of such connections must not
+    /// push out those of the usual clients.
+    known: AtomicBool,
     /// It went away while its query was in hand.
     gone: AtomicBool,
     out: Mutex<Ring>,
@@ -67,10 +73,41 @@
     }
 }
 
-/// All client connections that are open.
+/// Whether there is room for one more connection.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Room {
+    Made,
+    /// Connections that have asked nothing yet may soon be closed.
+    Soon,
+    No,
+}
+
+/// All client connections that are open, and the names of the queries in hand.
 #[derive(Default)]
 pub struct Clients {
     open: Mutex<HashMap<u64, Arc<Client>>>,
+    asked: Mutex<HashSet<Vec<u8>>>,
+}
+
+/// The name of a query in hand, until it is answered.
+struct Claim {
+    shop: Arc<Shop>,
+    txn: Vec<u8>,
+}
+
+impl Claim {
+    /// None: another client's query has that name, and is still open. Passed on, servers could take one for
+    /// the other.
+    fn of(shop: &Arc<Shop>, txn: &[u8]) -> Option<Claim> {
+        let fresh = lock(&shop.clients.asked).insert(txn.to_vec());
+        fresh.then(|| Claim { shop: shop.clone(), txn: txn.to_vec() })
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        lock(&self.shop.clients.asked).remove(&self.txn);
+    }
 }
 
 impl Clients {
@@ -82,30 +119,54 @@
         self.open().len()
     }
 
-    /// Closes the connection that has been idle for longest, if one has been for long enough: a fresh one is
-    /// about to ask.
-    pub fn close_idle(&self, shop: &Shop) -> bool {
-        let (now, at_least) = (shop.age(), shop.limits.fresh.as_millis() as u64);
+    /// Whether there is room; where there is none, a connection between queries is closed for it.
+    fn room(&self, shop: &Shop) -> Room {
+        let (count, limits) = (self.count(), &shop.limits);
+        if count < limits.client_sockets {
+            return Room::Made;
+        }
+        // Those that were closed just now still hold their descriptors.
+        if count >= limits.client_sockets + limits.overflow / 2 {
+            return Room::Soon;
+        }
+        self.close_one(shop)
+    }
+
+    /// Closes the connection that has waited for longest among those that have asked nothing yet, else that
+    /// has been idle for longest; none that is so fresh that it may be about to ask, and none of the usual
+    /// clients' that was used lately while others are left.
+    pub fn close_one(&self, shop: &Shop) -> Room {
+        let (now, limits) = (shop.age(), &shop.limits);
         let open = self.open();
-        let age = |c: &&Arc<Client>| now.saturating_sub(c.used.load(Ordering::Relaxed));
-        let idle = open.values().filter(|c| c.state.load(Ordering::Acquire) == IDLE);
-        let Some(oldest) = idle.filter(|c| age(c) >= at_least).max_by_key(age) else { return false };
-        let closed = oldest.turn(IDLE, CLOSED);
-        if closed {
-            let _ = oldest.stream.shutdown(Shutdown::Read);
+        let idle = || open.values().filter(|c| c.state.load(Ordering::Acquire) == IDLE);
+        let known = |c: &&Arc<Client>| c.known.load(Ordering::Relaxed);
+        let age = |since: u64| Duration::from_millis(now.saturating_sub(since));
+        let stranger = idle().filter(|c| !known(c)).map(|c| (age(c.opened), c)).max_by_key(|c| c.0);
+        let client =
+            idle().filter(known).map(|c| (age(c.used.load(Ordering::Relaxed)), c)).max_by_key(|c| c.0);
+        let least = if stranger.is_some() { limits.settled } else { limits.fresh };
+        let (soon, fresh) = (stranger.is_some(), limits.fresh_stranger);
+        let old = stranger.filter(|c| c.0 >= fresh).or(client.filter(|c| c.0 >= least));
+        match old {
+            Some((_, c)) if c.turn(IDLE, CLOSED) => {
+                let _ = c.stream.shutdown(Shutdown::Read);
+                Room::Made
+            }
+            _ if soon => Room::Soon,
+            _ => Room::No,
         }
-        closed
     }
 }
 
 /// Takes connections in until the limiter stops. Never stops accepting: a connection that the machine has
 /// accepted counts as taken.
 pub fn accept(shop: &Arc<Shop>, listener: &TcpListener) {
-    let (late, turned_away) = bounded(shop.limits.overflow);
+    let limits = &shop.limits;
+    let (late, turned_away) = bounded(limits.overflow / 2);
     // Started now: when they are needed there may be no thread to be had.
-    for _ in 0..shop.limits.spare_hands {
+    for _ in 0..limits.spare_hands {
         let (own, streams) = (shop.clone(), turned_away.clone());
-        if let Err(e) = spawn("spare", shop.limits.stack, move || turn_away(&own, &streams)) {
+        if let Err(e) = spawn("spare", limits.stack, move || turn_away(&own, &streams)) {
             log::warn!("a spare thread: {e}");
         }
     }
@@ -115,7 +176,14 @@
             Ok((stream, _)) => {
                 next += 1;
                 shop.accepted.store(shop.age(), Ordering::Relaxed);
-                if let Some(stream) = seat(shop, stream, next) {
+                // A flood that says nothing is gone within this time, and nobody who asks is shed for it.
+                let (until, mut room) = (Instant::now() + limits.fresh_stranger, shop.clients.room(shop));
+                while room == Room::Soon && Instant::now() < until {
+                    thread::sleep(limits.accept_pause);
+                    room = shop.clients.room(shop);
+                }
+                let left = if room == Room::Made { seat(shop, stream, next) } else { Some(stream) };
+                if let Some(stream) = left {
                     // Nobody is free to read it: a spare thread answers that it is shed. While even those
                     // are behind, connections wait with the machine; dropped here, their queries were lost.
                     let _ = late.send(stream);
@@ -124,41 +192,52 @@
             // Out of descriptors, or the client is gone again.
             Err(e) => {
                 log::debug!("accepting: {e}");
-                shop.clients.close_idle(shop);
-                thread::sleep(shop.limits.accept_pause);
+                shop.clients.close_one(shop);
+                thread::sleep(limits.accept_pause);
             }
         }
     }
 }
 
-/// Gives the connection a thread. Hands it back where there is no room or no thread.
+/// Gives the connection a thread. Hands it back where none is to be had.
 fn seat(shop: &Arc<Shop>, stream: TcpStream, key: u64) -> Option<TcpStream> {
     let limits = &shop.limits;
-    if shop.clients.count() >= limits.client_sockets && !shop.clients.close_idle(shop) {
-        return Some(stream);
-    }
     let _ = stream.set_nodelay(true);
     let _ = stream.set_write_timeout(Some(limits.slow_client));
     let client = Arc::new(Client {
         stream: Arc::new(stream),
         state: AtomicU8::new(IDLE),
+        opened: shop.age(),
         used: AtomicU64::new(shop.age()),
+        known: AtomicBool::new(false),
         gone: AtomicBool::new(false),
         out: Mutex::new(Ring::new(limits.ring, limits.ring_top)),
     });
     shop.clients.open().insert(key, client.clone());
     let (own, theirs) = (shop.clone(), client.clone());
+    // A thread that has done with another connection costs a fifth of a new one.
     let body = move || {
+        let _seat = Seat { shop: &own, key };
         attend(&own, &theirs);
-        own.clients.open().remove(&key);
     };
-    if spawn("client", limits.stack, body).is_ok() {
-        return None;
-    }
+    let Err(body) = shop.hands.run(Box::new(body)) else { return None };
+    drop(body);
     shop.clients.open().remove(&key);
     Arc::try_unwrap(client).ok().and_then(|c| Arc::into_inner(c.stream))
 }
 
+/// Ends with the thread's work on a connection, however that ends.
+struct Seat<'a> {
+    shop: &'a Shop,
+    key: u64,
+}
+
+impl Drop for Seat<'_> {
+    fn drop(&mut self) {
+        self.shop.clients.open().remove(&self.key);
+    }
+}
+
 /// Answers, one after another, the connections that could not get a thread.
 fn turn_away(shop: &Arc<Shop>, streams: &Receiver<TcpStream>) {
     for stream in streams {
@@ -194,29 +273,32 @@
     let limits = &shop.limits;
     let mut ring = Ring::new(limits.ring, limits.ring_top);
     let (done, ended) = bounded(1);
-    let mut begun: Option<Instant> = None;
+    let mut patience = Patience { begun: Some(Instant::now()), set: Duration::ZERO };
     loop {
-        let call = http::call(&mut ring, &shop.lanes, limits);
-        // The next query may keep its connection waiting for as long as it likes.
-        if matches!(call, Parsed::Whole(_)) && begun.take().is_some() {
-            let _ = client.stream.set_read_timeout(None);
-        }
-        match call {
-            Parsed::More => match more(&mut ring, client, &mut begun, limits.slow_client) {
+        match http::call(&mut ring, &shop.lanes, limits) {
+            Parsed::More => match patience.more(&mut ring, client, limits) {
                 Ok(true) => client.used.store(shop.age(), Ordering::Relaxed),
-                Ok(false) => return reject(shop, client, 408),
-                Err(_) => return,
+                Ok(false) if !ring.is_empty() => return reject(shop, client, 408),
+                // One that says nothing more is closed, and is owed no answer.
+                Ok(false) | Err(_) => {
+                    client.turn(IDLE, CLOSED);
+                    return;
+                }
             },
             Parsed::Bad(status) => return reject(shop, client, status),
             Parsed::Whole(Call::Ready { close }) => {
+                patience.begun = None;
                 let status = if shop.draining() { 503 } else { 200 };
                 if !client.answer(shop, status, 0.0, close, b"", b"") {
                     return;
                 }
             }
             Parsed::Whole(Call::Query(asked)) => {
+                patience.begun = None;
+                let Some(claim) = Claim::of(shop, &asked.txn) else { return reject(shop, client, 409) };
+                client.known.store(true, Ordering::Relaxed);
                 client.turn(IDLE, BUSY);
-                if !in_hand(shop, client, asked, &mut ring, &done, &ended) {
+                if !in_hand(shop, client, asked, claim, &mut ring, &done, &ended) {
                     return;
                 }
             }
@@ -224,22 +306,45 @@
     }
 }
 
-/// Waits for more of a query. False: it has taken too long since its first byte.
-fn more(ring: &mut Ring, client: &Client, begun: &mut Option<Instant>, slow: Duration) -> io::Result<bool> {
-    if !ring.is_empty() {
-        let since = begun.get_or_insert_with(Instant::now);
-        let Some(left) = slow.checked_sub(since.elapsed()).filter(|d| !d.is_zero()) else { return Ok(false) };
-        client.stream.set_read_timeout(Some(left))?;
-    }
-    match ring.fill(&mut &*client.stream) {
-        Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
-        Ok(_) => Ok(true),
-        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ok(false),
-        Err(e) if e.kind() == ErrorKind::Interrupted => Ok(true),
-        Err(e) => Err(e),
+/// How long a connection may keep its thread waiting.
+struct Patience {
+    /// The first query may take its time from the connection's start on, a later one from its first byte.
+    begun: Option<Instant>,
+    /// The time a read may take, as last set: setting it anew for each query would cost a system call.
+    set: Duration,
+}
+
+impl Patience {
+    /// Waits for more of a query. False: it has taken too long.
+    fn more(&mut self, ring: &mut Ring, client: &Client, limits: &Limits) -> io::Result<bool> {
+        if !ring.is_empty() {
+            self.begun.get_or_insert_with(Instant::now);
+        }
+        let left = match self.begun {
+            Some(since) => limits.slow_query.saturating_sub(since.elapsed()),
+            None => limits.idle_client,
+        };
+        if left.is_zero() {
+            return Ok(false);
+        }
+        if left != self.set {
+            client.stream.set_read_timeout(Some(left))?;
+            self.set = left;
+        }
+        match ring.fill(&mut &*client.stream) {
+            Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+            Ok(_) => Ok(true),
+            Err(e) if waited(&e) => Ok(false),
+            Err(e) if e.kind() == ErrorKind::Interrupted => Ok(true),
+            Err(e) => Err(e),
+        }
     }
 }
 
+fn waited(e: &io::Error) -> bool {
+    matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
+
 fn reject(shop: &Shop, client: &Client, status: u16) {
     client.answer(shop, status, 0.0, true, b"", b"");
     linger(&client.stream, shop.limits.linger, shop.limits.body);
@@ -251,6 +356,7 @@
     shop: &Arc<Shop>,
     client: &Arc<Client>,
     asked: Box<Asked>,
+    claim: Claim,
     ring: &mut Ring,
     done: &Sender<bool>,
     ended: &Receiver<bool>,
@@ -264,6 +370,7 @@
             own.door.tell(Note::Quit { id });
             theirs.answer(&own, 502, 0.0, true, b"", b"")
         });
+        drop(claim);
         theirs.used.store(own.age(), Ordering::Relaxed);
         theirs.turn(BUSY, if stays { IDLE } else { CLOSED });
         let _ = done.try_send(stays);
@@ -285,7 +392,11 @@
     loop {
         let stays = match ring.fill(&mut &*client.stream) {
             Ok(n) => n > 0,
-            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            // It waits for its answer, which may take longer than a connection may be idle.
+            Err(e) if e.kind() == ErrorKind::Interrupted || waited(&e) => match ended.try_recv() {
+                Ok(stays) => return stays,
+                Err(_) => continue,
+            },
             Err(_) => false,
         };
         if !stays && ended.try_recv().is_ok() {
--- a/crates/aspendrum/src/http.rs
+++ b/crates/aspendrum/src/http.rs
@@ -25,10 +25,13 @@
 const READY: &str = "/health/ready";
 pub const LIVE: &str = "/health/live";
 pub const STATS: &str = "/stats";
-/// Customers are numbers below this.
+/// Customers are numbers below this, written with this many digits.
 const CUSTOMERS: u64 = 1 << 33;
+const CUSTOMER_DIGITS: usize = 16;
 const LONGEST_WAIT: Ms = 3_600_000.0;
 const METHODS: [&str; 5] = ["GET", "POST", "PUT", "PATCH", "DELETE"];
+/// Headers that decide. One that comes twice may be read one way here and another way behind us.
+const ONCE: [&str; 9] = [TXN, LANE, PLAN, REMAINING, RESENT, QUOTA, KEY, "Cookie", "Host"];
 /// Headers that belong to one hop, and those this hop writes itself.
 const OWN_HOP: [&str; 12] = [
     "connection",
@@ -65,6 +68,8 @@
     pub write: bool,
     /// The client wants the connection closed behind the answer.
     pub close: bool,
+    /// The name that its client gave it.
+    pub txn: Vec<u8>,
     /// The head of each forward, but for the time left and the length.
     head: Vec<u8>,
     body: Vec<u8>,
@@ -80,6 +85,9 @@
     pub groups: HashMap<String, u16>,
     pub plans: HashMap<String, u32>,
     pub semantics: Vec<Semantics>,
+    /// How many limiters there are, and the most units that one query takes.
+    pub instances: f64,
+    pub units_top: f64,
     pub load_values: Vec<LoadValue>,
 }
 
@@ -117,14 +125,27 @@
     parsed.map_or_else(Parsed::Bad, Parsed::Whole)
 }
 
+/// Whatever is out of order is refused here, before the module hears of it: it may come in the name of a
+/// customer who has nothing to do with it, and must move none of what is known of that one.
 fn asked(head: &httparse::Request, body: &[u8], lanes: &Lanes) -> Option<Asked> {
     let (method, path, headers) = (head.method?, head.path?, &*head.headers);
-    let group = *lanes.groups.get(header(headers, LANE)?)?;
+    let twice = |name: &&str| headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name)).count() > 1;
+    if ONCE.iter().any(twice) {
+        return None;
+    }
+    let lane = header(headers, LANE)?;
+    let group = *lanes.groups.get(lane)?;
     let plan = *lanes.plans.get(header(headers, PLAN)?)?;
     let semantics = *lanes.semantics.get(usize::from(group))?;
-    header(headers, TXN).filter(|id| !id.is_empty())?;
-    // Without its key nothing would drop a keyed query's repeat.
-    if semantics == Semantics::Keyed && header(headers, KEY).is_none_or(str::is_empty) {
+    let txn = raw(headers, TXN).filter(|id| !id.trim_ascii().is_empty())?;
+    // The group fixes the path's first part and the method; sent on with another, a query that may run only
+    // once could pass for one that may be repeated. Without its key nothing would drop a keyed one's repeat.
+    let fits = match semantics {
+        Semantics::Repeatable => method == "GET" && body.is_empty(),
+        Semantics::Keyed => method == "POST" && header(headers, KEY).is_some_and(|key| !key.is_empty()),
+        Semantics::Mutating => method != "GET",
+    };
+    if !fits || path.strip_prefix('/')?.split(['/', '?']).next() != Some(lane) {
         return None;
     }
     let mut quota = [None; 3];
@@ -132,9 +153,16 @@
         let (name, value) = pair.trim().split_once('=')?;
         let place = ["units", "spread", "first"].iter().position(|known| *known == name);
         if let Some(place) = place {
-            quota[place] = Some(number(value)? as f32);
+            if quota[place].replace(number(value)?).is_some() {
+                return None;
+            }
         }
     }
+    let [units, spread, first] = [quota[0]?, quota[1]?, quota[2]?];
+    let set = spread >= 1.0 && spread <= lanes.instances && first < lanes.instances;
+    if !set || spread.fract() != 0.0 || first.fract() != 0.0 || units <= 0.0 || units > lanes.units_top {
+        return None;
+    }
     let mut out = Vec::with_capacity(512);
     write!(out, "{method} {path} HTTP/1.1\r\n").ok()?;
     for h in headers.iter().filter(|h| !OWN_HOP.iter().any(|own| own.eq_ignore_ascii_case(h.name))) {
@@ -148,12 +176,13 @@
         plan,
         acct: customer(headers)?,
         wait: remaining(header(headers, REMAINING)?)?,
-        units: quota[0]?,
-        spread: quota[1]?,
-        first: quota[2]?,
+        units: units as f32,
+        spread: spread as f32,
+        first: first as f32,
         client_repeat: header(headers, RESENT) == Some("1"),
         write: method != "GET",
         close: closes(headers, head.version),
+        txn: txn.to_vec(),
         head: out,
         body: body.to_vec(),
     })
@@ -195,7 +224,11 @@
             _ => return Parsed::Bad(502),
         };
         let status = head.code.unwrap_or(0);
-        if (100..200).contains(&status) && status != 101 {
+        // Nobody asked for another protocol; what follows then is not to be read as HTTP.
+        if status == 101 {
+            return Parsed::Bad(502);
+        }
+        if (100..200).contains(&status) {
             ring.take(at);
             continue;
         }
@@ -216,7 +249,11 @@
             status,
             turned_away: header(head.headers, TURNED_AWAY) == Some("1"),
             close: closes(head.headers, head.version),
-            charged: header(head.headers, CHARGED).and_then(number).map(|n| n as f32),
+            // A figure that cannot be read, or cannot be, costs itself and not the answer.
+            charged: header(head.headers, CHARGED)
+                .and_then(number)
+                .filter(|n| *n <= lanes.units_top)
+                .map(|n| n as f32),
             load: load(told, &lanes.load_values),
             content_type: raw(head.headers, "Content-Type").map_or(Vec::new(), <[u8]>::to_vec),
             body,
@@ -237,10 +274,13 @@
     for (slot, value) in values.iter().enumerate().take(load.values.len()) {
         let told = text.split([',', '\n']).filter_map(|pair| pair.trim().split_once('='));
         let found = told.filter(|(name, _)| load_value(name) == *value).find_map(|(_, v)| number(v));
-        let Some(number) = found else { return Load::default() };
-        load.values[slot] = number as f32;
+        // One value that cannot be read does not cost the others.
+        load.values[slot] = found.map_or(f32::NAN, |n| n as f32);
         load.n = slot as u8 + 1;
     }
+    if load.values.iter().take(usize::from(load.n)).all(|v| v.is_nan()) {
+        return Load::default();
+    }
     load
 }
 
@@ -264,6 +304,7 @@
         400 => "Bad Request",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         411 => "Length Required",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
@@ -295,17 +336,19 @@
 fn length(headers: &[httparse::Header]) -> Result<Length, ()> {
     let mut found = Length::Unknown;
     for h in headers {
+        // Of the others none matters here: a good answer may bring a report that cannot be read.
+        let known = h.name.eq_ignore_ascii_case("content-length");
+        if !known && !h.name.eq_ignore_ascii_case("transfer-encoding") {
+            continue;
+        }
         let value = std::str::from_utf8(h.value).map_err(|_| ())?.trim();
-        let next = if h.name.eq_ignore_ascii_case("content-length") {
+        let next = if known {
             let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
             Length::Known(if digits { value.parse().unwrap_or(usize::MAX) } else { return Err(()) })
-        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
-            if !value.eq_ignore_ascii_case("chunked") {
-                return Err(());
-            }
+        } else if value.eq_ignore_ascii_case("chunked") {
             Length::Chunked
         } else {
-            continue;
+            return Err(());
         };
         match (&found, &next) {
             (Length::Unknown, _) => found = next,
@@ -368,8 +411,13 @@
 fn customer(headers: &[httparse::Header]) -> Option<u64> {
     let cookies = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("cookie"));
     let mut pairs = cookies.filter_map(|h| std::str::from_utf8(h.value).ok()).flat_map(|v| v.split(';'));
-    let value = pairs.find_map(|p| p.trim().strip_prefix(CUSTOMER)?.strip_prefix('='))?;
-    u64::from_str_radix(value, 16).ok().filter(|n| *n < CUSTOMERS && !value.starts_with('+'))
+    let mut values = pairs.by_ref().filter_map(|p| p.trim().strip_prefix(CUSTOMER)?.strip_prefix('='));
+    let value = values.next().filter(|v| v.len() == CUSTOMER_DIGITS && !v.starts_with('+'))?;
+    // Two customers, and the servers may take the other one.
+    if values.next().is_some() {
+        return None;
+    }
+    u64::from_str_radix(value, 16).ok().filter(|n| *n < CUSTOMERS)
 }
 
 /// A number and its unit, in milliseconds.
@@ -379,7 +427,7 @@
         b'u' => number(&text[..text.len() - 1])? / 1000.0,
         _ => return None,
     };
-    Some(ms.min(LONGEST_WAIT))
+    Some(ms).filter(|ms| *ms > 0.0 && *ms <= LONGEST_WAIT)
 }
 
 fn number(text: &str) -> Option<f64> {
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -107,6 +107,8 @@
                 groups: config.groups,
                 plans: config.plans,
                 semantics: config.settings.groups.iter().map(|g| g.semantics).collect(),
+                instances: f64::from(config.settings.instances),
+                units_top: config.settings.units_top,
                 load_values: config.settings.load_values.clone(),
             },
             door: door.clone(),
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -28,8 +28,12 @@
     /// No wait for a socket is shorter: the system takes none of nothing.
     pub shortest: Duration,
     pub idle_hands: Duration,
-    /// From a query's first byte to its last, and for writing an answer.
+    /// From a connection's start, or a later query's first byte, to the query's last byte.
+    pub slow_query: Duration,
+    /// For writing an answer.
     pub slow_client: Duration,
+    /// A connection on which nothing was asked for so long is closed.
+    pub idle_client: Duration,
     pub linger: Duration,
     pub connect_wait: Duration,
     pub probe_wait: Duration,
@@ -49,8 +53,15 @@
     /// After a SIGTERM: how long idle connections stay open, and how often it is looked whether all are gone.
     pub drain_open: Duration,
     pub drain_step: Duration,
-    /// No connection is closed for room, or at the end, that has shown a sign of life since.
+    /// No connection is closed for room, or at the end, that has shown a sign of life since, or came since and
+    /// has asked nothing yet.
     pub fresh: Duration,
+    pub fresh_stranger: Duration,
+    /// One that has asked before and was idle for so long is closed rather than a newcomer kept waiting.
+    pub settled: Duration,
+    /// A connection to a server rests for so long between two forwards: whatever comes behind an answer has
+    /// come by then, and is not taken for the next one's.
+    pub rest: Duration,
     pub accept_pause: Duration,
 }
 
@@ -68,8 +79,8 @@
         let free = config.sockets - own;
         let (head, body) = (8 << 10, 64 << 10);
         Limits {
-            client_sockets: (free / 8 * 5).min(config.memory_mb as usize * 1024 / CLIENT_KB),
-            server_sockets: free / 4,
+            client_sockets: (free / 2).min(config.memory_mb as usize * 1024 / CLIENT_KB),
+            server_sockets: free / 8 * 3,
             overflow: free / 16,
             spare_hands: SPARE_HANDS,
             backlog: 4096,
@@ -83,8 +94,10 @@
             lanes: 2,
             lane_queue: 1024,
             shortest: ms(1.0),
-            idle_hands: ms(10_000.0),
+            idle_hands: ms(3000.0),
+            slow_query: ms(2000.0),
             slow_client: ms(10_000.0),
+            idle_client: ms(4000.0),
             linger: ms(200.0),
             connect_wait: config.connect_wait,
             probe_wait: config.connect_wait,
@@ -102,6 +115,9 @@
             drain_open: ms(450.0),
             drain_step: ms(10.0),
             fresh: ms(150.0),
+            fresh_stranger: ms(100.0),
+            settled: ms(2000.0),
+            rest: ms(10.0),
             accept_pause: ms(5.0),
         }
     }
--- a/crates/aspendrum/src/pool.rs
+++ b/crates/aspendrum/src/pool.rs
@@ -6,8 +6,9 @@
 use crate::limits::Limits;
 use crate::ring::Ring;
 use aspendrum_core::api::{Outcome, ServerId};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::collections::{HashMap, HashSet};
-use std::io::{ErrorKind, Read};
+use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -35,19 +36,32 @@
 }
 
 impl Conn {
-    fn open(addr: SocketAddr, wait: Duration, limits: &Limits, place: Place) -> std::io::Result<Conn> {
-        let stream = TcpStream::connect_timeout(&addr, wait.max(limits.shortest))?;
+    /// `shown` sees the socket before it is connected, so that whoever waits can be freed by shutting it; it
+    /// says whether to go on.
+    fn open(
+        addr: SocketAddr,
+        wait: Duration,
+        limits: &Limits,
+        place: Place,
+        shown: impl FnOnce(&Arc<TcpStream>) -> bool,
+    ) -> io::Result<Conn> {
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+        let stream = Arc::new(TcpStream::from(socket));
+        if !shown(&stream) {
+            return Err(ErrorKind::Interrupted.into());
+        }
+        SockRef::from(&*stream).connect_timeout(&addr.into(), wait.max(limits.shortest))?;
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(limits.server_write))?;
         let ring = || Ring::new(limits.ring, limits.ring_top);
         let (inward, outward, idle_since) = (ring(), ring(), Instant::now());
-        let (stream, dial, read_wait) = (Arc::new(stream), addr, Duration::ZERO);
+        let (dial, read_wait) = (addr, Duration::ZERO);
         Ok(Conn { stream, inward, outward, idle_since, dial, read_wait, _place: place })
     }
 
     /// A connection outside the pool's count, for discovery.
-    pub fn apart(addr: SocketAddr, wait: Duration, limits: &Limits) -> std::io::Result<Conn> {
-        Conn::open(addr, wait, limits, Place(Arc::new(AtomicUsize::new(1))))
+    pub fn apart(addr: SocketAddr, wait: Duration, limits: &Limits) -> io::Result<Conn> {
+        Conn::open(addr, wait, limits, Place(Arc::new(AtomicUsize::new(1))), |_| true)
     }
 
     /// Nothing may lie on an idle connection: bytes belong to no call, and an end means that whatever is
@@ -139,25 +153,40 @@
         self.shelves().retain(|server, _| named.contains(server));
     }
 
-    /// An idle connection, or a new one. None: the server cannot be reached, so nothing ran.
-    pub fn take(&self, server: ServerId, wait: Duration) -> Option<Conn> {
+    /// An idle connection that has rested, or a new one; `shown` sees its socket first. Without one nothing
+    /// ran. `ConnectFailed`: the server cannot be reached. `Moot`: that is not the server's doing.
+    pub fn take(
+        &self,
+        server: ServerId,
+        wait: Duration,
+        shown: impl FnOnce(&Arc<TcpStream>) -> bool,
+    ) -> Result<Conn, Outcome> {
         loop {
             let (dial, conn) = {
                 let mut shelves = self.shelves();
-                let shelf = shelves.get_mut(&server)?;
-                (shelf.dial?, shelf.idle.pop())
+                let shelf = shelves.get_mut(&server).ok_or(Outcome::ConnectFailed)?;
+                let rested = shelf.idle.iter().rposition(|c| c.idle_since.elapsed() >= self.limits.rest);
+                (shelf.dial.ok_or(Outcome::ConnectFailed)?, rested.map(|at| shelf.idle.remove(at)))
             };
             match conn {
                 Some(conn) if conn.idle_since.elapsed() < self.limits.idle_server && conn.still_good() => {
-                    return Some(conn)
+                    return if shown(&conn.stream) { Ok(conn) } else { Err(Outcome::Moot) }
                 }
                 Some(_) => {}
-                None => return Conn::open(dial, wait, &self.limits, self.seat()?).ok(),
+                None => {
+                    let place = self.seat().ok_or(Outcome::Moot)?;
+                    let opened = Conn::open(dial, wait, &self.limits, place, shown);
+                    return opened.map_err(|_| Outcome::ConnectFailed);
+                }
             }
         }
     }
 
+    /// Keeps it for the next forward, unless more has come than the answer.
     pub fn give_back(&self, server: ServerId, mut conn: Conn) {
+        if !conn.inward.is_empty() {
+            return;
+        }
         conn.idle_since = Instant::now();
         if let Some(shelf) = self.shelves().get_mut(&server) {
             if shelf.dial == Some(conn.dial) {
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -72,6 +72,13 @@
                 let actual = charged.map_or(0.0, |a| a.charged.unwrap_or(asked.units)).ceil() as u16;
                 let proven = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
                 may_have_run |= !proven;
+                // A server that takes the query for malformed says nothing of itself, and another would say
+                // the same: the fault is the client's, who hears of it.
+                if let Some(status) = answer.as_ref().map(|a| a.status).filter(|s| (400..500).contains(s)) {
+                    client.answer(shop, status, 0.0, true, b"", b"");
+                    shop.door.tell(Note::Quit { id });
+                    return false;
+                }
                 // The answer goes on before anything else is done.
                 let answered = answer.filter(|_| outcome == Outcome::Ok);
                 let stays =
@@ -108,13 +115,13 @@
     if left().is_zero() {
         return (Outcome::Moot, None);
     }
-    let Some(mut conn) = shop.pool.take(server, left().min(shop.limits.connect_wait)) else {
-        return (Outcome::ConnectFailed, None);
+    // The line has the socket before it is connected: a query that is given up meanwhile must not wait for
+    // a server that never comes up.
+    let wait = left().min(shop.limits.connect_wait);
+    let mut conn = match shop.pool.take(server, wait, |stream| line.enter(forward, stream)) {
+        Ok(conn) => conn,
+        Err(outcome) => return (if line.leave(forward) { Outcome::Moot } else { outcome }, None),
     };
-    if !line.enter(forward, &conn.stream) {
-        shop.pool.give_back(server, conn);
-        return (Outcome::Moot, None);
-    }
     let wait = as_ms(left());
     let sent = if asked.forward(wait, &mut conn.outward) { conn.send() } else { Err(Outcome::Moot) };
     let got = sent.and_then(|()| conn.receive(until, &shop.lanes, &shop.limits));
@@ -128,7 +135,9 @@
             }
             (outcome, Some(answer))
         }
-        Err(Outcome::ConnectFailed) => (Outcome::ConnectFailed, None),
+        // Its last byte was not written. That it was cut is not the server's doing.
+        Err(Outcome::ConnectFailed | Outcome::Moot) if cut => (Outcome::Moot, None),
+        Err(outcome @ (Outcome::ConnectFailed | Outcome::Moot)) => (outcome, None),
         Err(_) if cut => (Outcome::Cancelled, None),
         Err(outcome) => (outcome, None),
     }
@@ -164,7 +173,7 @@
 fn ask(shop: &Shop, server: ServerId, until: Instant) -> Result<(Outcome, Load), Outcome> {
     let path = if shop.lanes.load_values.is_empty() { http::LIVE } else { http::STATS };
     let wait = || until.saturating_duration_since(Instant::now());
-    let mut conn = shop.pool.take(server, wait()).ok_or(Outcome::ConnectFailed)?;
+    let mut conn = shop.pool.take(server, wait(), |_| true)?;
     http::get(&mut conn.outward, path);
     conn.send()?;
     let answer = conn.receive(until, &shop.lanes, &shop.limits)?;
--- a/crates/aspendrum/src/shutdown.rs
+++ b/crates/aspendrum/src/shutdown.rs
@@ -1,6 +1,7 @@
 //! The signals, and a planned end: connections are taken in for as long as they may come, everything taken is
 //! answered, each answer closes its connection, and then idle connections are closed.
 
+use crate::clients::Room;
 use crate::Shop;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -43,7 +44,7 @@
         let quiet = now.saturating_sub(shop.accepted.load(Ordering::Relaxed)) >= fresh;
         if now - begun >= open {
             // Between queries a close is allowed; a client whose query crosses it sends that again.
-            while shop.clients.close_idle(shop) {}
+            while shop.clients.close_one(shop) == Room::Made {}
             if quiet && shop.clients.count() == 0 {
                 return;
             }
--- a/crates/aspendrum/tests/suite/helper.rs
+++ b/crates/aspendrum/tests/suite/helper.rs
@@ -22,8 +22,11 @@
     Hangs,
     /// Answers after that many milliseconds.
     Waits(u64, &'static str),
+    /// Answers, and that long after sends more that belongs to nobody.
+    Trails(&'static str, u64, &'static str),
 }
 
+pub const MALFORMED: Does = Does::Answers("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
 pub const WELL: Does = Does::Answers("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
 pub const FULL: Does = Does::Answers("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
 
@@ -78,10 +81,16 @@
         let mut rest = Vec::new();
         while let Some(call) = message(&mut stream, &mut rest) {
             own.queries.fetch_add(usize::from(call.contains("X-Txn")), Ordering::SeqCst);
+            if let Does::Trails(answer, wait, more) = does {
+                let _ = stream.write_all(answer.as_bytes());
+                thread::sleep(Duration::from_millis(wait));
+                let _ = stream.write_all(more.as_bytes());
+                continue;
+            }
             let answer = match does {
                 Does::Answers(text) | Does::AnswersAndCloses(text) => text,
                 Does::Cuts => return,
-                Does::Hangs => "",
+                Does::Hangs | Does::Trails(..) => "",
                 Does::Waits(ms, text) => {
                     thread::sleep(Duration::from_millis(ms));
                     text
@@ -180,11 +189,14 @@
     Limiter::start(Config::read(&config.to_string()).unwrap()).unwrap()
 }
 
+/// Each query has a name of its own, as clients give them.
 pub fn query(lane: &str) -> String {
+    static NAMES: AtomicUsize = AtomicUsize::new(0);
+    let txn = NAMES.fetch_add(1, Ordering::SeqCst);
     let (method, more) = if lane == "look" { ("GET", "") } else { ("POST", "Content-Length: 2\r\n") };
     let body = if lane == "look" { "" } else { "hi" };
     format!(
-        "{method} /{lane} HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f\r\nX-Lane: {lane}\r\nX-Plan: team\r\n\
+        "{method} /{lane} HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f{txn:012x}\r\nX-Lane: {lane}\r\nX-Plan: team\r\n\
          Cookie: client=00000000b4d65521\r\nX-Remaining: 900m\r\nIdempotency-Key: k\r\n{more}\
          X-Quota: units=1,spread=1,first=0\r\n\r\n{body}"
     )
--- a/crates/aspendrum/tests/suite/limiter.rs
+++ b/crates/aspendrum/tests/suite/limiter.rs
@@ -2,8 +2,9 @@
 
 use crate::helper::*;
 use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -16,11 +17,25 @@
 const ENDLESS: Does = Does::AnswersAndCloses("HTTP/1.1 200 OK\r\n\r\nhello");
 const NONSENSE: Does = Does::Answers("220 mail.example ESMTP\r\n\r\n");
 const ERROR: Does = Does::Answers("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n");
+const UNREADABLE: Does = Does::Answers(
+    "HTTP/1.1 200 OK\r\nX-Pressure: TEXT cpu_share=lots\r\nX-Units-Charged: 1e30\r\nContent-Length: 5\r\n\r\nhello",
+);
+const AHEAD: Does = Does::Answers(
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+);
+const SWITCH: Does =
+    Does::Answers("HTTP/1.1 101 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+const TWO_LENGTHS: Does =
+    Does::Answers("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello");
 const CHUNKS: Does =
     Does::Answers("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n");
 
 // Rule 2 on sockets: what may have run is sent again, or called shed, only where its group allows it.
 #[test_case("pay", WELL, 200, 1 ; "mutating and well")]
+#[test_case("pay", UNREADABLE, 200, 1 ; "a report and a figure without sense cost only themselves")]
+#[test_case("pay", AHEAD, 200, 1 ; "interim answers ahead")]
+#[test_case("pay", SWITCH, 504, 1 ; "another protocol offered")]
+#[test_case("pay", TWO_LENGTHS, 504, 1 ; "two lengths")]
 #[test_case("look", CHUNKS, 200, 1 ; "a body in chunks arrives whole")]
 #[test_case("look", Does::Cuts, 503, 2 ; "repeatable and cut is tried elsewhere then shed")]
 #[test_case("pay", Does::Cuts, 504, 1 ; "mutating and cut may have run")]
@@ -67,7 +82,7 @@
     limiter.stop();
 }
 
-#[test_case("X-Txn: 9b1f", "X-Txn: " ; "empty id")]
+#[test_case("X-Txn: 9b1f", "X-Txn: \r\nX-Other: 9b1f" ; "empty id")]
 #[test_case("X-Lane: look", "X-Lane: moon" ; "unknown group")]
 #[test_case("X-Plan: team", "X-Plan: moon" ; "unknown plan")]
 #[test_case("client=", "client=zz" ; "customer is no number")]
@@ -76,10 +91,124 @@
 #[test_case("900m", "-9m" ; "time below nothing")]
 #[test_case("900m", "NaNm" ; "time is no number")]
 #[test_case("units=1,", "units=inf," ; "endless units")]
+#[test_case("900m", "0m" ; "no time at all")]
+#[test_case("900m", "1e300m" ; "time without end")]
 #[test_case("spread=1,", "" ; "no spread")]
+#[test_case("spread=1,", "spread=0," ; "spread over none")]
+#[test_case("spread=1,", "spread=2," ; "spread over more than there are")]
+#[test_case("spread=1,", "spread=0.5," ; "spread over half of one")]
+#[test_case("spread=1,", "spread=1,spread=1," ; "spread twice")]
+#[test_case("first=0", "first=1" ; "first is not there")]
+#[test_case("first=0", "first=-1" ; "first below nothing")]
+#[test_case("units=1,", "units=NaN," ; "units no number")]
+#[test_case("units=1,", "units=0," ; "no units")]
+#[test_case("units=1,", "units=2," ; "more units than any query takes")]
+#[test_case("client=00000000", "client=0" ; "customer with too few digits")]
+#[test_case("client=0000", "client=+000" ; "customer with a sign")]
+#[test_case("b4d65521", "b4d65521; client=0000000000000001" ; "two customers")]
+#[test_case("X-Plan: team", "X-Plan: team\r\nX-Plan: team" ; "plan twice")]
+#[test_case("X-Txn:", "x-txn: 1\r\nX-Txn:" ; "two names")]
+#[test_case("GET /look", "POST /look" ; "a method that is not its group's")]
+#[test_case("GET /look", "GET /pay" ; "a path that is not its group's")]
+#[test_case("GET /look", "GET /lookout" ; "a path that only begins alike")]
+#[test_case("Host: x", "Host: x\r\nContent-Length: 0\r\nTransfer-Encoding: chunked" ; "two kinds of length")]
 fn a_query_with_one_fault_is_refused(from: &str, to: &str) {
-    let limiter = limiter(&[server(WELL).0]);
+    let (addr, seen) = server(WELL);
+    let limiter = limiter(&[addr]);
     assert_eq!(status(&ask(&mut connect(&limiter), &query("look").replace(from, to))), 400);
+    assert_eq!(seen.queries.load(Ordering::SeqCst), 0);
+    limiter.stop();
+}
+
+// Servers could take one for the other, and drop or answer the wrong one.
+#[test]
+fn a_name_that_is_still_open_elsewhere_is_refused() {
+    let (addr, seen) = server(Does::Waits(300, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"));
+    let limiter = limiter(&[addr]);
+    let (mut first, text) = (connect(&limiter), query("pay"));
+    first.write_all(text.as_bytes()).unwrap();
+    assert!(soon(|| seen.queries.load(Ordering::SeqCst) == 1));
+    assert_eq!(status(&ask(&mut connect(&limiter), &text)), 409);
+    assert_eq!(status(&message(&mut first, &mut Vec::new()).unwrap()), 200);
+    assert_eq!(status(&ask(&mut connect(&limiter), &text)), 200);
+    limiter.stop();
+}
+
+// The fault is the client's: it hears of it, and the server's standing and other servers are left alone.
+#[test]
+fn what_a_server_takes_for_malformed_goes_no_further() {
+    let ((one, seen), (two, also)) = (server(MALFORMED), server(MALFORMED));
+    let limiter = limiter(&[one, two]);
+    for n in 1..=8 {
+        assert_eq!(status(&ask(&mut connect(&limiter), &query("look"))), 400);
+        assert_eq!(seen.queries.load(Ordering::SeqCst) + also.queries.load(Ordering::SeqCst), n);
+    }
+    limiter.stop();
+}
+
+// Silent, or silent in the middle of a head: it must not keep a thread and a descriptor for long.
+#[test_case("", 0 ; "nothing")]
+#[test_case("GET /look HTTP/1.1\r\nHost:", 408 ; "half a head")]
+#[test_case("POST /pay HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", 408 ; "half a body")]
+fn a_connection_that_asks_nothing_is_closed_in_time(text: &str, expected: u16) {
+    let limiter = limiter(&[server(WELL).0]);
+    let begun = Instant::now();
+    assert_eq!(status(&ask(&mut connect(&limiter), text)), expected);
+    assert!(begun.elapsed() < Duration::from_millis(2900));
+    limiter.stop();
+}
+
+// Hundreds that say nothing must not push out the connections of clients that ask, nor have them shed.
+#[test]
+fn a_flood_of_silent_connections_costs_the_usual_clients_nothing() {
+    let limiter = limiter(&[server(WELL).0]);
+    let mut usual: Vec<_> = (0..40).map(|_| connect(&limiter)).collect();
+    for stream in &mut usual {
+        assert_eq!(status(&ask(stream, &query("look"))), 200);
+    }
+    let flood: Vec<_> = (0..300).map(|_| connect(&limiter)).collect();
+    assert_eq!(status(&ask(&mut connect(&limiter), &query("look"))), 200);
+    for stream in &mut usual {
+        assert_eq!(status(&ask(stream, &query("look"))), 200);
+    }
+    drop(flood);
+    limiter.stop();
+}
+
+// What comes behind an answer, at once or a moment later, belongs to nobody: the next query must not get it.
+#[test_case(0 ; "at once")]
+#[test_case(5 ; "a moment later")]
+fn what_trails_an_answer_is_not_the_next_ones(wait: u64) {
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    let stale = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+    let limiter = limiter(&[server(Does::Trails(answer, wait, stale)).0]);
+    let mut stream = connect(&limiter);
+    for n in 0..30 {
+        let got = ask(&mut stream, &query("look"));
+        assert!(got.ends_with("hello"), "{n}: {got}");
+        thread::sleep(Duration::from_millis(n % 13));
+    }
+    limiter.stop();
+}
+
+// Given up while its server's connection is still coming up, a query's client hears at once; the line of a
+// listener that accepts nothing is filled first, so that no connection comes up.
+#[test]
+fn a_query_given_up_while_it_connects_is_answered_at_once() {
+    let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    full.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    full.listen(0).unwrap();
+    let addr = full.local_addr().unwrap().as_socket().unwrap();
+    let wait = Duration::from_millis(50);
+    let taken: Vec<_> = (0..4).map(|_| TcpStream::connect_timeout(&addr, wait)).collect();
+    let list = json!({"seq": 2, "whole": true, "hosts": hosts(&[addr])}).to_string();
+    let mut config = config(&[addr], counter(None), discovery(list));
+    config["settings"]["Limits"]["ConnectTimeoutS"] = json!(5.0);
+    let limiter = start(&config);
+    let begun = Instant::now();
+    let answer = ask(&mut connect(&limiter), &query("pay").replace("900m", "300m"));
+    assert!(status(&answer) >= 500 && begun.elapsed() < Duration::from_millis(600), "{answer}");
+    drop(taken);
     limiter.stop();
 }
 
@@ -122,12 +251,17 @@
     let (addr, seen) = server(WELL);
     let limiter = limiter(&[addr]);
     let mut stream = connect(&limiter);
-    stream.write_all(query("look").repeat(3).as_bytes()).unwrap();
+    stream.write_all([query("look"), query("look"), query("pay")].concat().as_bytes()).unwrap();
     let mut rest = Vec::new();
     for _ in 0..3 {
         assert_eq!(status(&message(&mut stream, &mut rest).unwrap()), 200);
     }
-    assert_eq!(seen.connections.load(Ordering::SeqCst), 1);
+    let opened = seen.connections.load(Ordering::SeqCst);
+    for _ in 0..3 {
+        thread::sleep(Duration::from_millis(50));
+        assert_eq!(status(&ask(&mut stream, &query("look"))), 200);
+    }
+    assert_eq!(seen.connections.load(Ordering::SeqCst), opened);
     limiter.stop();
 }
 
--- a/crates/aspendrum/tests/suite/pieces.rs
+++ b/crates/aspendrum/tests/suite/pieces.rs
@@ -5,12 +5,13 @@
 use aspendrum::counter::Counter;
 use aspendrum::desk::{Clock, Door, Note};
 use aspendrum::discovery::{Names, Roster};
+use aspendrum::http::{self, Lanes};
 use aspendrum::limits::Limits;
 use aspendrum::mail::{self, Inbox};
 use aspendrum::pool::Line;
 use aspendrum::resp::{self, Parsed, Reply};
 use aspendrum::ring::Ring;
-use aspendrum_core::api::{Event, Health, Outcome};
+use aspendrum_core::api::{Event, Health, LoadValue, Outcome};
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
@@ -249,3 +250,26 @@
     assert_eq!(counted(&mut counter, &told), (8, Outcome::Ok, 222.0));
     assert_eq!(counted(&mut counter, &told), (6, Outcome::Ok, 111.0));
 }
+
+// A good answer was lost for a report that is no text; framing that is in doubt still costs the answer.
+#[test_case(b"HTTP/1.1 200 OK\r\nX-Pressure: \xff\xfe=1\r\nContent-Length: 2\r\n\r\nhi", Some((0, None)) ; "report is no text")]
+#[test_case(b"HTTP/1.1 200 OK\r\nX-Pressure: TEXT cpu_share=0.5, queue=\xff\r\nContent-Length: 2\r\n\r\nhi", Some((0, None)) ; "half of it is no text")]
+#[test_case(b"HTTP/1.1 200 OK\r\nX-Pressure: TEXT cpu_share=0.5, queue=x\r\nContent-Length: 2\r\n\r\nhi", Some((2, None)) ; "one value has no sense")]
+#[test_case(b"HTTP/1.1 200 OK\r\nX-Units-Charged: 1e30\r\nContent-Length: 2\r\n\r\nhi", Some((0, None)) ; "more units than any query takes")]
+#[test_case(b"HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: 2\r\n\r\nhi", Some((0, Some(1.0))) ; "units")]
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: \xff2\r\n\r\nhi", None ; "length is no text")]
+#[test_case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: \xffchunked\r\n\r\n0\r\n\r\n", None ; "coding is no text")]
+fn an_unreadable_figure_costs_only_itself(bytes: &[u8], expected: Option<(u8, Option<f32>)>) {
+    let here: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let limits = Limits::of(&Config::read(&config(&[], here, here).to_string()).unwrap());
+    let load_values = vec![LoadValue::CpuShare, LoadValue::Waiting];
+    let (groups, plans, semantics) = Default::default();
+    let lanes = Lanes { groups, plans, semantics, instances: 1.0, units_top: 1.0, load_values };
+    let mut ring = Ring::new(8, 512);
+    assert!(ring.put(bytes));
+    let got = match http::answer(&mut ring, &lanes, &limits) {
+        http::Parsed::Whole(answer) => Some((answer.load.n, answer.charged)),
+        _ => None,
+    };
+    assert_eq!(got, expected);
+}
