Queries without room in the local count ask first; calls that fail together are one failure

Lines at fault: control.rs take() chose who asks by importance alone; counted() counted each call of one broken connection as a failure of its own, so that one unreadable answer could open the breaker.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -39,6 +39,7 @@
 const ASK_GAIN_MS: f64 = 0.000_005;
 const ASK_CUT: f64 = 0.2;
 const STAKE_GAIN: f64 = 0.05;
+const NEED: f64 = 8.0;
 const ASK_LEAST: f64 = 0.05;
 const LATE: f64 = 0.5;
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
@@ -100,8 +101,7 @@
     can
 }
 
-/// Names of sparse customers: one for each window of burst over rate, told by the clock and set apart by
-/// customer, lest all windows turn at once.
+/// Sparse customers' names: one a window of burst over rate, by the clock, set apart lest all turn at once.
 impl Acct {
     fn turn(&self, now: Ms, fig: &PlanFig) -> f64 {
         now / fig.window.max(1.0) + (self.id as f64 * GOLDEN).fract()
@@ -114,6 +114,15 @@
         }
     }
 
+    /// The local count: even parts of rate and burst, and whatever the last read left it.
+    fn room_here(&mut self, fig: &PlanFig, units: f64, now: Ms) -> bool {
+        let cap = fig.burst / self.spread;
+        let top = if self.sparse { cap } else { cap.max(self.local) };
+        self.local = (self.local + fig.rate / self.spread * (now - self.local_at)).min(top.max(units));
+        self.local_at = now;
+        self.local >= units
+    }
+
     fn name(&mut self, now: Ms, fig: &PlanFig) -> (u64, Ms) {
         self.turn_window(now, fig);
         let window = (self.window as u64 + 1) & ((1 << (64 - ID_BITS)) - 1);
@@ -182,7 +191,9 @@
             if self.now < self.strained_until && a.seen && room < units {
                 return self.admit(slot, false);
             }
-            let stake = self.queries[slot].worth * units;
+            // First of all those that the local count would turn away: the rest needs no word of others.
+            let here = a.room_here(fig, units, self.now);
+            let stake = self.queries[slot].worth * units * if here { 1.0 } else { NEED };
             self.stake += STAKE_GAIN * (stake - self.stake);
             let chance = self.ask_chance(stake);
             if self.chance.roll() >= chance {
@@ -234,13 +245,13 @@
         let Some(at) = self.accts.find(name & ((1 << ID_BITS) - 1)) else { return };
         let Some(n) = self.accts[at].calls.iter().position(|c| c.name == name) else { return };
         let Some(call) = self.accts[at].calls.remove(n) else { return };
-        let answered = outcome == Outcome::Ok;
+        let (answered, news) = (outcome == Outcome::Ok, self.now - rtt >= self.cut_at);
         if answered && rtt < LATE * self.fig.counter_wait {
             self.ask = (self.ask * (1.0 + ASK_GAIN)).min(1.0);
         } else {
-            // Calls that were out together fail together, from one cause: each cutting by itself, a single
-            // stall of the counter or of this limiter took the share to its least. Nor does an outage tell what the counter will bear.
-            if self.now - rtt >= self.cut_at && self.breaker == Breaker::Closed {
+            // Calls that were out together fail together, from one cause: each by itself, a single stall took
+            // the share to its least and opened the breaker. Nor does an outage tell what the counter bears.
+            if news && self.breaker == Breaker::Closed {
                 (self.ask, self.cut_at) = ((self.ask * (1.0 - ASK_CUT)).max(ASK_LEAST), self.now);
             }
             self.strained_until = self.now + STRAINED_FOR;
@@ -254,7 +265,7 @@
             if outcome != Outcome::TimedOut {
                 self.owe(at, call.add);
             }
-            self.failures += 1;
+            self.failures += u32::from(news);
             if self.failures >= FAILURES && self.breaker == Breaker::Closed {
                 self.probe_acct = at;
                 self.signal(Signal::Failures);
@@ -296,7 +307,7 @@
             a.turn_window(self.now, fig);
             let window = if a.sparse { a.turn(self.now, fig).fract() * fig.window } else { fig.window };
             let sum: f64 = a.log.drain(..).filter(|g| g.0 >= self.now - window).map(|g| g.1).sum();
-            // A sparse customer's waits for the next add: hundreds of limiters' sums would fill the line.
+            // A sparse one's waits for that add: hundreds of limiters' sums would fill the line.
             a.carry += if a.sparse { sum } else { 0.0 };
             a.level -= if a.sparse { 0.0 } else { sum };
             self.owe(at, sum);
@@ -349,11 +360,7 @@
         let q = &self.queries[slot];
         let a = &mut self.accts[q.acct];
         let fig = &self.fig.plans[a.plan];
-        let (cap, rate) = (fig.burst / a.spread, fig.rate / a.spread);
-        let top = if a.sparse { cap } else { cap.max(a.local) };
-        a.local = (a.local + rate * (self.now - a.local_at)).min(top.max(q.units));
-        a.local_at = self.now;
-        let inside = a.local >= q.units && spend_part(a, fig, q.units, 0.0, self.now);
+        let inside = a.room_here(fig, q.units, self.now) && spend_part(a, fig, q.units, 0.0, self.now);
         if inside {
             a.local -= q.units;
             if log {
@@ -610,11 +617,9 @@
     }
 
     fn report(&mut self, server: usize, load: &Load) {
-        let Some(at) = self.fig.report_busy.filter(|at| *at < usize::from(load.n)) else { return };
+        let known = |at: &usize| *at < usize::from(load.n) && !load.values[*at].is_nan();
+        let Some(at) = self.fig.report_busy.filter(known) else { return };
         let busy = f64::from(load.values[at]).clamp(0.0, 1.0);
-        if busy.is_nan() {
-            return;
-        }
         self.servers[server].busy = busy;
         self.busy += BUSY_GAIN * (busy - self.busy);
     }
