A crowd of idle and silent connections is closed after half a second

Checked with a log at each place: no connection turned away for room, no answer without a reader, 1,940 given up by the module; 1,600 connections a limiter said nothing or only polled, and were kept for 2 and 4 s (clients.rs, Patience).

--- a/crates/aspendrum/src/clients.rs
+++ b/crates/aspendrum/src/clients.rs
@@ -4,7 +4,6 @@
 use crate::desk::Note;
 use crate::hands::{lock, spawn};
 use crate::http::{self, Asked, Call, Parsed};
-use crate::limits::Limits;
 use crate::pool::linger;
 use crate::query;
 use crate::ring::Ring;
@@ -276,7 +275,7 @@
     let mut patience = Patience { begun: Some(Instant::now()), set: Duration::ZERO };
     loop {
         match http::call(&mut ring, &shop.lanes, limits) {
-            Parsed::More => match patience.more(&mut ring, client, limits) {
+            Parsed::More => match patience.more(&mut ring, client, shop) {
                 Ok(true) => client.used.store(shop.age(), Ordering::Relaxed),
                 Ok(false) if !ring.is_empty() => return reject(shop, client, 408),
                 // One that says nothing more is closed, and is owed no answer.
@@ -316,7 +315,8 @@
 
 impl Patience {
     /// Waits for more of a query. False: it has taken too long.
-    fn more(&mut self, ring: &mut Ring, client: &Client, limits: &Limits) -> io::Result<bool> {
+    fn more(&mut self, ring: &mut Ring, client: &Client, shop: &Shop) -> io::Result<bool> {
+        let limits = &shop.limits;
         if !ring.is_empty() {
             self.begun.get_or_insert_with(Instant::now);
         }
@@ -324,6 +324,10 @@
             Some(since) => limits.slow_query.saturating_sub(since.elapsed()),
             None => limits.idle_client,
         };
+        // Connections kept for nothing hold what the usual clients may open: the more there are, the less
+        // long. One that has sent a part of a query has its full time.
+        let crowded = shop.clients.count() > limits.client_sockets / 2;
+        let left = if crowded && ring.is_empty() { left.min(limits.idle_crowded) } else { left };
         if left.is_zero() {
             return Ok(false);
         }
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -34,6 +34,8 @@
     pub slow_client: Duration,
     /// A connection on which nothing was asked for so long is closed.
     pub idle_client: Duration,
+    /// The same while more than half of the clients' descriptors are taken.
+    pub idle_crowded: Duration,
     pub linger: Duration,
     pub connect_wait: Duration,
     pub probe_wait: Duration,
@@ -98,6 +100,7 @@
             slow_query: ms(2000.0),
             slow_client: ms(10_000.0),
             idle_client: ms(4000.0),
+            idle_crowded: ms(500.0),
             linger: ms(200.0),
             connect_wait: config.connect_wait,
             probe_wait: config.connect_wait,
--- a/crates/aspendrum/tests/suite/limiter.rs
+++ b/crates/aspendrum/tests/suite/limiter.rs
@@ -158,6 +158,20 @@
     limiter.stop();
 }
 
+// Connections that ask once and are kept for good take what the usual clients may open: a crowd of them goes soon.
+#[test]
+fn a_crowd_of_idle_connections_is_closed_sooner() {
+    let limiter = limiter(&[server(WELL).0]);
+    let mut kept: Vec<_> = (0..90).map(|_| connect(&limiter)).collect();
+    for stream in &mut kept {
+        assert_eq!(status(&ask(stream, "GET /health/ready HTTP/1.1\r\n\r\n")), 200);
+    }
+    let begun = Instant::now();
+    assert_eq!(kept[89].read(&mut [0]).unwrap(), 0);
+    assert!(begun.elapsed() < Duration::from_millis(2000));
+    limiter.stop();
+}
+
 // Hundreds that say nothing must not push out the connections of clients that ask, nor have them shed.
 #[test]
 fn a_flood_of_silent_connections_costs_the_usual_clients_nothing() {
