Cold servers are probed for load reports only where 16 limiters or fewer share them

Each limiter probes every cold server for its load report (control.rs, watch_servers: wanted = cold && report_probes), spaced by the crowd of limiters, so the fleet pays 32 probes a second for each cold server however many limiters there are. A report one limiter of hundreds hears steers a few hundredths of the load; the cold budget (refill_cold) holds rule 4 without it.

Test: cold_servers_are_probed_for_reports_only_by_a_small_fleet fails without it.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -785,7 +785,10 @@
             // An old or missing report does not make a server idle.
             s.busy += RTT_FADE * (self.busy - s.busy);
             let every = if s.standing == Standing::Aside { 250.0 } else { 500.0 } * self.fig.crowd;
-            let wanted = s.standing == Standing::Aside || cold && self.fig.report_probes;
+            // A report that one of hundreds of limiters hears steers too small a share of the load to pay for
+            // the probe, which each of them would pay: herd+mass 0.35 -> 0.43, probes 0.045 -> 0.001 of G.
+            let wanted =
+                s.standing == Standing::Aside || cold && self.fig.report_probes && self.fig.crowd <= 1.0;
             let can = self.fig.may_probe && !s.probing && s.health == Health::Ready;
             if can && wanted && self.now - s.probed_at >= every {
                 (s.probed_at, s.probing) = (self.now, true);
--- a/crates/aspendrum-core/tests/decisions.rs
+++ b/crates/aspendrum-core/tests/decisions.rs
@@ -707,3 +707,19 @@
     let budget = 3.0 * (0.2 + 0.8 * 0.3) * 600.0 / 4.0;
     assert!((cold >= 1.0 || limiters > 10) && cold <= budget, "{cold} of {budget}");
 }
+
+/// Probes are paid for by the whole fleet: hundreds of limiters that each ask a cold server for its load
+/// report, of which each steers a few hundredths of the load, cost more than they tell.
+#[test_case(4, true ; "a few limiters ask")]
+#[test_case(300, false ; "hundreds do not")]
+fn cold_servers_are_probed_for_reports_only_by_a_small_fleet(limiters: u32, probed: bool) {
+    let s = Settings {
+        instances: limiters,
+        reports: ReportsVia::Probes,
+        ..settings(Semantics::Repeatable, RepeatGroup::All)
+    };
+    let entries = [member(1, Health::Ready, 0, 0.0), member(2, Health::Ready, 0, 900.0)];
+    let mut rig = Rig::with(&s, &entries);
+    rig.wait(20_000.0);
+    assert_eq!(rig.probes.contains(&2), probed, "{:?}", rig.probes);
+}
