A sparse customer's first query of a window asks the counter as readily as one without room

Such a first query counted as having room (here = true) and asked at the plain share.

Change: a sparse customer's query before any total of this window was read here asks as readily as one without local room (the NEED weight); if it does not ask it still has its free query. Test: a_sparse_customers_first_query_asks_first_when_few_may_ask fails without it.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -191,8 +191,10 @@
             if self.now < self.strained_until && a.seen && room < units {
                 return self.admit(slot, false);
             }
-            // First of all those that the local count would turn away: the rest needs no word of others.
-            let here = a.room_here(fig, units, self.now);
+            // First of all those that the local count would turn away: the rest needs no word of others. A
+            // sparse customer's first query of a window here knows nothing: with hundreds of limiters each one's
+            // free query let a customer far beyond its quota (calm+mass at 300, over quota 0.126 -> 0.087 of G).
+            let here = a.room_here(fig, units, self.now) && (a.seen || !a.sparse);
             let stake = self.queries[slot].worth * units * if here { 1.0 } else { NEED };
             self.stake += STAKE_GAIN * (stake - self.stake);
             let chance = self.ask_chance(stake);
--- a/crates/aspendrum-core/tests/decisions.rs
+++ b/crates/aspendrum-core/tests/decisions.rs
@@ -723,3 +723,26 @@
     rig.wait(20_000.0);
     assert_eq!(rig.probes.contains(&2), probed, "{:?}", rig.probes);
 }
+
+/// A sparse customer's first query of a window at this limiter knows nothing of the others' use: with hundreds of
+/// limiters, each one's free query let such a customer far beyond its quota. Where few may ask, it asks first.
+#[test]
+fn a_sparse_customers_first_query_asks_first_when_few_may_ask() {
+    let mut rig = Rig::plain();
+    // Late answers cut the share of the queries that ask.
+    for id in 0..12 {
+        rig.now += 30.0;
+        rig.ask_of(id, 50 + id, 2.0);
+        rig.tell(&Event::Counted { name: 50 + id, outcome: Outcome::Ok, total: 1.0, rtt: 25.0 });
+    }
+    let (mut sparse, mut plain) = (0, 0);
+    for n in 0..400u64 {
+        let (acct, spread) = if n % 2 == 0 { (10_000 + n, 8.0) } else { (20_000 + n, 2.0) };
+        let calls = rig.calls.len();
+        rig.now += 1.0;
+        rig.ask_of(1000 + n, acct, spread);
+        let asked = rig.calls.len() > calls;
+        *(if spread > 2.0 { &mut sparse } else { &mut plain }) += u32::from(asked);
+    }
+    assert!(sparse >= 3 * plain.max(1), "sparse {sparse}, plain {plain}");
+}
