A cold server counts for what it can do now when its part of the fleet's work is told

The budget of a cold server was measured by answers per server over all servers (Control::refill_cold), the cold ones counted whole: two fifths of what a warm one carried, falling further as fewer answers came. Checked and ruled out: not one server was full or refused a connection, discovery was in time.

--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -700,20 +700,29 @@
         self.answered_rate * (-(self.now - self.answered_at) / CARRIED_TIME).exp()
     }
 
+    /// The least that the rules promise of a server's capacity now, as a share of the whole.
+    fn present_share(&self, started: Ms) -> f64 {
+        let age = ((self.now - started) / self.fig.cold_time.max(1.0)).clamp(0.0, 1.0);
+        self.fig.cold_share + (1.0 - self.fig.cold_share) * age
+    }
+
     /// Rule 4: for each window, this limiter's part of the work a cold server stands, measured by what
     /// warm ones are seen to carry from here. The parts add up to less than the rule's budget.
     fn refill_cold(&mut self) {
         let ready = self.servers.items.iter().filter(|s| s.health == Health::Ready);
-        let (ready, sizes) = ready.fold((0.0, 0.0), |n, s| (n.0 + 1.0, n.1 + s.size));
-        let carried = self.carried() / f64::max(ready, 1.0);
-        let mean = if sizes > 0.0 { sizes / ready } else { 1.0 };
+        let (n, sizes, warm) = ready.fold((0.0, 0.0, 0.0), |n, s| {
+            (n.0 + 1.0, n.1 + s.size, n.2 + self.present_share(s.started))
+        });
+        // A cold server counts for what it can do, not as a whole one: with six in ten replaced, parts measured
+        // by all servers alike were two fifths of what a warm one carried, and shrank as that starved the fleet.
+        let carried = self.carried() / f64::max(warm, 1.0);
+        let mean = if sizes > 0.0 { sizes / n } else { 1.0 };
         for i in 0..self.servers.items.len() {
+            let share = self.present_share(self.servers[i].started);
             if !self.cold(self.servers[i].started) {
                 continue;
             }
             let s = &mut self.servers[i];
-            let age = ((self.now - s.started) / self.fig.cold_time).clamp(0.0, 1.0);
-            let share = self.fig.cold_share + (1.0 - self.fig.cold_share) * age;
             let half = self.fig.cold_budget * share * carried * (s.size / mean).min(1.0);
             s.cold_left =
                 (s.cold_left + half * (self.now - s.cold_at) / self.fig.fall_window).min(half.max(1.0));
