--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -715,9 +715,8 @@
     /// warm ones are seen to carry from here. The parts add up to less than the rule's budget.
     fn refill_cold(&mut self) {
         let ready = self.servers.items.iter().filter(|s| s.health == Health::Ready);
-        let (n, sizes, warm) = ready.fold((0.0, 0.0, 0.0), |n, s| {
-            (n.0 + 1.0, n.1 + s.size, n.2 + self.present_share(s.started))
-        });
+        let (n, sizes, warm) = ready
+            .fold((0.0, 0.0, 0.0), |n, s| (n.0 + 1.0, n.1 + s.size, n.2 + self.present_share(s.started)));
         // A cold server counts for what it can do, not as a whole one: with six in ten replaced, parts measured
         // by all servers alike were two fifths of what a warm one carried, and shrank as that starved the fleet.
         let carried = self.carried() / f64::max(warm, 1.0);
