--- a/crates/aspendrum/src/discovery.rs
+++ b/crates/aspendrum/src/discovery.rs
@@ -1,6 +1,7 @@
 //! What discovery knows of the servers: the list held at the start, then the whole list, then one watch
 //! after another. Silence and nonsense leave the last list in force.
 
+use crate::backoff::Backoff;
 use crate::desk::Note;
 use crate::hands::lock;
 use crate::http;
@@ -135,13 +136,21 @@
     pub wishes: Receiver<Wish>,
     /// Discovery tells only those who ask.
     pub asks: bool,
+    /// Begins with the whole list. Where discovery must be asked, a limiter that holds one begins with a watch from
+    /// there: one call of the fleet's few, not two.
+    pub fetch: bool,
     pub version: u64,
+    pub backoff: Backoff,
 }
 
 impl Follower {
     pub fn run(mut self) {
-        let (mut conn, mut watching, mut fetch) = (None, !self.asks, true);
+        let (mut conn, mut watching, mut fetch) = (None, !self.asks, self.fetch);
         let mut trouble = String::new();
+        if self.asks {
+            // A whole fleet that starts at once asks in turn.
+            self.pause(&mut watching, &mut fetch);
+        }
         while !self.shop.stopped() {
             let idle = !fetch && !watching;
             let first = if idle { self.wishes.recv().ok() } else { None };
@@ -163,6 +172,7 @@
             match self.ask(&mut conn, !fetch) {
                 Ok(roster) => {
                     trouble.clear();
+                    self.backoff.reset();
                     fetch = !roster.whole && roster.version < self.version;
                     if !fetch {
                         self.pass_on(roster);
@@ -181,8 +191,22 @@
                         let (list, entries) = (ListKind::Failed, Vec::new());
                         self.shop.door.tell(Note::Members { list, version: 0, entries });
                     }
-                    std::thread::sleep(self.shop.limits.discovery_pause);
+                    self.pause(&mut watching, &mut fetch);
+                }
+            }
+        }
+    }
+
+    /// Waits before the next call, but not beyond a move to another agent; notes what is wished meanwhile.
+    fn pause(&mut self, watching: &mut bool, fetch: &mut bool) {
+        let until = Instant::now() + self.backoff.wait();
+        while let Ok(wish) = self.wishes.recv_deadline(until) {
+            match wish {
+                Wish::Fetch => {
+                    *fetch = true;
+                    return;
                 }
+                Wish::Watch(on) => *watching = on,
             }
         }
     }
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -1,6 +1,7 @@
 //! The limiter on sockets, as a library: read a [`config::Config`], start a [`Limiter`], drain it in the end.
 //! Every decision is the module's (`aspendrum_core`); docs/architecture.md tells who owns what.
 
+pub mod backoff;
 pub mod clients;
 pub mod config;
 pub mod counter;
@@ -18,6 +19,7 @@
 pub mod shutdown;
 
 use aspendrum_core::api::ListKind;
+use backoff::Backoff;
 use clients::Clients;
 use config::Config;
 use counter::Counter;
@@ -131,7 +133,7 @@
         let peers = peers.map_err(failed("peer_listen"))?;
 
         // The list held before comes first of all, as the module expects it.
-        let version = config.known.version;
+        let (version, empty) = (config.known.version, config.known.entries.is_empty());
         discovery::tell(&shop, ListKind::Cached, config.known);
 
         let (wish, wishes) = bounded(limits.orders);
@@ -140,7 +142,9 @@
         let asks = config.settings.discovery_asks;
         let (names, own) = (config.names, shop.clone());
         let agent = Arc::new(Agent::at(config.discovery));
-        let follower = Follower { shop: own, agent: agent.clone(), names, wishes, asks, version };
+        let backoff = Backoff::new(limits.discovery_first, limits.discovery_top, config.seed);
+        let (agent_too, fetch) = (agent.clone(), !asks || empty);
+        let follower = Follower { shop: own, agent: agent_too, names, wishes, asks, fetch, version, backoff };
         spawn("discovery", limits.stack, move || follower.run()).map_err(failed("discovery"))?;
         let own = shop.clone();
         let door = move || clients::accept(&own, &listener);
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -50,7 +50,9 @@
     pub counter_silence: Duration,
     pub watch_hold: Duration,
     pub watch_late: Duration,
-    pub discovery_pause: Duration,
+    /// Between calls to discovery after a failure, with jitter: the longest wait at first, and at most.
+    pub discovery_first: Duration,
+    pub discovery_top: Duration,
     pub sweep: Duration,
     /// After a SIGTERM: how long idle connections stay open, and how often it is looked whether all are gone.
     pub drain_open: Duration,
@@ -67,6 +69,9 @@
     pub accept_pause: Duration,
 }
 
+/// Of a second of a shared discovery, what one limiter's first call may count on.
+const DISCOVERY_SHARE: Duration = Duration::from_millis(10);
+const DISCOVERY_TOP: Duration = Duration::from_millis(10_000);
 /// What one client with the largest query and answer costs at the most: bodies, rings, two stacks.
 const CLIENT_KB: usize = 160;
 /// Headers of one message; parsing needs the number where it is built.
@@ -80,6 +85,10 @@
         let own = 40.min(config.sockets / 4);
         let free = config.sockets - own;
         let (head, body) = (8 << 10, 64 << 10);
+        // Where lists come unasked, the agent on this machine answers at no cost.
+        let s = &config.settings;
+        let (soon, share) = (ms(100.0), DISCOVERY_SHARE.mul_f64(f64::from(s.instances)));
+        let (first, top) = if s.discovery_asks { (soon.max(share), DISCOVERY_TOP) } else { (soon, soon) };
         Limits {
             client_sockets: (free / 2).min(config.memory_mb as usize * 1024 / CLIENT_KB),
             server_sockets: free / 8 * 3,
@@ -113,7 +122,8 @@
             counter_silence: ms(1000.0),
             watch_hold: ms(5000.0),
             watch_late: ms(1000.0),
-            discovery_pause: ms(100.0),
+            discovery_first: first,
+            discovery_top: if s.must_ask_in > 0.0 { top.min(ms(s.must_ask_in)) } else { top },
             sweep: ms(1000.0),
             drain_open: ms(450.0),
             drain_step: ms(10.0),
--- a/crates/aspendrum/tests/suite/pieces.rs
+++ b/crates/aspendrum/tests/suite/pieces.rs
@@ -1,6 +1,7 @@
 //! Each piece by itself: rings, codecs, configuration, lists, and the counter's calls.
 
 use crate::helper::{counter as helper_counter, *};
+use aspendrum::backoff::Backoff;
 use aspendrum::config::Config;
 use aspendrum::counter::Counter;
 use aspendrum::desk::{Clock, Door, Note};
@@ -273,3 +274,24 @@
     };
     assert_eq!(got, expected);
 }
+
+/// Waits that were all alike brought a fleet back together each time; waits without a bound kept a limiter without
+/// a list for longer than the platform lets it go unasked.
+#[test]
+fn waits_after_failures_grow_differ_and_stay_bounded() {
+    let wait = |seed, n| {
+        let mut backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(2), seed);
+        (0..n).map(|_| backoff.wait().as_secs_f64()).last().unwrap_or(0.0)
+    };
+    for (n, longest) in [(1, 0.1), (2, 0.2), (4, 0.8), (8, 2.0), (100, 2.0)] {
+        let waits: Vec<f64> = (0..1000).map(|seed| wait(seed, n)).collect();
+        let mean = waits.iter().sum::<f64>() / 1000.0;
+        assert!(waits.iter().all(|w| *w <= longest), "after {n}");
+        assert!((mean / longest - 0.5).abs() < 0.05, "{mean} after {n}");
+    }
+    let mut backoff = Backoff::new(Duration::from_millis(100), Duration::from_secs(2), 5);
+    let later = (0..20).map(|_| backoff.wait()).max();
+    assert!(later > Some(Duration::from_millis(500)));
+    backoff.reset();
+    assert!(backoff.wait() <= Duration::from_millis(100));
+}
