--- a/crates/aspendrum-core/tests/keepers.rs
+++ b/crates/aspendrum-core/tests/keepers.rs
@@ -17,6 +17,7 @@
     lose: usize,
     said: usize,
     granted: Vec<QueryId>,
+    sent: Vec<ServerId>,
     shed: Vec<QueryId>,
     open: Vec<(usize, QueryId, ServerId)>,
 }
@@ -81,11 +82,11 @@
 
 impl Fleet {
     fn of(settings: Settings) -> Fleet {
-        let (mail, granted, shed, open) = Default::default();
+        let (mail, granted, sent, shed, open) = Default::default();
         let mut limiters = Vec::new();
         limiters.resize_with(settings.instances as usize, || None);
         let (now, lose, said) = (100_000.0, 0, 0);
-        let mut fleet = Fleet { now, settings, limiters, mail, lose, said, granted, shed, open };
+        let mut fleet = Fleet { now, settings, limiters, mail, lose, said, granted, sent, shed, open };
         (0..fleet.limiters.len()).for_each(|me| fleet.start(me));
         fleet
     }
@@ -115,6 +116,7 @@
             match action {
                 Action::Forward { id, server, .. } => {
                     self.granted.push(id);
+                    self.sent.push(server);
                     self.open.push((me, id, server));
                 }
                 Action::Shed { id, .. } => self.shed.push(id),
@@ -319,3 +321,40 @@
     assert_eq!(fleet.said, 0);
     assert!(!fleet.granted.is_empty());
 }
+
+/// Rule 3 over a whole fleet: six in ten servers are told to drain, in steps, while every limiter has queries in
+/// hand, some still waiting for a keeper's word. None goes to a server that its limiter was told of, and the new
+/// ones are used.
+#[test]
+fn six_in_ten_servers_replaced_get_nothing_new_from_any_limiter() {
+    let mut fleet = Fleet::of(settings(40, false, 0.0));
+    let mut id = 0;
+    for gone in (0..=24u32).step_by(4) {
+        let health = |s| if s <= gone { Health::Draining } else { Health::Ready };
+        let member = |server, health, started| Member {
+            server,
+            health,
+            cell: 0,
+            zone: 0,
+            size: 1.0,
+            kind: 0,
+            started,
+        };
+        let old = (1..=SERVERS).map(|s| member(s, health(s), 0.0));
+        let entries: Vec<Member> =
+            old.chain((1..=gone).map(|s| member(100 + s, Health::Ready, fleet.now))).collect();
+        (0..40).for_each(|me| {
+            fleet.tell(me, &Event::Members { list: ListKind::Full, version: 2 + gone, entries: &entries });
+        });
+        fleet.sent.clear();
+        for _ in 0..300 {
+            id += 1;
+            fleet.ask((id * 7 % 40) as usize, id, 1000 + id);
+            fleet.step();
+        }
+        assert!(fleet.sent.len() >= 250, "{} sent", fleet.sent.len());
+        let wrong = fleet.sent.iter().filter(|s| **s <= gone).count();
+        assert_eq!(wrong, 0, "to servers that drain, with {gone} of {SERVERS} replaced");
+    }
+    assert!(fleet.sent.iter().any(|s| *s > 100), "the new servers are used");
+}
