Tests of the module start from one set of settings

The settings of the keepers' tests repeated those of the decision tables field by field; both now begin with tests/common. Assertions and the program are untouched.

--- a/crates/aspendrum-core/tests/decisions.rs
+++ b/crates/aspendrum-core/tests/decisions.rs
@@ -1,7 +1,10 @@
 //! Tables of cases for the decision module, without the bench.
 
+mod common;
+
 use aspendrum_core::api::*;
 use aspendrum_core::control::Control;
+use common::settings;
 use test_case::test_case;
 
 struct Rig {
@@ -15,62 +18,6 @@
     all: Vec<Action>,
 }
 
-fn settings(semantics: Semantics, repeat_group: RepeatGroup) -> Settings {
-    Settings {
-        me: 0,
-        instances: 2,
-        zone: 0,
-        tick: 2.0,
-        groups: vec![Group {
-            slo: 1000.0,
-            limit: 3000.0,
-            semantics,
-            repeat_group,
-            repeat_window: 500.0,
-            importance: 1.0,
-            late_share: 0.0,
-            stream: false,
-        }],
-        plans: vec![Plan {
-            rate: 2.0,
-            burst: 4.0,
-            price: 1.0,
-            over_worth: 0.0,
-            over_cost: 1.0,
-            open: 0,
-            ceiling_rate: 0.0,
-            ceiling_burst: 0.0,
-            ceiling_slack: 0.0,
-        }],
-        load_values: vec![LoadValue::CpuShare],
-        reports: ReportsVia::Answers,
-        discovery_asks: false,
-        must_ask_in: 0.0,
-        drain_grace: 250.0,
-        fall_multiple: 3.0,
-        fall_window: 3000.0,
-        cold_share: 0.2,
-        cold_time: 10_000.0,
-        answer_grace: 16.0,
-        may_cancel: true,
-        may_probe: true,
-        may_tell: false,
-        second_copies: false,
-        send_cap: 4,
-        retry_after: true,
-        max_retry_after: 700.0,
-        counter: true,
-        counter_wait: 30.0,
-        counter_price: 0.0,
-        probe_price: 0.0,
-        cross_zone_price: 0.0,
-        units_top: 1.0,
-        cost_after: false,
-        meter: 0.0,
-        peer_in_per_s: 0.0,
-    }
-}
-
 fn member(server: ServerId, health: Health, cell: u16, started: Ms) -> Member {
     Member { server, health, cell, zone: 0, size: 1.0, kind: 0, started }
 }
--- a/crates/aspendrum-core/tests/keepers.rs
+++ b/crates/aspendrum-core/tests/keepers.rs
@@ -1,6 +1,8 @@
 //! Fleets of decision modules that hear each other's datagrams, without the bench and without sockets: a
 //! customer's count kept by one limiter of its set.
 
+mod common;
+
 use aspendrum_core::api::*;
 use aspendrum_core::control::Control;
 use test_case::test_case;
@@ -23,60 +25,23 @@
 }
 
 fn settings(limiters: u32, counter: bool, ceiling: f64) -> Settings {
-    let group = Group {
-        slo: 1000.0,
-        limit: 3000.0,
-        semantics: Semantics::Repeatable,
-        repeat_group: RepeatGroup::All,
-        repeat_window: 0.0,
-        importance: 1.0,
-        late_share: 0.0,
-        stream: false,
-    };
-    let plan = Plan {
-        rate: 2.0,
-        burst: 6.0,
-        price: 1.0,
-        over_worth: 0.0,
-        over_cost: 1.0,
-        open: 0,
-        ceiling_rate: 2.0 * ceiling,
-        ceiling_burst: 6.0 * ceiling,
-        ceiling_slack: 0.0,
-    };
+    let base = common::settings(Semantics::Repeatable, RepeatGroup::All);
+    let (ceiling_rate, ceiling_burst) = (2.0 * ceiling, 6.0 * ceiling);
+    let plan = Plan { burst: 6.0, ceiling_rate, ceiling_burst, ..base.plans[0].clone() };
     Settings {
-        me: 0,
         instances: limiters,
-        zone: 0,
         tick: 1.0,
-        groups: vec![group],
         plans: vec![plan],
         load_values: vec![],
         reports: ReportsVia::Nothing,
-        discovery_asks: false,
-        must_ask_in: 0.0,
-        drain_grace: 250.0,
-        fall_multiple: 3.0,
-        fall_window: 3000.0,
-        cold_share: 0.2,
-        cold_time: 10_000.0,
-        answer_grace: 16.0,
-        may_cancel: true,
         may_probe: false,
         may_tell: true,
-        second_copies: false,
-        send_cap: 4,
         retry_after: false,
         max_retry_after: 0.0,
         counter,
-        counter_wait: 30.0,
-        counter_price: 0.0,
-        probe_price: 0.0,
-        cross_zone_price: 0.0,
         units_top: 2.0,
-        cost_after: false,
-        meter: 0.0,
         peer_in_per_s: 60.0,
+        ..base
     }
 }
 
