--- /dev/null
+++ b/crates/aspendrum-judge/src/quota.rs
@@ -0,0 +1,122 @@
+//! Units granted against a quota, by the first forward of each query that reached a server whole.
+
+use crate::record::{Customer, Final, Ms, Query, Record};
+use std::collections::HashMap;
+
+/// Units taken from a quota: when, and how many.
+pub type Grants = Vec<(Ms, f64)>;
+
+/// What each customer's queries took, in the order of time.
+pub fn grants(record: &Record) -> Vec<Grants> {
+    let mut first: HashMap<u64, Ms> = HashMap::new();
+    for f in &record.forwards {
+        first.entry(f.id).and_modify(|at| *at = at.min(f.whole)).or_insert(f.whole);
+    }
+    let mut grants = vec![Grants::new(); record.customers.len()];
+    for q in &record.queries {
+        if let Some(at) = first.get(&q.id) {
+            grants[q.customer].push((*at, q.units));
+        }
+    }
+    grants.iter_mut().for_each(|g| g.sort_by(|a, b| a.0.total_cmp(&b.0)));
+    grants
+}
+
+/// The most that any window of time held beyond what `rate` brings in it: at most the burst where the quota
+/// is kept at every moment.
+pub fn peak(grants: &Grants, rate: f64) -> f64 {
+    let (mut held, mut last, mut most) = (0.0f64, 0.0, 0.0f64);
+    for (at, units) in grants {
+        held = (held - rate * (at - last)).max(0.0) + units;
+        (last, most) = (*at, most.max(held));
+    }
+    most
+}
+
+/// A customer's use of its quota.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Use {
+    /// Units that its clients asked for, and that reached servers.
+    pub asked: f64,
+    pub granted: f64,
+    /// Units granted over the burst and what the rate brings in the whole time.
+    pub over_quota: f64,
+    /// The same in the worst window, as a share of the burst.
+    pub peak_over_burst: f64,
+    /// The same against the ceiling's burst; 0 without a ceiling.
+    pub peak_over_ceiling: f64,
+    /// Units granted while a bucket of the quota had room for them.
+    pub inside: f64,
+    /// Units refused while it had room, and how many queries.
+    pub refused_with_room: f64,
+    pub refused: u64,
+}
+
+/// One bucket of the whole quota, played over what servers saw and what clients were refused.
+pub fn used(customer: &Customer, queries: &[&Query], grants: &Grants, from: Ms, to: Ms) -> (Use, Grants) {
+    let refused = |q: &&&Query| q.outcome == Final::Shed;
+    let mut events: Vec<(Ms, f64, bool)> = grants.iter().map(|g| (g.0, g.1, true)).collect();
+    events.extend(queries.iter().filter(refused).map(|q| (q.ended, q.units, false)));
+    events.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let (mut level, mut last) = (customer.burst, from);
+    let (mut inside, mut used) = (Grants::new(), Use::default());
+    for (at, units, granted) in events {
+        level = (level + customer.rate * (at - last).max(0.0)).min(customer.burst);
+        last = last.max(at);
+        let room = level >= units;
+        if granted && room {
+            level -= units;
+            inside.push((at, units));
+        } else if !granted && room {
+            used.refused_with_room += units;
+        }
+    }
+    used.asked = queries.iter().map(|q| q.units).sum();
+    used.granted = grants.iter().map(|g| g.1).sum();
+    used.inside = inside.iter().map(|g| g.1).sum();
+    used.refused = queries.iter().filter(|q| q.outcome == Final::Shed).count() as u64;
+    used.over_quota = used.granted / (customer.burst + customer.rate * (to - from)).max(f64::MIN_POSITIVE);
+    used.peak_over_burst = peak(grants, customer.rate) / customer.burst.max(f64::MIN_POSITIVE);
+    if customer.ceiling_rate > 0.0 {
+        used.peak_over_ceiling =
+            peak(grants, customer.ceiling_rate) / customer.ceiling_burst.max(f64::MIN_POSITIVE);
+    }
+    (used, inside)
+}
+
+/// The time after `from` until the quota's use over a window from then on is back at `share` of what it should
+/// be; `None`: not before the end.
+pub fn recovered(inside: &[Grants], expected: f64, from: Ms, to: Ms, window: Ms, share: f64) -> Option<Ms> {
+    let mut all: Grants = inside.iter().flatten().copied().collect();
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let held = |start: Ms| -> f64 {
+        let (a, b) = (all.partition_point(|g| g.0 < start), all.partition_point(|g| g.0 < start + window));
+        all[a..b].iter().map(|g| g.1).sum()
+    };
+    // Looked at where use can have changed: at each grant after the fault, and at its end.
+    let starts = std::iter::once(from).chain(all.iter().map(|g| g.0).filter(|at| *at > from));
+    let mut fits = starts.filter(|start| start + window <= to);
+    fits.find(|start| held(*start) >= share * expected * window).map(|start| start - from)
+}
+
+/// Whether units passed a hard ceiling within some window, and the window's start.
+pub fn passed(
+    customer: &Customer,
+    grants: &Grants,
+    largest: f64,
+    slack: f64,
+    time: Ms,
+) -> Option<(Ms, f64, f64)> {
+    for (i, (start, _)) in grants.iter().enumerate() {
+        let mut units = 0.0;
+        for (at, more) in &grants[i..] {
+            units += more;
+            let plain = customer.ceiling_burst + customer.ceiling_rate * (at - start);
+            let may = plain + (slack * plain).max(largest) + customer.ceiling_rate * time;
+            if units > may + 1e-9 {
+                return Some((*start, units, may));
+            }
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/aspendrum-rig/src/process.rs
@@ -0,0 +1,123 @@
+//! Limiters as processes. Whatever is started here is ended here, by its id: when its handle goes, and by the
+//! kernel when the rig itself is killed.
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use tokio::process::{Child, Command};
+
+/// How a limiter is started: a program and its arguments, to which the configuration's path is added.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub program: PathBuf,
+    pub arguments: Vec<String>,
+}
+
+impl Start {
+    /// `aspendrum serve` from that file, or from the one beside this program. Where none is there it is built, so
+    /// that a fresh clone needs one command.
+    pub fn limiter(program: Option<PathBuf>) -> Result<Start, String> {
+        let arguments = vec!["serve".to_string()];
+        if let Some(program) = program {
+            return Ok(Start { program, arguments });
+        }
+        let own = std::env::current_exe().map_err(|e| format!("this program's own place: {e}"))?;
+        // Tests stand a folder deeper.
+        let folder = own.ancestors().skip(1).find(|f| !f.ends_with("deps")).unwrap_or(Path::new("."));
+        let program = folder.join("aspendrum");
+        if !program.exists() {
+            build(folder)?;
+        }
+        Ok(Start { program, arguments })
+    }
+}
+
+/// The limiter in this program's own profile.
+fn build(folder: &Path) -> Result<(), String> {
+    eprintln!("the limiter is not built yet: building it");
+    let cargo = std::env::var_os("CARGO").unwrap_or("cargo".into());
+    let mut command = std::process::Command::new(cargo);
+    command.args(["build", "--locked", "--package", "aspendrum", "--bin", "aspendrum"]);
+    if folder.ends_with("release") {
+        command.arg("--release");
+    }
+    command.current_dir(env!("CARGO_MANIFEST_DIR"));
+    match command.status() {
+        Ok(status) if status.success() => Ok(()),
+        Ok(status) => Err(format!("the limiter could not be built: {status}; name one with --limiter")),
+        Err(e) => Err(format!("cargo could not be started: {e}; name a limiter with --limiter")),
+    }
+}
+
+pub struct Process {
+    child: Child,
+    pid: Pid,
+}
+
+impl Process {
+    /// Starts it with the configuration in that file; its log is added to `log`.
+    pub fn start(how: &Start, config: &Path, log: &Path) -> io::Result<Process> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let mut command = Command::new(&how.program);
+        command.args(&how.arguments).arg("--config").arg(config);
+        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).kill_on_drop(true);
+        let rig = nix::unistd::getpid();
+        let end_with_rig = move || {
+            nix::sys::prctl::set_pdeathsig(Signal::SIGKILL)?;
+            // The rig may have died between the fork and here.
+            if nix::unistd::getppid() != rig {
+                return Err(io::ErrorKind::NotFound.into());
+            }
+            Ok(())
+        };
+        // SAFETY: between fork and exec it makes two system calls and allocates nothing.
+        unsafe { command.pre_exec(end_with_rig) };
+        let child =
+            command.spawn().map_err(|e| io::Error::new(e.kind(), format!("{:?}: {e}", how.program)))?;
+        let pid = child.id().and_then(|id| i32::try_from(id).ok()).map(Pid::from_raw);
+        let pid = pid.ok_or(io::Error::from(io::ErrorKind::NotFound))?;
+        Ok(Process { child, pid })
+    }
+
+    pub fn id(&self) -> i32 {
+        self.pid.as_raw()
+    }
+
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        Ok(kill(self.pid, signal)?)
+    }
+
+    /// Whether it has ended by itself, and how.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Until it has ended.
+    pub async fn end(&mut self) -> io::Result<ExitStatus> {
+        self.child.wait().await
+    }
+
+    /// SIGKILL, and its end waited for.
+    pub async fn kill(&mut self) {
+        let _ = self.child.kill().await;
+    }
+
+    /// Memory that only it holds and that it holds in all, KiB, as the kernel tells now.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid)).ok()?;
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        line.trim().strip_suffix("kB")?.trim().parse().ok()
+    }
+
+    /// Processor time used so far, seconds.
+    pub fn cpu_s(&self) -> Option<f64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.pid)).ok()?;
+        let after: Vec<&str> = text.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks = |n: usize| after.get(n)?.parse::<f64>().ok();
+        // Linux tells hundredths of a second to every program.
+        Some((ticks(11)? + ticks(12)?) / 100.0)
+    }
+}
--- /dev/null
+++ b/crates/aspendrum-rig/src/run.rs
@@ -0,0 +1,678 @@
+//! One run of a scenario: everything started and linked, the traffic and the faults, the record and its verdict.
+
+use crate::clients::{self, Customer, Front};
+use crate::config::{self, Places};
+use crate::process::{Process, Start};
+use crate::scenario::{Path as LinkPath, Scenario, Way, What, Which};
+use crate::timeline::{self, Moment};
+use aspendrum_judge::record::{self, Excuse, Ms, Query, Record};
+use aspendrum_judge::{judge, Verdict};
+use aspendrum_links::{Carried, Fault, Link, Mesh, Relay};
+use aspendrum_standins::counter::{self, Counter};
+use aspendrum_standins::discovery::{self, Discovery, Health};
+use aspendrum_standins::server::{self, Server, Shared};
+use aspendrum_standins::Clock;
+use nix::sys::resource::{getrlimit, setrlimit, Resource};
+use nix::sys::signal::Signal;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+const HERE: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const LISTEN: u16 = 9000;
+const PEER_LISTEN: u16 = 7946;
+/// Held as long as a run goes on, so that no other run takes the same addresses.
+const CLAIM: u16 = 9;
+/// A limiter that is not ready by then has failed to start.
+const READY: Duration = Duration::from_secs(30);
+/// After a SIGTERM at the end of the run, until it must have ended.
+const END: Duration = Duration::from_secs(10);
+/// Between the fleet's readiness and the first query.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// What passed between the parts of the run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    /// Datagrams between limiters: sent, bytes, lost or cut off.
+    pub datagrams: Carried,
+    pub counter: counter::Seen,
+    pub discovery: discovery::Seen,
+}
+
+/// What a run came to.
+pub struct Outcome {
+    pub record: Record,
+    pub verdict: Verdict,
+    pub traffic: Traffic,
+    /// Memory of each limiter at the end of the traffic, KiB, and processor time of all, seconds.
+    pub memory_kb: Vec<u64>,
+    pub cpu_s: f64,
+    /// Limiters that ended unasked, panicked, did not start or did not end in good order.
+    pub failures: Vec<String>,
+}
+
+impl Outcome {
+    pub fn seconds(&self) -> f64 {
+        (self.record.to - self.record.from) / 1000.0
+    }
+
+    /// Every failure, broken rule and passed bound, in words.
+    pub fn broken(&self, s: &Scenario) -> Vec<String> {
+        let mut all = self.failures.clone();
+        let rule = |b: &aspendrum_judge::rules::Breach| {
+            format!("rule {} at {:.1} s: {}", b.rule, (b.at - self.record.from) / 1000.0, b.what)
+        };
+        all.extend(self.verdict.breaches.iter().map(rule));
+        let (v, b) = (&self.verdict, &s.bounds);
+        let mut over = |name: &str, value: f64, most: Option<f64>| {
+            let passed = most.filter(|most| value > *most);
+            all.extend(passed.map(|most| format!("{name} is {value:.3}, and may be {most}")));
+        };
+        over("granted over quota", v.whole.over_quota, b.over_quota);
+        over("the worst window over burst", v.whole.peak_over_burst, b.peak_over_burst);
+        over("refused with room, of asked,", v.refused_with_room(), b.refused_with_room);
+        over("forwards a query", v.forwards_per_query, b.forwards_per_query);
+        let late = v.recoveries.iter().map(|r| r.1.unwrap_or(f64::INFINITY) / 1000.0).fold(0.0, f64::max);
+        over("seconds to recover", late, b.recovery_s);
+        let short = b.under_quota.filter(|least| v.whole.over_quota < *least);
+        let told = |least| format!("granted over quota is {:.3}, and must be {least}", v.whole.over_quota);
+        all.extend(short.map(told));
+        all
+    }
+
+    pub fn good(&self, s: &Scenario) -> bool {
+        self.broken(s).is_empty()
+    }
+}
+
+/// [`run`] on a runtime of its own, ended by an interrupt like by any other failure: with all it has started.
+pub fn play(
+    scenario: &Scenario,
+    start: &Start,
+    folder: &Path,
+    progress: &(dyn Fn(&str) + Sync),
+) -> Result<Outcome, String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("the runtime: {e}"))?;
+    runtime.block_on(async {
+        tokio::select! {
+            done = run(scenario, start, folder, progress) => done,
+            _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
+        }
+    })
+}
+
+struct Slot {
+    process: Option<Process>,
+    starts: u64,
+}
+
+/// Everything of a run that the timeline moves.
+struct Fleet {
+    scenario: Arc<Scenario>,
+    clock: Clock,
+    folder: PathBuf,
+    start: Start,
+    servers: Vec<Arc<Server>>,
+    counter: Arc<Counter>,
+    discovery: Arc<Discovery>,
+    mesh: Mesh,
+    /// By limiter: the clients' way to it, its ways to the counter and to discovery, and to each server.
+    front: Vec<Relay>,
+    to_counter: Vec<Relay>,
+    to_discovery: Vec<Relay>,
+    to_servers: Vec<Vec<Relay>>,
+    listens: Vec<SocketAddr>,
+    peer_listens: Vec<SocketAddr>,
+    slots: Vec<tokio::sync::Mutex<Slot>>,
+    excuses: Mutex<Vec<Excuse>>,
+    failures: Mutex<Vec<String>>,
+    _claim: TcpListener,
+}
+
+/// Plays the scenario; what the limiters wrote and were told stands in `folder`.
+pub async fn run(
+    scenario: &Scenario,
+    start: &Start,
+    folder: &Path,
+    progress: &(dyn Fn(&str) + Sync),
+) -> Result<Outcome, String> {
+    let told = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+    raise_descriptors();
+    std::fs::create_dir_all(folder).map_err(told("the folder of the run"))?;
+    let fleet = Arc::new(Fleet::build(scenario, start, folder).await.map_err(told("the stand-ins"))?);
+    progress(&format!("{} limiters start", scenario.limiters.count));
+    fleet.start_all().await?;
+    sleep(SETTLE).await;
+
+    let customers = Arc::new(clients::customers(scenario));
+    let addrs = fleet.front.iter().map(Relay::addr).collect();
+    let front = Arc::new(Front::new(fleet.clock, addrs));
+    let from = fleet.clock.now();
+    let plan = clients::plan(scenario, &customers, from);
+    progress(&format!("{} queries over {:.0} s", plan.len(), scenario.seconds));
+    let faults = tokio::spawn(fleet.clone().play(from));
+    let queries = traffic(&fleet, &front, &customers, plan).await;
+    let to = from + scenario.seconds * 1000.0;
+    faults.await.map_err(|e| format!("the timeline: {e}"))?;
+
+    let (memory_kb, cpu_s) = fleet.weigh().await;
+    fleet.end_all().await;
+    let record = fleet.record(&customers, queries, from, to);
+    let failures = fleet.failures();
+    Ok(Outcome { verdict: judge(&record), record, traffic: fleet.traffic(), memory_kb, cpu_s, failures })
+}
+
+/// A run of forty limiters holds some thousands of sockets.
+fn raise_descriptors() {
+    if let Ok((_, most)) = getrlimit(Resource::RLIMIT_NOFILE) {
+        let _ = setrlimit(Resource::RLIMIT_NOFILE, most, most);
+    }
+}
+
+/// Addresses that no other run on this machine holds.
+fn claim() -> std::io::Result<(u8, u8, TcpListener)> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let mut last = None;
+    for _ in 0..200 {
+        let n = std::process::id().wrapping_mul(31).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let (a, b) = (64 + (n / 250 % 100) as u8, (n % 250) as u8);
+        match TcpListener::bind((Ipv4Addr::new(127, a, b, 254), CLAIM)) {
+            Ok(held) => return Ok((a, b, held)),
+            Err(e) => last = Some(e),
+        }
+    }
+    Err(last.unwrap_or(std::io::ErrorKind::AddrInUse.into()))
+}
+
+async fn traffic(
+    fleet: &Arc<Fleet>,
+    front: &Arc<Front>,
+    customers: &Arc<Vec<Customer>>,
+    plan: Vec<clients::Planned>,
+) -> Vec<Query> {
+    let mut tasks = JoinSet::new();
+    for query in plan {
+        sleep_until(moment(fleet.clock, query.at)).await;
+        let (front, customers, scenario) = (front.clone(), customers.clone(), fleet.scenario.clone());
+        tasks.spawn(async move { front.ask(&scenario, &customers, &query).await });
+    }
+    tasks.join_all().await
+}
+
+fn moment(clock: Clock, at: Ms) -> Instant {
+    Instant::from_std(clock.begun() + Duration::from_secs_f64(at.max(0.0) / 1000.0))
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+impl Fleet {
+    async fn build(s: &Scenario, start: &Start, folder: &Path) -> std::io::Result<Fleet> {
+        let (a, b, claim) = claim()?;
+        let (n, clock) = (s.limiters.count, Clock::start());
+        let own = |n: usize, port| SocketAddr::from((Ipv4Addr::new(127, a, b, n as u8 + 1), port));
+        let shared = Shared::new(clock);
+        let mut servers = Vec::new();
+        for number in 0..s.servers.count {
+            servers.push(Server::start(HERE, number, figures(s), s.seed, shared.clone()).await?);
+        }
+        let told = counter::Figures {
+            calls_per_s: s.counter.calls_per_s,
+            busy_after: Duration::from_secs_f64(s.counter.busy_after_ms / 1000.0),
+        };
+        let counter = Counter::start(HERE, told, clock).await?;
+        let zones: Vec<usize> = (0..s.servers.count).map(|server| s.zone(server)).collect();
+        let discovery = Discovery::new(clock, &zones);
+        discovery.ail(|a| (a.late_ms, a.calls_per_s) = (s.discovery.late_ms, s.discovery.calls_per_s));
+        let listens: Vec<SocketAddr> = (0..n).map(|n| own(n, LISTEN)).collect();
+        let peer_listens: Vec<SocketAddr> = (0..n).map(|n| own(n, PEER_LISTEN)).collect();
+        let mut mesh = Mesh::bind(HERE, n).await?;
+        mesh.carry(&peer_listens);
+        let (mut front, mut to_counter, mut to_discovery) = (Vec::new(), Vec::new(), Vec::new());
+        let mut to_servers = Vec::new();
+        for (limiter, listen) in listens.iter().enumerate() {
+            let mut relays = Vec::new();
+            for server in &servers {
+                relays.push(Relay::start(HERE, server.addr()).await?);
+            }
+            let dials = relays.iter().map(Relay::addr).collect();
+            to_discovery.push(Relay::start(HERE, discovery.agent(HERE, limiter, dials).await?).await?);
+            to_counter.push(Relay::start(HERE, counter.addr()).await?);
+            front.push(Relay::start(HERE, *listen).await?);
+            to_servers.push(relays);
+        }
+        let slots = (0..n).map(|_| tokio::sync::Mutex::new(Slot { process: None, starts: 0 })).collect();
+        Ok(Fleet {
+            scenario: Arc::new(s.clone()),
+            clock,
+            folder: folder.to_path_buf(),
+            start: start.clone(),
+            servers,
+            counter,
+            discovery,
+            mesh,
+            front,
+            to_counter,
+            to_discovery,
+            to_servers,
+            listens,
+            peer_listens,
+            slots,
+            excuses: Mutex::default(),
+            failures: Mutex::default(),
+            _claim: claim,
+        })
+    }
+
+    fn failed(&self, what: String) {
+        lock(&self.failures).push(what);
+    }
+
+    async fn start_all(self: &Arc<Fleet>) -> Result<(), String> {
+        let mut tasks = JoinSet::new();
+        for me in 0..self.slots.len() {
+            let fleet = self.clone();
+            tasks.spawn(async move { fleet.start_one(me).await });
+        }
+        tasks.join_all().await.into_iter().collect()
+    }
+
+    /// Starts it from nothing and waits until it takes queries.
+    async fn start_one(&self, me: usize) -> Result<(), String> {
+        let mut slot = self.slots[me].lock().await;
+        let failed = |e: std::io::Error| format!("limiter {me} does not start: {e}");
+        slot.starts += 1;
+        let seed = self.scenario.seed << 32 | (me as u64) << 16 | slot.starts;
+        let dials: Vec<SocketAddr> = self.to_servers[me].iter().map(Relay::addr).collect();
+        let places = Places {
+            listen: self.listens[me],
+            discovery: self.to_discovery[me].addr(),
+            counter: self.to_counter[me].addr(),
+            peer_listen: self.peer_listens[me],
+            peers: self.mesh.peers(me).map_err(failed)?,
+            peers_all: self.mesh.peers_all(me).map_err(failed)?,
+            known: self.discovery.known(&dials),
+        };
+        let config = self.folder.join(format!("n{me}.json"));
+        let text = config::limiter(&self.scenario, me, seed, &places).to_string();
+        std::fs::write(&config, text).map_err(failed)?;
+        let log = self.folder.join(format!("n{me}.log"));
+        slot.process = Some(Process::start(&self.start, &config, &log).map_err(failed)?);
+        let until = Instant::now() + READY;
+        while Instant::now() < until {
+            if ready(self.listens[me]).await {
+                return Ok(());
+            }
+            if let Some(status) = slot.process.as_mut().and_then(Process::ended) {
+                slot.process = None;
+                return Err(format!("limiter {me} ended at its start: {status}"));
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        Err(format!("limiter {me} is not ready after {READY:?}"))
+    }
+
+    /// The timeline, to its last moment.
+    async fn play(self: Arc<Fleet>, from: Ms) {
+        let mut tasks = JoinSet::new();
+        for m in timeline::moments(&self.scenario) {
+            sleep_until(moment(self.clock, from + m.at)).await;
+            // Starts and ends of processes take their time, and the next moment does not wait for them.
+            let fleet = self.clone();
+            tasks.spawn(async move { fleet.turn(m).await });
+        }
+        tasks.join_all().await;
+    }
+
+    async fn turn(&self, m: Moment) {
+        let scenario = self.scenario.clone();
+        let s = &*scenario;
+        match &s.faults[m.fault].what {
+            What::Link { path, of, to, way, reset, cut, lose, delay_ms, jitter_ms, reorder, twice } => {
+                let fault = Fault {
+                    cut: *cut,
+                    lose: *lose,
+                    delay_ms: *delay_ms,
+                    jitter_ms: *jitter_ms,
+                    reorder: *reorder,
+                    twice: *twice,
+                };
+                let links = self.links(*path, of, to, *way);
+                if m.begins {
+                    self.excuse_links(*path, of, to, m);
+                }
+                for link in links {
+                    match m.begins {
+                        true if fault != Fault::default() => link.put(m.number, fault),
+                        true => {}
+                        false => link.heal(m.number),
+                    }
+                    if *reset && m.begins {
+                        link.reset();
+                    }
+                }
+            }
+            What::Kill { of } => self.each(of, |me| self.down(me, Signal::SIGKILL, m.begins)).await,
+            What::Term { of } => self.each(of, |me| self.down(me, Signal::SIGTERM, m.begins)).await,
+            What::Stall { of } => self.each(of, |me| self.stall(me, m)).await,
+            What::Server { of, slow, failing, resetting, silent, drain, gone } => {
+                for n in of.of(s.servers.count, s.limiters.zones) {
+                    let on = |share: f64| if m.begins { share } else { 0.0 };
+                    self.servers[n].ail(|a| {
+                        (a.slow, a.failing, a.resetting) = (on(*slow), on(*failing), on(*resetting));
+                        a.silent = *silent && m.begins;
+                    });
+                    if *drain || *gone {
+                        self.replace(n, *drain, m.begins).await;
+                    }
+                }
+            }
+            What::Counter { silent, slow_ms, busy, emptied, replaced } => {
+                let on = m.begins;
+                self.counter.ail(|a| {
+                    (a.silent, a.busy) = (*silent && on, *busy && on);
+                    a.slow_ms = if on { *slow_ms } else { 0.0 };
+                });
+                match (on, emptied, replaced) {
+                    (true, _, true) => self.counter.replace(),
+                    (true, true, _) => self.counter.empty(),
+                    _ => {}
+                }
+            }
+            What::Discovery { silent, late_ms, stale, calls_per_s } => {
+                let (usual, on) = (&s.discovery, m.begins);
+                self.discovery.ail(|a| {
+                    (a.silent, a.stale) = (*silent && on, *stale && on);
+                    a.late_ms = if on && *late_ms > 0.0 { *late_ms } else { usual.late_ms };
+                    a.calls_per_s = if on && *calls_per_s > 0.0 { *calls_per_s } else { usual.calls_per_s };
+                });
+            }
+        }
+    }
+
+    /// The same for each of these limiters, all at once.
+    async fn each<F: std::future::Future<Output = ()>>(&self, of: &Which, what: impl Fn(usize) -> F) {
+        let s = &self.scenario;
+        let all: Vec<F> = of.of(s.limiters.count, s.limiters.zones).into_iter().map(what).collect();
+        let mut all: Vec<_> = all.into_iter().map(Box::pin).collect();
+        std::future::poll_fn(|context| {
+            all.retain_mut(|f| f.as_mut().poll(context).is_pending());
+            if all.is_empty() {
+                std::task::Poll::Ready(())
+            } else {
+                std::task::Poll::Pending
+            }
+        })
+        .await;
+    }
+
+    /// Ends it, or starts it again.
+    async fn down(&self, me: usize, signal: Signal, begins: bool) {
+        if begins {
+            let mut slot = self.slots[me].lock().await;
+            if let Some(process) = slot.process.as_mut() {
+                let from = self.clock.now();
+                self.excuse(me, None, from, f64::INFINITY);
+                let _ = process.signal(signal);
+                if let Ok(status) = process.end().await {
+                    if signal == Signal::SIGTERM && !status.success() {
+                        self.failed(format!("limiter {me} ended badly after a SIGTERM: {status}"));
+                    }
+                }
+                slot.process = None;
+            }
+            return;
+        }
+        match self.start_one(me).await {
+            Ok(()) => self.pardon_ends(me),
+            Err(text) => self.failed(text),
+        }
+    }
+
+    async fn stall(&self, me: usize, m: Moment) {
+        let slot = self.slots[me].lock().await;
+        let Some(process) = &slot.process else { return };
+        let signal = if m.begins { Signal::SIGSTOP } else { Signal::SIGCONT };
+        if m.begins {
+            self.excuse(me, None, self.clock.now(), f64::INFINITY);
+        }
+        if let Err(e) = process.signal(signal) {
+            self.failed(format!("limiter {me} could not be sent {signal}: {e}"));
+        }
+        if !m.begins {
+            self.pardon_ends(me);
+        }
+    }
+
+    async fn replace(&self, n: usize, drain: bool, begins: bool) {
+        if begins {
+            let health = if drain { Health::Terminating } else { Health::Terminated };
+            self.discovery.change(n, health, None);
+            if !drain {
+                self.servers[n].die();
+            }
+            return;
+        }
+        self.servers[n].die();
+        match self.servers[n].back().await {
+            Ok(Some(_)) => self.discovery.change(n, Health::InService, Some(unix_ms())),
+            Ok(None) => {}
+            Err(e) => self.failed(format!("stand-in server {n} does not come back: {e}")),
+        }
+    }
+
+    fn excuse(&self, limiter: usize, server: Option<usize>, from: Ms, to: Ms) {
+        lock(&self.excuses).push(Excuse { limiter, server, from, to });
+    }
+
+    /// It takes queries again.
+    fn pardon_ends(&self, me: usize) {
+        let now = self.clock.now();
+        let open = |e: &&mut Excuse| e.limiter == me && e.server.is_none() && e.to == f64::INFINITY;
+        lock(&self.excuses).iter_mut().filter(open).for_each(|e| e.to = now);
+    }
+
+    fn excuse_links(&self, path: LinkPath, of: &Which, to: &Which, m: Moment) {
+        let s = &self.scenario;
+        let now = self.clock.now();
+        let until = s.faults[m.fault].for_s.map_or(f64::INFINITY, |lasts| now + lasts * 1000.0);
+        for me in of.of(s.limiters.count, s.limiters.zones) {
+            match path {
+                LinkPath::Front => self.excuse(me, None, now, until),
+                LinkPath::Servers => {
+                    self.to_which(to)
+                        .into_iter()
+                        .for_each(|server| self.excuse(me, Some(server), now, until));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Servers, all of them where none is named.
+    fn to_which(&self, to: &Which) -> Vec<usize> {
+        let (count, zones) = (self.servers.len(), self.scenario.limiters.zones);
+        if to.is_nobody() {
+            (0..count).collect()
+        } else {
+            to.of(count, zones)
+        }
+    }
+
+    fn links(&self, path: LinkPath, of: &Which, to: &Which, way: Way) -> Vec<Arc<Link>> {
+        let s = &self.scenario;
+        let mut links = Vec::new();
+        let (there, back) = (way != Way::Back, way != Way::There);
+        for a in of.of(s.limiters.count, s.limiters.zones) {
+            let relays: Vec<&Relay> = match path {
+                LinkPath::Limiters => {
+                    for b in to.of(s.limiters.count, s.limiters.zones).into_iter().filter(|b| *b != a) {
+                        links.extend(there.then(|| self.mesh.link(a, b).clone()));
+                        links.extend(back.then(|| self.mesh.link(b, a).clone()));
+                    }
+                    continue;
+                }
+                LinkPath::Counter => vec![&self.to_counter[a]],
+                LinkPath::Discovery => vec![&self.to_discovery[a]],
+                LinkPath::Front => vec![&self.front[a]],
+                LinkPath::Servers => self.to_which(to).into_iter().map(|n| &self.to_servers[a][n]).collect(),
+            };
+            for relay in relays {
+                links.extend(there.then(|| relay.there.clone()));
+                links.extend(back.then(|| relay.back.clone()));
+            }
+        }
+        links
+    }
+
+    /// Whoever runs: its memory, and the processor time of all.
+    async fn weigh(&self) -> (Vec<u64>, f64) {
+        let (mut memory, mut cpu) = (Vec::new(), 0.0);
+        for (me, slot) in self.slots.iter().enumerate() {
+            let mut slot = slot.lock().await;
+            let Some(process) = slot.process.as_mut() else { continue };
+            if let Some(status) = process.ended() {
+                self.failed(format!("limiter {me} ended unasked: {status}"));
+                slot.process = None;
+                continue;
+            }
+            memory.extend(process.memory_kb());
+            cpu += process.cpu_s().unwrap_or(0.0);
+        }
+        (memory, cpu)
+    }
+
+    /// A planned end of all, which each must come to in good order.
+    async fn end_all(self: &Arc<Fleet>) {
+        let all = Which::all();
+        self.each(&all, |me| async move {
+            let mut slot = self.slots[me].lock().await;
+            let Some(mut process) = slot.process.take() else { return };
+            let _ = process.signal(Signal::SIGCONT);
+            let _ = process.signal(Signal::SIGTERM);
+            match timeout(END, process.end()).await {
+                Ok(Ok(status)) if status.success() => {}
+                Ok(Ok(status)) => self.failed(format!("limiter {me} ended badly after a SIGTERM: {status}")),
+                Ok(Err(e)) => self.failed(format!("limiter {me}: {e}")),
+                Err(_) => {
+                    self.failed(format!("limiter {me} had not ended {END:?} after a SIGTERM"));
+                    process.kill().await;
+                }
+            }
+        })
+        .await;
+        for me in 0..self.slots.len() {
+            let log = std::fs::read_to_string(self.folder.join(format!("n{me}.log"))).unwrap_or_default();
+            let bad = |line: &&str| line.contains("panicked at") || line.contains("the desk failed");
+            if let Some(line) = log.lines().find(bad) {
+                self.failed(format!("limiter {me}: {line}"));
+            }
+        }
+    }
+
+    fn failures(&self) -> Vec<String> {
+        lock(&self.failures).clone()
+    }
+
+    fn traffic(&self) -> Traffic {
+        let (n, mut datagrams) = (self.slots.len(), Carried::default());
+        for from in 0..n {
+            for to in (0..n).filter(|to| *to != from) {
+                let c = self.mesh.link(from, to).carried();
+                datagrams.messages += c.messages;
+                datagrams.bytes += c.bytes;
+                datagrams.lost += c.lost;
+            }
+        }
+        Traffic { datagrams, counter: self.counter.seen(), discovery: self.discovery.seen() }
+    }
+
+    fn record(&self, customers: &[Customer], queries: Vec<Query>, from: Ms, to: Ms) -> Record {
+        let s = &self.scenario;
+        let customer = |(n, c): (usize, &Customer)| {
+            let (plan, of) = (&s.plans[c.plan], &s.customers[c.of]);
+            record::Customer {
+                name: format!("{}-{n}", plan.name),
+                rate: plan.rate / 1000.0,
+                burst: plan.burst,
+                ceiling_rate: plan.ceiling_rate / 1000.0,
+                ceiling_burst: plan.ceiling_burst,
+                asked: of.queries_per_s * of.units / 1000.0,
+            }
+        };
+        let server = record::Server {
+            cores: s.servers.cores as f64,
+            cold_share: s.servers.cold_share,
+            ramp: s.servers.ramp_s * 1000.0,
+        };
+        let group = |g: &crate::scenario::Group| record::Group {
+            name: g.name.clone(),
+            repeats: g.repeats,
+            work: g.work_ms,
+        };
+        let shared = self.servers.first().map(|s| s.shared());
+        Record {
+            figures: record::Figures {
+                drain_grace: s.rules.drain_grace_s * 1000.0 + 50.0,
+                fall_multiple: s.rules.fall_multiple,
+                fall_window: s.rules.fall_s * 1000.0,
+                ceiling_slack: config::CEILING_SLACK,
+                ..record::Figures::default()
+            },
+            groups: s.groups.iter().map(group).collect(),
+            customers: customers.iter().enumerate().map(customer).collect(),
+            servers: vec![server; s.servers.count],
+            queries,
+            forwards: shared.map_or(Vec::new(), |s| s.forwards()),
+            told: self.discovery.told(),
+            lives: self.servers.iter().flat_map(|s| s.lives()).collect(),
+            excuses: lock(&self.excuses).clone(),
+            troubles: timeline::troubles(s, from),
+            from,
+            to,
+        }
+    }
+}
+
+fn figures(s: &Scenario) -> server::Figures {
+    let groups = s.groups.iter().map(|g| (g.name.clone(), (g.work_ms, g.repeats)));
+    server::Figures {
+        cores: s.servers.cores,
+        queue: s.servers.queue,
+        connections: s.servers.connections,
+        handshake: s.servers.handshake_ms,
+        cold_share: s.servers.cold_share,
+        ramp: s.servers.ramp_s * 1000.0,
+        fall_multiple: s.rules.fall_multiple,
+        fall_window: s.rules.fall_s * 1000.0,
+        reports_in_answers: s.servers.reports == crate::scenario::Reports::Answers,
+        probes: s.servers.reports == crate::scenario::Reports::Probes,
+        groups: groups.collect(),
+        repeat_window: config::REPEAT_WINDOW_S * 1000.0,
+    }
+}
+
+/// Whether a limiter answers that it takes queries.
+async fn ready(at: SocketAddr) -> bool {
+    let ask = async {
+        let mut stream = TcpStream::connect(at).await?;
+        stream.write_all(b"GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").await?;
+        let mut told = Vec::new();
+        stream.read_to_end(&mut told).await?;
+        Ok::<bool, std::io::Error>(told.starts_with(b"HTTP/1.1 200"))
+    };
+    matches!(timeout(Duration::from_secs(1), ask).await, Ok(Ok(true)))
+}
+
+/// Plain data, whole whoever panicked while holding it.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
