--- a/crates/aspendrum/src/clients.rs
+++ b/crates/aspendrum/src/clients.rs
@@ -66,7 +66,7 @@
         let fits = http::reply(&mut ring, status, advice, close, kind, body);
         let written = fits && ring.drain(&mut &*self.stream).is_ok();
         if !written {
-            log::debug!("an answer found no reader");
+            tracing::debug!("an answer found no reader");
         }
         written && !close
     }
@@ -166,7 +166,7 @@
     for _ in 0..limits.spare_hands {
         let (own, streams) = (shop.clone(), turned_away.clone());
         if let Err(e) = spawn("spare", limits.stack, move || turn_away(&own, &streams)) {
-            log::warn!("a spare thread: {e}");
+            tracing::warn!(error = %e, "a spare thread did not start");
         }
     }
     let mut next = 0;
@@ -190,7 +190,7 @@
             }
             // Out of descriptors, or the client is gone again.
             Err(e) => {
-                log::debug!("accepting: {e}");
+                tracing::debug!(error = %e, "a connection could not be taken in");
                 shop.clients.close_one(shop);
                 thread::sleep(limits.accept_pause);
             }
--- a/crates/aspendrum/src/counter.rs
+++ b/crates/aspendrum/src/counter.rs
@@ -102,7 +102,7 @@
         if addr == self.addr {
             return;
         }
-        log::info!("the counter is at {addr} now");
+        tracing::info!(%addr, "the counter has moved");
         self.addr = addr;
         let lanes = self.lanes_to(addr);
         let old = std::mem::replace(&mut self.lanes, lanes);
--- a/crates/aspendrum/src/desk.rs
+++ b/crates/aspendrum/src/desk.rs
@@ -20,6 +20,9 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+/// What the module itself has to say is logged under this name.
+const MODULE: &str = "aspendrum::module";
+
 /// What the desk is told.
 pub enum Note {
     Query {
@@ -322,8 +325,8 @@
                     peers.tell(to, &data);
                 }
             }
-            Action::Log(text) => log::info!("{text}"),
-            Action::Fault(text) => log::error!("{text}"),
+            Action::Log(text) => tracing::info!(target: MODULE, "{text}"),
+            Action::Fault(text) => tracing::error!(target: MODULE, "{text}"),
         }
     }
 
--- a/crates/aspendrum/src/discovery.rs
+++ b/crates/aspendrum/src/discovery.rs
@@ -183,7 +183,7 @@
                 Err(why) => {
                     conn = None;
                     if why != trouble {
-                        log::warn!("discovery: {why}; the last list stays");
+                        tracing::warn!(%why, "discovery failed; the last list stays");
                         trouble = why;
                     }
                     if self.asks {
--- a/crates/aspendrum/src/hands.rs
+++ b/crates/aspendrum/src/hands.rs
@@ -52,7 +52,7 @@
             let Some(job) = lock(place).take() else { return };
             // A job that fails must not take a thread along that others may wait for.
             if catch_unwind(AssertUnwindSafe(job)).is_err() {
-                log::error!("a job failed");
+                tracing::error!("a job failed");
             }
             lock(&self.idle).push(Hand { thread: thread::current(), job: place.clone() });
             let until = Instant::now() + self.wait;
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -149,7 +149,7 @@
         let own = shop.clone();
         let door = move || clients::accept(&own, &listener);
         spawn("door", limits.stack, door).map_err(failed("accept"))?;
-        log::info!("{} listens on {addr}", config.name);
+        tracing::info!(limiter = config.name, %addr, "listens");
         Ok(Limiter { shop, addr, agent, wish, counts })
     }
 
@@ -193,7 +193,7 @@
 
 impl Drop for DeskGuard {
     fn drop(&mut self) {
-        log::error!("the desk failed");
+        tracing::error!("the desk failed");
         std::process::exit(1);
     }
 }
--- a/crates/aspendrum/src/main.rs
+++ b/crates/aspendrum/src/main.rs
@@ -1,15 +1,21 @@
 //! The command line. Everything else is in the library.
 
+mod logs;
+
 use aspendrum::config::{Config, CONFIG_VARIABLE};
 use aspendrum::shutdown::{Told, Wanted};
 use aspendrum::Limiter;
 use clap::{Args, Parser, Subcommand};
+use logs::Form;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 #[derive(Parser)]
 #[command(name = "aspendrum", about = "A limiter that keeps each customer of a shared back end to its plan")]
 struct Line {
+    /// How log lines are written to standard error
+    #[arg(long, global = true, value_enum, default_value_t = Form::Text)]
+    log: Form,
     #[command(subcommand)]
     command: Command,
 }
@@ -39,15 +45,15 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let done = match Line::parse().command {
+    let line = Line::parse();
+    let done = logs::start(line.log).and_then(|()| match line.command {
         Command::Serve(source) => serve(&source),
         Command::CheckConfig(source) => source.load().map(|c| println!("{}: well-formed", c.name)),
         Command::Version => {
             println!("aspendrum {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-    };
+    });
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
@@ -63,8 +69,8 @@
     while told.wait() == Wanted::Reload {
         // Read whole and checked whole, by the reader of the start: a bad file changes nothing.
         match source.load().and_then(|config| limiter.reload(&config)) {
-            Ok(()) => log::info!("the configuration is read again"),
-            Err(text) => log::error!("the configuration stays as it was: {text}"),
+            Ok(()) => tracing::info!("the configuration is read again"),
+            Err(text) => tracing::error!(why = text, "the configuration stays as it was"),
         }
     }
     limiter.drain();
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -161,7 +161,8 @@
             Err(outcome) => (outcome, Load::default()),
         };
         let rtt = as_ms(begun.elapsed());
-        log::debug!("probe of {server:x}: {outcome:?} {:?}", &load.values[..usize::from(load.n)]);
+        let values = &load.values[..usize::from(load.n)];
+        tracing::debug!(server = format_args!("{server:x}"), ?outcome, ?values, "probed");
         own.door.tell(Note::Told(Event::Probed { server, outcome, rtt, load }));
     };
     if shop.hands.run(Box::new(job)).is_err() {
