--- a/crates/aspendrum-judge/src/quota.rs
+++ b/crates/aspendrum-judge/src/quota.rs
@@ -84,19 +84,37 @@
     (used, inside)
 }
 
-/// The time after `from` until the quota's use over a window from then on is back at `share` of what it should
-/// be; `None`: not before the end.
-pub fn recovered(inside: &[Grants], expected: f64, from: Ms, to: Ms, window: Ms, share: f64) -> Option<Ms> {
-    let mut all: Grants = inside.iter().flatten().copied().collect();
-    all.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let held = |start: Ms| -> f64 {
-        let (a, b) = (all.partition_point(|g| g.0 < start), all.partition_point(|g| g.0 < start + window));
-        all[a..b].iter().map(|g| g.1).sum()
+/// What "recovered" asks of all customers together.
+#[derive(Clone, Copy, Debug)]
+pub struct Well {
+    /// Units a millisecond that quotas and clients allow, and the share of them that must be in use.
+    pub expected: f64,
+    pub share: f64,
+    /// Units a millisecond and at once of all quotas: what a window grants must fit.
+    pub rate: f64,
+    pub burst: f64,
+    pub window: Ms,
+}
+
+/// The time after `from` until a window from then on holds the share that it should and no more than the quotas;
+/// `None`: not before the end. `all` and `inside`: what was granted, and of it what one bucket would have given.
+pub fn recovered(all: &[Grants], inside: &[Grants], well: &Well, from: Ms, to: Ms) -> Option<Ms> {
+    let sorted = |grants: &[Grants]| {
+        let mut sum: Grants = grants.iter().flatten().copied().collect();
+        sum.sort_by(|a, b| a.0.total_cmp(&b.0));
+        sum
+    };
+    let held = |grants: &Grants, start: Ms| -> f64 {
+        let place = |at: Ms| grants.partition_point(|g| g.0 < at);
+        grants[place(start)..place(start + well.window)].iter().map(|g| g.1).sum()
     };
-    // Looked at where use can have changed: at each grant after the fault, and at its end.
+    let (all, inside) = (sorted(all), sorted(inside));
+    // Looked at where use can have changed: at the fault's end, and at each grant after it.
     let starts = std::iter::once(from).chain(all.iter().map(|g| g.0).filter(|at| *at > from));
-    let mut fits = starts.filter(|start| start + window <= to);
-    fits.find(|start| held(*start) >= share * expected * window).map(|start| start - from)
+    let mut fits = starts.filter(|start| start + well.window <= to);
+    let enough = |start: Ms| held(&inside, start) >= well.share * well.expected * well.window;
+    let sound = |start: Ms| held(&all, start) <= well.rate * well.window + well.burst;
+    fits.find(|start| enough(*start) && sound(*start)).map(|start| start - from)
 }
 
 /// Whether units passed a hard ceiling within some window, and the window's start.
--- a/crates/aspendrum-judge/src/verdict.rs
+++ b/crates/aspendrum-judge/src/verdict.rs
@@ -1,10 +1,10 @@
 //! A run's figures and what it broke.
 
-use crate::quota::{self, Use};
+use crate::quota::{self, Use, Well};
 use crate::record::{Final, Ms, Query, Record, Trouble};
 use crate::rules::{self, Breach};
 use hdrhistogram::Histogram;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// After a fault, use is looked at over windows of this length, or of a burst's refill where that is longer.
 const WINDOW: Ms = 3000.0;
@@ -56,14 +56,19 @@
         Final::Silent,
     ];
     let count = |kind| record.queries.iter().filter(|q| q.outcome == kind).count() as u64;
-    let expected: f64 = record.customers.iter().map(|c| c.rate.min(c.asked)).sum();
     let refill = record.customers.iter().map(|c| if c.rate > 0.0 { c.burst / c.rate } else { 0.0 });
-    let window = refill.fold(WINDOW, f64::max);
+    let well = Well {
+        expected: record.customers.iter().map(|c| c.rate.min(c.asked)).sum(),
+        share: RECOVERED,
+        rate: record.customers.iter().map(|c| c.rate).sum(),
+        burst: record.customers.iter().map(|c| c.burst).sum(),
+        window: refill.fold(WINDOW, f64::max),
+    };
     let recover = |t: &Trouble| {
-        let after = quota::recovered(&inside, expected, t.to, record.to, window, RECOVERED);
+        let after = quota::recovered(&grants, &inside, &well, t.to, record.to);
         (t.clone(), after)
     };
-    let reached: std::collections::HashSet<u64> = record.forwards.iter().map(|f| f.id).collect();
+    let reached: HashSet<u64> = record.forwards.iter().map(|f| f.id).collect();
     Verdict {
         breaches: rules::breaches(record, &grants),
         whole: together(record, &uses),
--- a/crates/aspendrum-links/src/lib.rs
+++ b/crates/aspendrum-links/src/lib.rs
@@ -68,6 +68,8 @@
     pub bytes: u64,
     /// Datagrams that were lost or cut off; of a stream nothing is.
     pub lost: u64,
+    /// Datagrams that are delayed or held back now.
+    pub under_way: u64,
 }
 
 /// One direction of a path between two processes.
@@ -79,13 +81,14 @@
     messages: AtomicU64,
     bytes: AtomicU64,
     lost: AtomicU64,
+    under_way: AtomicU64,
 }
 
 impl Default for Link {
     fn default() -> Link {
         let (faults, resets) = (watch::Sender::new((Vec::new(), Fault::default())), watch::Sender::new(0));
-        let [messages, bytes, lost] = [(); 3].map(|()| AtomicU64::new(0));
-        Link { faults, resets, messages, bytes, lost }
+        let [messages, bytes, lost, under_way] = [(); 4].map(|()| AtomicU64::new(0));
+        Link { faults, resets, messages, bytes, lost, under_way }
     }
 }
 
@@ -126,7 +129,12 @@
 
     pub fn carried(&self) -> Carried {
         let told = |n: &AtomicU64| n.load(Relaxed);
-        Carried { messages: told(&self.messages), bytes: told(&self.bytes), lost: told(&self.lost) }
+        Carried {
+            messages: told(&self.messages),
+            bytes: told(&self.bytes),
+            lost: told(&self.lost),
+            under_way: told(&self.under_way),
+        }
     }
 
     fn passed(&self, bytes: usize) {
--- a/crates/aspendrum-links/src/mesh.rs
+++ b/crates/aspendrum-links/src/mesh.rs
@@ -6,6 +6,7 @@
 use crate::{Fault, Link, HELD_BACK};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -119,8 +120,10 @@
             return self.deliver(data);
         }
         let (way, data) = (self.clone(), data.to_vec());
+        way.link.under_way.fetch_add(1, Relaxed);
         tokio::spawn(async move {
             sleep(late).await;
+            way.link.under_way.fetch_sub(1, Relaxed);
             way.deliver(&data);
         });
     }
@@ -178,36 +181,55 @@
         sockets[0].send_to(b"lost", mesh.peers(0).unwrap()[1]).await.unwrap();
         sockets[1].send_to(b"back", mesh.peers(1).unwrap()[0]).await.unwrap();
         assert_eq!(next(&sockets[0]).await.0, b"back");
+        until(|| mesh.link(0, 1).carried().lost == 1).await;
+        mesh.link(0, 1).heal(7);
+        sockets[0].send_to(b"whole", mesh.peers(0).unwrap()[1]).await.unwrap();
+        assert_eq!(next(&sockets[1]).await.0, b"whole");
+        assert_eq!(mesh.link(0, 1).carried().messages, 1);
+    }
+
+    async fn until(what: impl Fn() -> bool) {
         timeout(SOON, async {
-            while mesh.link(0, 1).carried().lost == 0 {
+            while !what() {
                 sleep(Duration::from_millis(1)).await;
             }
         })
         .await
         .unwrap();
-        mesh.link(0, 1).heal(7);
-        sockets[0].send_to(b"whole", mesh.peers(0).unwrap()[1]).await.unwrap();
-        assert_eq!(next(&sockets[1]).await.0, b"whole");
-        assert_eq!(mesh.link(0, 1).carried().messages, 1);
     }
 
     #[tokio::test]
     async fn a_datagram_comes_twice_and_a_delayed_one_behind_a_later_one() {
         let (mesh, sockets) = fleet(2).await;
-        let to = mesh.peers(0).unwrap()[1];
-        mesh.link(0, 1).put(1, Fault { twice: 1.0, ..Fault::default() });
+        let (to, link) = (mesh.peers(0).unwrap()[1], mesh.link(0, 1));
+        link.put(1, Fault { twice: 1.0, ..Fault::default() });
         sockets[0].send_to(b"two", to).await.unwrap();
         assert_eq!([next(&sockets[1]).await.0, next(&sockets[1]).await.0], [b"two", b"two"]);
-        mesh.link(0, 1).put(1, Fault { reorder: 1.0, ..Fault::default() });
-        sockets[0].send_to(b"first", to).await.unwrap();
-        timeout(SOON, async {
-            // The first is in the mesh's hands once its fault may change.
-            while mesh.link(0, 1).carried().messages < 3 {
-                sleep(Duration::from_millis(1)).await;
+        for fault in
+            [Fault { delay_ms: 500.0, ..Fault::default() }, Fault { reorder: 1.0, ..Fault::default() }]
+        {
+            link.put(1, fault);
+            sockets[0].send_to(b"first", to).await.unwrap();
+            until(|| link.carried().under_way == 1 || link.carried().messages > 2).await;
+            if fault.reorder == 0.0 {
+                link.heal(1);
+                sockets[0].send_to(b"later", to).await.unwrap();
+                assert_eq!(next(&sockets[1]).await.0, b"later");
             }
-        })
-        .await
-        .unwrap();
-        assert_eq!(next(&sockets[1]).await.0, b"first");
+            assert_eq!(next(&sockets[1]).await.0, b"first");
+        }
+    }
+
+    #[tokio::test]
+    async fn a_share_is_lost_and_the_rest_arrives() {
+        let (mesh, sockets) = fleet(2).await;
+        let link = mesh.link(0, 1);
+        link.put(1, Fault { lose: 0.5, ..Fault::default() });
+        for _ in 0..200 {
+            sockets[0].send_to(b"word", mesh.peers(0).unwrap()[1]).await.unwrap();
+        }
+        until(|| link.carried().lost + link.carried().messages == 200).await;
+        // Of 200 at a half, fewer than 50 or more than 150 come once in 10^12 runs.
+        assert!((50..=150).contains(&link.carried().lost), "{:?}", link.carried());
     }
 }
--- a/crates/aspendrum-rig/src/lib.rs
+++ b/crates/aspendrum-rig/src/lib.rs
@@ -1,10 +1,14 @@
 //! The rig: a fleet of limiters as processes, stand-ins around them, links between all, open-loop traffic and a
 //! timeline of faults; the record of it all and its judge's verdict.
 
+pub mod bench;
 pub mod clients;
 pub mod config;
+pub mod library;
+pub mod pass_through;
 pub mod process;
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod sweep;
 pub mod timeline;
--- a/crates/aspendrum-rig/src/main.rs
+++ b/crates/aspendrum-rig/src/main.rs
@@ -2,7 +2,7 @@
 
 use aspendrum_rig::process::Start;
 use aspendrum_rig::scenario::Scenario;
-use aspendrum_rig::{report, run};
+use aspendrum_rig::{bench, library, pass_through, report, run, sweep};
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -21,12 +21,75 @@
 enum Command {
     /// A small fleet with stand-ins, traffic and one fault; no file needed
     Demo,
+    /// Plays one scenario and leaves tables, charts and a report; ends with 1 if anything was broken
+    Run {
+        /// A name of the library, or a file
+        scenario: String,
+        /// Where the results go; everything of them is written anew
+        #[arg(long, default_value = "found/rig")]
+        out: PathBuf,
+    },
+    /// Plays scenarios once for each value of one key, and draws what comes of it
+    Sweep {
+        /// Names of the library or files; `all` for the whole library
+        #[arg(required = true)]
+        scenarios: Vec<String>,
+        /// As limiters.count=5,20,40 or plans.0.rate=2,4
+        #[arg(long, value_parser = sweep::Over::read)]
+        over: sweep::Over,
+        /// How often each is played, each time with the next seed
+        #[arg(long, default_value_t = 1)]
+        plays: u64,
+        #[arg(long, default_value = "found/rig")]
+        out: PathBuf,
+    },
+    /// Reads and checks a scenario; names the faulty key
+    Check {
+        /// A name of the library, or a file
+        scenario: String,
+    },
+    /// The library's scenarios
+    List,
+    /// The baseline that lets all in: forwards every query, counts nothing
+    #[command(hide = true)]
+    PassThrough {
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Decisions and added time of one limiter against the baseline, in one run
+    Bench {
+        /// Seconds of each of the two
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+        /// Queries a second
+        #[arg(long, default_value_t = 500.0)]
+        rate: f64,
+    },
 }
 
 fn main() -> ExitCode {
     let line = Line::parse();
     let done = match line.command {
         Command::Demo => demo(line.limiter),
+        Command::Run { scenario, out } => one(line.limiter, &scenario, &out),
+        Command::Sweep { scenarios, over, plays, out } => {
+            let texts = library::texts(&scenarios);
+            texts.and_then(|texts| sweep::play(&texts, &over, plays, line.limiter, &out))
+        }
+        Command::Check { scenario } => library::text(&scenario).and_then(|text| {
+            let s = Scenario::read(&text)?;
+            println!("{}: well-formed, {} limiters, {} faults", s.name, s.limiters.count, s.faults.len());
+            Ok(true)
+        }),
+        Command::List => {
+            print!("{}", library::list());
+            Ok(true)
+        }
+        Command::PassThrough { config } => pass_through::serve(&config).map(|()| true),
+        Command::Bench { seconds, rate } => bench::play(line.limiter, seconds, rate).map(|text| {
+            print!("{text}");
+            true
+        }),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -39,10 +102,21 @@
 }
 
 fn demo(limiter: Option<PathBuf>) -> Result<bool, String> {
-    let scenario = Scenario::read(include_str!("../scenarios/halves.toml"))?;
-    let start = Start::limiter(limiter)?;
+    let scenario = Scenario::read(library::DEMO)?;
+    let start = Start::of(&scenario, limiter)?;
     let folder = tempfile::tempdir().map_err(|e| format!("a folder for the run: {e}"))?;
     let outcome = run::play(&scenario, &start, folder.path(), &|text| eprintln!("{text}"))?;
     print!("{}", report::table(&scenario, &outcome));
     Ok(outcome.good(&scenario))
 }
+
+fn one(limiter: Option<PathBuf>, name: &str, out: &std::path::Path) -> Result<bool, String> {
+    let scenario = Scenario::read(&library::text(name)?)?;
+    let start = Start::of(&scenario, limiter)?;
+    let folder = out.join(&scenario.name);
+    let outcome = run::play(&scenario, &start, &folder.join("limiters"), &|text| eprintln!("{text}"))?;
+    report::write(&scenario, &outcome, &folder)?;
+    print!("{}", report::table(&scenario, &outcome));
+    eprintln!("tables, charts and the report are in {}", folder.display());
+    Ok(outcome.good(&scenario))
+}
--- a/crates/aspendrum-rig/src/process.rs
+++ b/crates/aspendrum-rig/src/process.rs
@@ -1,6 +1,7 @@
 //! Limiters as processes. Whatever is started here is ended here, by its id: when its handle goes, and by the
 //! kernel when the rig itself is killed.
 
+use crate::scenario::Scenario;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use std::fs::File;
@@ -17,10 +18,24 @@
 }
 
 impl Start {
+    /// What the scenario puts in the limiters' place: the limiter itself, or this program's own baseline.
+    pub fn of(s: &Scenario, limiter: Option<PathBuf>) -> Result<Start, String> {
+        if s.limiters.pass_through {
+            let program = std::env::current_exe().map_err(|e| format!("this program's own place: {e}"))?;
+            return Ok(Start::pass_through(program));
+        }
+        Start::limiter(limiter)
+    }
+
+    /// The baseline, by the rig's program.
+    pub fn pass_through(program: PathBuf) -> Start {
+        Start { program, arguments: vec!["pass-through".into()] }
+    }
+
     /// `aspendrum serve` from that file, or from the one beside this program. Where none is there it is built, so
     /// that a fresh clone needs one command.
     pub fn limiter(program: Option<PathBuf>) -> Result<Start, String> {
-        let arguments = vec!["serve".to_string()];
+        let arguments = ["--log", "json", "serve"].map(String::from).to_vec();
         if let Some(program) = program {
             return Ok(Start { program, arguments });
         }
--- a/crates/aspendrum-rig/src/run.rs
+++ b/crates/aspendrum-rig/src/run.rs
@@ -33,6 +33,8 @@
 const READY: Duration = Duration::from_secs(30);
 /// After a SIGTERM at the end of the run, until it must have ended.
 const END: Duration = Duration::from_secs(10);
+/// Between a listener's close and the end of its process, milliseconds.
+const CLOSING: Ms = 100.0;
 /// Between the fleet's readiness and the first query.
 const SETTLE: Duration = Duration::from_millis(300);
 
@@ -131,6 +133,8 @@
     listens: Vec<SocketAddr>,
     peer_listens: Vec<SocketAddr>,
     slots: Vec<tokio::sync::Mutex<Slot>>,
+    /// The beginnings of the faults that have not ended.
+    standing: Mutex<Vec<Moment>>,
     excuses: Mutex<Vec<Excuse>>,
     failures: Mutex<Vec<String>>,
     _claim: TcpListener,
@@ -266,6 +270,7 @@
             listens,
             peer_listens,
             slots,
+            standing: Mutex::default(),
             excuses: Mutex::default(),
             failures: Mutex::default(),
             _claim: claim,
@@ -288,6 +293,10 @@
     /// Starts it from nothing and waits until it takes queries.
     async fn start_one(&self, me: usize) -> Result<(), String> {
         let mut slot = self.slots[me].lock().await;
+        self.start_in(me, &mut slot).await
+    }
+
+    async fn start_in(&self, me: usize, slot: &mut Slot) -> Result<(), String> {
         let failed = |e: std::io::Error| format!("limiter {me} does not start: {e}");
         slot.starts += 1;
         let seed = self.scenario.seed << 32 | (me as u64) << 16 | slot.starts;
@@ -333,8 +342,13 @@
     }
 
     async fn turn(&self, m: Moment) {
-        let scenario = self.scenario.clone();
-        let s = &*scenario;
+        let s = &*self.scenario;
+        {
+            let mut standing = lock(&self.standing);
+            standing.retain(|other| other.number != m.number);
+            let what = &s.faults[m.fault].what;
+            standing.extend((m.begins && !what.at_once()).then_some(m));
+        }
         match &s.faults[m.fault].what {
             What::Link { path, of, to, way, reset, cut, lose, delay_ms, jitter_ms, reorder, twice } => {
                 let fault = Fault {
@@ -363,39 +377,71 @@
             What::Kill { of } => self.each(of, |me| self.down(me, Signal::SIGKILL, m.begins)).await,
             What::Term { of } => self.each(of, |me| self.down(me, Signal::SIGTERM, m.begins)).await,
             What::Stall { of } => self.each(of, |me| self.stall(me, m)).await,
-            What::Server { of, slow, failing, resetting, silent, drain, gone } => {
-                for n in of.of(s.servers.count, s.limiters.zones) {
-                    let on = |share: f64| if m.begins { share } else { 0.0 };
-                    self.servers[n].ail(|a| {
-                        (a.slow, a.failing, a.resetting) = (on(*slow), on(*failing), on(*resetting));
-                        a.silent = *silent && m.begins;
-                    });
-                    if *drain || *gone {
+            What::Server { of, drain, gone, .. } => {
+                self.ail_servers();
+                if *drain || *gone {
+                    for n in of.of(s.servers.count, s.limiters.zones) {
                         self.replace(n, *drain, m.begins).await;
                     }
                 }
             }
-            What::Counter { silent, slow_ms, busy, emptied, replaced } => {
-                let on = m.begins;
-                self.counter.ail(|a| {
-                    (a.silent, a.busy) = (*silent && on, *busy && on);
-                    a.slow_ms = if on { *slow_ms } else { 0.0 };
-                });
-                match (on, emptied, replaced) {
+            What::Counter { emptied, replaced, .. } => {
+                self.ail_counter();
+                match (m.begins, emptied, replaced) {
                     (true, _, true) => self.counter.replace(),
                     (true, true, _) => self.counter.empty(),
                     _ => {}
                 }
             }
-            What::Discovery { silent, late_ms, stale, calls_per_s } => {
-                let (usual, on) = (&s.discovery, m.begins);
-                self.discovery.ail(|a| {
-                    (a.silent, a.stale) = (*silent && on, *stale && on);
-                    a.late_ms = if on && *late_ms > 0.0 { *late_ms } else { usual.late_ms };
-                    a.calls_per_s = if on && *calls_per_s > 0.0 { *calls_per_s } else { usual.calls_per_s };
-                });
+            What::Discovery { .. } => self.ail_discovery(),
+        }
+    }
+
+    /// The faults that stand now.
+    fn standing(&self) -> Vec<&What> {
+        lock(&self.standing).iter().map(|m| &self.scenario.faults[m.fault].what).collect()
+    }
+
+    /// Sums of the faults that stand on each server: the slowest, and every share by itself.
+    fn ail_servers(&self) {
+        let s = &self.scenario;
+        let mut all = vec![server::Ails::default(); s.servers.count];
+        for what in self.standing() {
+            let What::Server { of, slow, failing, resetting, silent, drain, .. } = what else { continue };
+            for n in of.of(s.servers.count, s.limiters.zones) {
+                let a = &mut all[n];
+                a.slow = a.slow.max(*slow);
+                a.failing = a.failing.max(*failing);
+                a.resetting = a.resetting.max(*resetting);
+                (a.silent, a.draining) = (a.silent || *silent, a.draining || *drain);
             }
         }
+        for (server, ails) in self.servers.iter().zip(all) {
+            server.ail(|a| *a = ails);
+        }
+    }
+
+    fn ail_counter(&self) {
+        let mut all = counter::Ails::default();
+        for what in self.standing() {
+            let What::Counter { silent, slow_ms, busy, .. } = what else { continue };
+            (all.silent, all.busy) = (all.silent || *silent, all.busy || *busy);
+            all.slow_ms = all.slow_ms.max(*slow_ms);
+        }
+        self.counter.ail(|a| *a = all);
+    }
+
+    fn ail_discovery(&self) {
+        let usual = &self.scenario.discovery;
+        let (late_ms, calls_per_s) = (usual.late_ms, usual.calls_per_s);
+        let mut all = discovery::Ails { silent: false, late_ms, stale: false, calls_per_s };
+        for what in self.standing() {
+            let What::Discovery { silent, late_ms, stale, calls_per_s } = what else { continue };
+            (all.silent, all.stale) = (all.silent || *silent, all.stale || *stale);
+            all.late_ms = all.late_ms.max(*late_ms);
+            all.calls_per_s = if *calls_per_s > 0.0 { *calls_per_s } else { all.calls_per_s };
+        }
+        self.discovery.ail(|a| *a = all);
     }
 
     /// The same for each of these limiters, all at once.
@@ -416,24 +462,31 @@
 
     /// Ends it, or starts it again.
     async fn down(&self, me: usize, signal: Signal, begins: bool) {
-        if begins {
-            let mut slot = self.slots[me].lock().await;
-            if let Some(process) = slot.process.as_mut() {
-                let from = self.clock.now();
-                self.excuse(me, None, from, f64::INFINITY);
-                let _ = process.signal(signal);
-                if let Ok(status) = process.end().await {
-                    if signal == Signal::SIGTERM && !status.success() {
-                        self.failed(format!("limiter {me} ended badly after a SIGTERM: {status}"));
-                    }
-                }
-                slot.process = None;
+        let mut slot = self.slots[me].lock().await;
+        if !begins {
+            if slot.process.is_some() {
+                return;
             }
-            return;
+            return match self.start_in(me, &mut slot).await {
+                Ok(()) => self.pardon(me),
+                Err(text) => self.failed(text),
+            };
         }
-        match self.start_one(me).await {
-            Ok(()) => self.pardon_ends(me),
-            Err(text) => self.failed(text),
+        let Some(process) = slot.process.as_mut() else { return };
+        let asked = self.clock.now();
+        let _ = process.signal(signal);
+        let ended = process.end().await;
+        slot.process = None;
+        match signal {
+            // What it held is lost from the first moment on.
+            Signal::SIGKILL => self.excuse(me, None, asked, f64::INFINITY),
+            // Whatever it took before it ended has its answer.
+            _ => self.excuse(me, None, self.clock.now() - CLOSING, f64::INFINITY),
+        }
+        if let Ok(status) = ended {
+            if signal == Signal::SIGTERM && !status.success() {
+                self.failed(format!("limiter {me} ended badly after a SIGTERM: {status}"));
+            }
         }
     }
 
@@ -448,7 +501,7 @@
             self.failed(format!("limiter {me} could not be sent {signal}: {e}"));
         }
         if !m.begins {
-            self.pardon_ends(me);
+            self.pardon(me);
         }
     }
 
@@ -474,7 +527,7 @@
     }
 
     /// It takes queries again.
-    fn pardon_ends(&self, me: usize) {
+    fn pardon(&self, me: usize) {
         let now = self.clock.now();
         let open = |e: &&mut Excuse| e.limiter == me && e.server.is_none() && e.to == f64::INFINITY;
         lock(&self.excuses).iter_mut().filter(open).for_each(|e| e.to = now);
@@ -571,8 +624,7 @@
         .await;
         for me in 0..self.slots.len() {
             let log = std::fs::read_to_string(self.folder.join(format!("n{me}.log"))).unwrap_or_default();
-            let bad = |line: &&str| line.contains("panicked at") || line.contains("the desk failed");
-            if let Some(line) = log.lines().find(bad) {
+            if let Some(line) = log.lines().find(|line| bad(line)) {
                 self.failed(format!("limiter {me}: {line}"));
             }
         }
@@ -660,6 +712,14 @@
     }
 }
 
+/// A line of a limiter's log that tells of a fault of its own: an error, or a panic's plain text.
+fn bad(line: &str) -> bool {
+    match serde_json::from_str::<serde_json::Value>(line) {
+        Ok(told) => told["level"] == "ERROR",
+        Err(_) => line.contains("panicked at"),
+    }
+}
+
 /// Whether a limiter answers that it takes queries.
 async fn ready(at: SocketAddr) -> bool {
     let ask = async {
--- a/crates/aspendrum-rig/src/timeline.rs
+++ b/crates/aspendrum-rig/src/timeline.rs
@@ -53,6 +53,19 @@
     s.faults.iter().enumerate().filter_map(trouble).collect()
 }
 
+/// From when to when each fault stands, seconds; what happens at once is as long as it can be seen.
+pub fn spans(s: &Scenario) -> Vec<(f64, f64)> {
+    const SEEN: f64 = 0.05;
+    let all = moments(s);
+    let end = |m: &Moment| all.iter().find(|e| !e.begins && e.number == m.number).map(|e| e.at / 1000.0);
+    let span = |m: &Moment| {
+        let (from, fault) = (m.at / 1000.0, &s.faults[m.fault]);
+        let to = if fault.what.at_once() { from + SEEN } else { end(m).unwrap_or(s.seconds) };
+        (from, to.min(s.seconds))
+    };
+    all.iter().filter(|m| m.begins).map(span).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/aspendrum-standins/tests/standins.rs
@@ -0,0 +1,299 @@
+//! The stand-ins against a client that speaks the protocol plainly: each does what it is for, fails as it is told
+//! to, and records what reached it.
+
+use aspendrum_judge::record::{Fate, Repeats};
+use aspendrum_standins::counter::{self, Counter};
+use aspendrum_standins::discovery::{Discovery, Health};
+use aspendrum_standins::server::{self, Server, Shared};
+use aspendrum_standins::{http, Clock};
+use serde_json::Value;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const HERE: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const SOON: Duration = Duration::from_secs(5);
+const A_WHILE: Duration = Duration::from_millis(150);
+
+fn figures() -> server::Figures {
+    let groups = [("look", Repeats::Repeatable), ("book", Repeats::Keyed)];
+    server::Figures {
+        cores: 2,
+        queue: 2,
+        connections: 3,
+        handshake: 0.0,
+        cold_share: 0.2,
+        ramp: 5000.0,
+        fall_multiple: 3.0,
+        fall_window: 1000.0,
+        reports_in_answers: true,
+        probes: true,
+        groups: groups.map(|(name, repeats)| (name.to_string(), (20.0, repeats))).into(),
+        repeat_window: 5000.0,
+    }
+}
+
+async fn server(figures: server::Figures) -> (Arc<Server>, Arc<Shared>) {
+    let shared = Shared::new(Clock::start());
+    (Server::start(HERE, 0, figures, 1, shared.clone()).await.unwrap(), shared)
+}
+
+/// Asks on a connection; `None`: it ended without a whole answer.
+async fn ask(stream: &mut TcpStream, text: &str) -> Option<http::Message> {
+    stream.write_all(text.as_bytes()).await.ok()?;
+    timeout(SOON, http::next(stream, &mut Vec::new(), false)).await.unwrap().ok()?
+}
+
+async fn query(server: &Server, id: u64, group: &str) -> Option<http::Message> {
+    let mut stream = TcpStream::connect(server.addr()).await.ok()?;
+    let text = format!("GET /{group} HTTP/1.1\r\nX-Txn: {id:016x}\r\nIdempotency-Key: k\r\n\r\n");
+    ask(&mut stream, &text).await
+}
+
+#[tokio::test]
+async fn a_server_answers_with_its_report_and_records_what_reached_it() {
+    let (server, shared) = server(figures()).await;
+    let answer = query(&server, 7, "look").await.unwrap();
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"0000000000000007".as_slice()));
+    assert!(answer.header("X-Pressure").unwrap().starts_with("TEXT inflight=0"));
+    let seen = shared.forwards();
+    assert_eq!((seen.len(), seen[0].id, seen[0].fate), (1, 7, Fate::Ran));
+    // A keyed query's repeat is dropped, and answered as the first was.
+    for fate in [Fate::Ran, Fate::Repeat] {
+        assert_eq!(query(&server, 8, "book").await.unwrap().status(), 200);
+        assert_eq!(shared.forwards().last().unwrap().fate, fate);
+    }
+    let mut stream = TcpStream::connect(server.addr()).await.unwrap();
+    let probe = ask(&mut stream, "GET /stats HTTP/1.1\r\n\r\n").await.unwrap();
+    assert!(probe.body.starts_with(b"inflight=0, queue=0, util=0.00"));
+}
+
+#[tokio::test]
+async fn a_full_crowded_or_draining_server_turns_away_what_has_not_run() {
+    let (server, shared) = server(server::Figures { connections: 64, ..figures() }).await;
+    let calls: Vec<_> = (0..16)
+        .map(|id| {
+            let server = server.clone();
+            tokio::spawn(async move { query(&server, id, "look").await.unwrap() })
+        })
+        .collect();
+    let mut turned_away = 0;
+    for call in calls {
+        let answer = call.await.unwrap();
+        turned_away += usize::from(answer.status() == 503 && answer.header("X-Turned-Away") == Some("1"));
+    }
+    let ran = shared.forwards().iter().filter(|f| f.fate == Fate::Ran).count();
+    assert!(ran >= 4 && ran + turned_away == 16, "{ran} ran, {turned_away} turned away");
+
+    server.ail(|a| a.draining = true);
+    assert_eq!(query(&server, 20, "look").await.unwrap().status(), 503);
+    server.ail(|a| a.draining = false);
+    let small = crate::server(figures()).await.0;
+    let mut held = Vec::new();
+    for id in 0..4 {
+        let mut stream = TcpStream::connect(small.addr()).await.unwrap();
+        let text = format!("GET /look HTTP/1.1\r\nX-Txn: {id:016x}\r\n\r\n");
+        let answer = ask(&mut stream, &text).await.unwrap();
+        assert_eq!(answer.status(), if id < 3 { 200 } else { 503 }, "the fourth connection is one too many");
+        held.push(stream);
+    }
+}
+
+#[tokio::test]
+async fn a_failing_a_resetting_and_a_silent_server_have_run_what_they_do_not_answer() {
+    let (server, shared) = server(figures()).await;
+    server.ail(|a| a.failing = 1.0);
+    assert_eq!(query(&server, 1, "look").await.unwrap().status(), 500);
+    server.ail(|a| (a.failing, a.resetting) = (0.0, 1.0));
+    assert!(query(&server, 2, "look").await.is_none());
+    server.ail(|a| (a.resetting, a.silent) = (0.0, true));
+    assert!(timeout(A_WHILE, query(&server, 3, "look")).await.is_err());
+    server.ail(|a| a.silent = false);
+    assert_eq!(query(&server, 4, "look").await.unwrap().status(), 200);
+    assert_eq!(shared.forwards().iter().filter(|f| f.fate == Fate::Ran).count(), 4);
+}
+
+#[tokio::test]
+async fn a_server_that_dies_resets_its_connections_and_is_back_cold_at_its_address() {
+    let (server, _) = server(server::Figures { fall_window: 100.0, ..figures() }).await;
+    let mut stream = TcpStream::connect(server.addr()).await.unwrap();
+    server.die();
+    let end = timeout(SOON, stream.read(&mut [0; 1])).await.unwrap();
+    assert!(end.is_err() || end.unwrap() == 0);
+    timeout(SOON, async {
+        while TcpStream::connect(server.addr()).await.is_ok() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await
+    .unwrap();
+    assert!(server.back().await.unwrap().is_some());
+    assert!(server.back().await.unwrap().is_none(), "it is up");
+    assert_eq!(query(&server, 1, "look").await.unwrap().status(), 200);
+    assert!(server.lives()[1].cold && server.lives()[1].fell.is_none());
+    // 3 times a fifth of two cores for 100 ms are 120 ms of work; eight queries of 20 ms are more.
+    let calls: Vec<_> = (10..18)
+        .map(|id| {
+            let server = server.clone();
+            tokio::spawn(async move { query(&server, id, "look").await })
+        })
+        .collect();
+    for call in calls {
+        let _ = call.await.unwrap();
+    }
+    assert!(server.lives()[1].fell.is_some());
+    assert!(query(&server, 30, "look").await.is_none(), "it stays down");
+}
+
+async fn counter(calls_per_s: f64, busy_after_ms: u64) -> Arc<Counter> {
+    let figures = counter::Figures { calls_per_s, busy_after: Duration::from_millis(busy_after_ms) };
+    Counter::start(HERE, figures, Clock::start()).await.unwrap()
+}
+
+fn add(name: &str, amount: &str) -> String {
+    format!(
+        "*4\r\n$7\r\nCNT.ADD\r\n${}\r\n{name}\r\n${}\r\n{amount}\r\n$4\r\n4000\r\n",
+        name.len(),
+        amount.len()
+    )
+}
+
+async fn reply(stream: &mut TcpStream, call: &str, size: usize) -> String {
+    stream.write_all(call.as_bytes()).await.unwrap();
+    let mut told = vec![0; size];
+    timeout(SOON, stream.read_exact(&mut told)).await.unwrap().unwrap();
+    String::from_utf8(told).unwrap()
+}
+
+#[tokio::test]
+async fn the_counter_adds_in_order_and_refuses_what_is_no_call() {
+    let counter = counter(10_000.0, 100).await;
+    let mut stream = TcpStream::connect(counter.addr()).await.unwrap();
+    let two = add("a", "1.5") + &add("a", "-1");
+    assert_eq!(reply(&mut stream, &two, 18).await, "$3\r\n1.5\r\n$3\r\n0.5\r\n");
+    assert_eq!(reply(&mut stream, "*1\r\n$4\r\nPING\r\n", 7).await, "+PONG\r\n");
+    for bad in [add("a", "x"), add("a", "1e10"), add("a", "NaN"), add(&"n".repeat(65), "1")] {
+        assert_eq!(reply(&mut stream, &bad, 4).await, "-ERR", "{bad}");
+        let mut rest = vec![0; 256];
+        let _ = stream.read(&mut rest).await.unwrap();
+    }
+    assert_eq!(reply(&mut stream, &add("a", "1"), 9).await, "$3\r\n1.5\r\n");
+    assert_eq!((counter.seen().calls, counter.seen().nonsense), (3, 4));
+    // What is no RESP at all ends the connection.
+    stream.write_all(b"*x\r\n").await.unwrap();
+    let end = timeout(SOON, stream.read(&mut [0; 1])).await.unwrap();
+    assert!(end.is_err() || end.unwrap() == 0);
+}
+
+#[tokio::test]
+async fn the_counter_is_emptied_replaced_busy_and_silent_as_told() {
+    let counter = counter(10_000.0, 100).await;
+    let mut stream = TcpStream::connect(counter.addr()).await.unwrap();
+    assert_eq!(reply(&mut stream, &add("a", "2"), 7).await, "$1\r\n2\r\n");
+    counter.empty();
+    assert_eq!(reply(&mut stream, &add("a", "3"), 7).await, "$1\r\n3\r\n");
+    counter.ail(|a| a.busy = true);
+    assert_eq!(reply(&mut stream, &add("a", "1"), 7).await, "-BUSY\r\n");
+    counter.ail(|a| (a.busy, a.silent) = (false, true));
+    stream.write_all(add("a", "1").as_bytes()).await.unwrap();
+    assert!(timeout(A_WHILE, stream.read(&mut [0; 1])).await.is_err());
+    // However late, a call has its turn.
+    counter.ail(|a| a.silent = false);
+    assert_eq!(reply(&mut stream, "", 7).await, "$1\r\n4\r\n");
+    counter.replace();
+    let end = timeout(SOON, stream.read(&mut [0; 1])).await.unwrap();
+    assert!(end.is_err() || end.unwrap() == 0);
+    let mut stream = TcpStream::connect(counter.addr()).await.unwrap();
+    assert_eq!(reply(&mut stream, &add("a", "1"), 7).await, "$1\r\n1\r\n");
+}
+
+#[tokio::test]
+async fn a_counter_that_takes_few_calls_turns_away_what_would_wait_too_long() {
+    let counter = counter(20.0, 100).await;
+    let mut streams = Vec::new();
+    for _ in 0..6 {
+        let mut stream = TcpStream::connect(counter.addr()).await.unwrap();
+        stream.write_all(add("a", "1").as_bytes()).await.unwrap();
+        streams.push(stream);
+    }
+    let mut busy = 0;
+    for mut stream in streams {
+        let mut told = [0; 7];
+        timeout(SOON, stream.read_exact(&mut told)).await.unwrap().unwrap();
+        busy += u64::from(&told == b"-BUSY\r\n");
+    }
+    assert_eq!((counter.seen().turned_away, counter.seen().calls), (busy, 6 - busy));
+    assert!((1..=4).contains(&busy), "50 ms each, and a wait of over 100 ms is too long: {busy}");
+}
+
+struct Agent {
+    discovery: Arc<Discovery>,
+    stream: TcpStream,
+}
+
+async fn agent() -> Agent {
+    let discovery = Discovery::new(Clock::start(), &[0, 1]);
+    let dials = vec![SocketAddr::from((HERE, 1)), SocketAddr::from((HERE, 2))];
+    let addr = discovery.agent(HERE, 3, dials).await.unwrap();
+    Agent { discovery, stream: TcpStream::connect(addr).await.unwrap() }
+}
+
+impl Agent {
+    async fn get(&mut self, query: &str) -> (u16, Value) {
+        let text = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: x\r\n\r\n");
+        let answer = ask(&mut self.stream, &text).await.unwrap();
+        (answer.status(), serde_json::from_slice(&answer.body).unwrap_or(Value::Null))
+    }
+}
+
+#[tokio::test]
+async fn discovery_tells_the_whole_list_then_what_changed_and_records_whom_it_told() {
+    let mut agent = agent().await;
+    let (_, list) = agent.get("").await;
+    assert_eq!(
+        (&list["seq"], &list["whole"], list["hosts"].as_array().unwrap().len()),
+        (&1.into(), &true.into(), 2)
+    );
+    assert_eq!(list["hosts"][1]["dial"], "127.0.0.1:2");
+    let discovery = agent.discovery.clone();
+    let watch = tokio::spawn(async move { (agent.get("?from=1&hold_ms=5000").await, agent) });
+    sleep(A_WHILE).await;
+    discovery.change(1, Health::Terminating, None);
+    let ((_, news), mut agent) = watch.await.unwrap();
+    assert_eq!((&news["seq"], &news["whole"]), (&2.into(), &false.into()));
+    assert_eq!(news["hosts"].as_array().unwrap().len(), 1);
+    assert_eq!(
+        (&news["hosts"][0]["host"], &news["hosts"][0]["health"]),
+        (&"s-1".into(), &"terminating".into())
+    );
+    let told = discovery.told();
+    assert!(told.iter().any(|t| t.limiter == 3 && t.server == 1 && !t.well));
+    // Nothing new: the watch ends with no entries after its time.
+    let (_, none) = agent.get("?from=2&hold_ms=50").await;
+    assert_eq!(none["hosts"], Value::Array(vec![]));
+    // Gone ones are named among changes only.
+    discovery.change(1, Health::Terminated, None);
+    assert_eq!(agent.get("").await.1["hosts"].as_array().unwrap().len(), 1);
+}
+
+#[tokio::test]
+async fn discovery_is_late_stale_silent_and_overbooked_as_told() {
+    let mut agent = agent().await;
+    let discovery = agent.discovery.clone();
+    discovery.ail(|a| a.stale = true);
+    discovery.change(0, Health::Terminated, None);
+    assert_eq!(agent.get("").await.1["seq"], 1, "the list that it had when it went stale");
+    discovery.ail(|a| (a.stale, a.late_ms) = (false, 300.0));
+    assert_eq!(agent.get("").await.1["seq"], 1, "a change is told late");
+    assert_eq!(agent.get("?from=1&hold_ms=3000").await.1["seq"], 2);
+    discovery.ail(|a| (a.late_ms, a.calls_per_s) = (0.0, 1.0));
+    sleep(Duration::from_millis(1100)).await;
+    let answers = [agent.get("").await.0, agent.get("").await.0];
+    assert_eq!(answers, [200, 503]);
+    discovery.ail(|a| (a.calls_per_s, a.silent) = (0.0, true));
+    assert!(timeout(A_WHILE, agent.get("")).await.is_err());
+    assert_eq!(discovery.seen().turned_away, 1);
+}
