--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -155,7 +155,7 @@
         out.extend(s.discovery_asks.then_some(Action::Watch { on: true }));
         let mut fig = Figures::new(s);
         fig.crowd = (fig.instances / PROBERS).max(1.0);
-        fig.keepers = s.may_tell && fig.crowd > 1.0;
+        (fig.keepers, fig.want_every) = (s.may_tell && fig.crowd > 1.0, Self::want_every(s.peer_in_per_s));
         fig.own_part = if fig.keepers { 1.0 - LEAD_PART } else { 1.0 };
         fig.turn = (f64::from(s.me) * GOLDEN).fract();
         fig.cold_budget = (COLD_SHARE * s.fall_multiple).min(COLD_FAIR) * s.fall_window;
@@ -180,7 +180,7 @@
                 self.queries.find(id).into_iter().for_each(|slot| self.queries[slot].streaming = true);
             }
             Event::ClientLeft { id } => self.queries.find(id).into_iter().for_each(|slot| self.close(slot)),
-            Event::Counted { name, outcome, total, rtt } => self.counted(name, outcome, total.into(), rtt),
+            Event::Counted { name, outcome, total, rtt } => self.told(name, outcome, total.into(), rtt),
             Event::Probed { server, outcome, load, .. } => self.probed(server, outcome, &load),
             Event::Timer { .. } => self.beat(),
             Event::PeerSaid { from, data } => self.hear(from, data),
@@ -277,7 +277,8 @@
         let kept_at = f64::NEG_INFINITY;
         // Nothing was spent of it since the start, or (forgotten) for as long as that takes.
         let part = Part { left: 0.0, at: self.begun.max(self.now - IDLE) };
-        let mut new = Acct { id, plan, spread, kept_at, part, lead: part, ..Acct::default() };
+        let purse = self.purse(part.at);
+        let mut new = Acct { id, plan, spread, kept_at, part, lead: part, purse, ..Acct::default() };
         new.split(&self.fig.plans[plan], spread, self.now);
         self.accts.add(id, new)
     }
@@ -432,9 +433,8 @@
     /// The local count. `log`: the add was never sent (breaker open); else the call failed, and what
     /// of its units was not added `carry` already holds.
     fn decide_locally(&mut self, slot: usize, log: bool) {
-        let Query { acct, units, .. } = self.queries[slot];
-        let a = &mut self.accts[acct];
-        let inside = a.room_here(&self.fig.plans[a.plan], units, self.now) && self.pay_once(slot);
+        let acct = self.queries[slot].acct;
+        let inside = self.room(slot) && self.pay_once(slot);
         let (q, a) = (&self.queries[slot], &mut self.accts[acct]);
         let fig = &self.fig.plans[a.plan];
         if inside {
@@ -454,10 +454,10 @@
     }
 
     fn admit(&mut self, slot: usize, inside: bool) {
+        self.settled(slot, inside);
         let q = &mut self.queries[slot];
         let a = &mut self.accts[q.acct];
         let fig = &self.fig.plans[a.plan];
-        q.inside = inside;
         if q.paid && !inside {
             (q.paid, a.part.left) = (false, a.part.left + q.units);
         }
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use crate::word::Word;
+use aspendrum_shared::Purse;
 use std::collections::{HashMap, VecDeque};
 
 #[derive(Clone, Copy, PartialEq, Debug, Default)]
@@ -157,6 +158,14 @@
     /// This limiter's even part of the ceiling, and the keeper's part, which counts at the keeper alone.
     pub part: Part,
     pub lead: Part,
+    /// What it may spend without the counter's word, where limiters speak to each other.
+    pub purse: Purse,
+    /// The last sign of life of the counter before its spare query was granted, and when that was.
+    pub spare: (Option<Ms>, Ms),
+    /// When a client last asked for it here.
+    pub asked_at: Ms,
+    /// Whom of its set it asked last for what they hold, and when.
+    pub wanted: (u64, Ms),
     pub log: VecDeque<(Ms, f64)>,
     pub calls: VecDeque<Call>,
     pub out: u32,
@@ -192,6 +201,8 @@
     pub worth: f64,
     /// The limiter whose word it waits for or has.
     pub keeper: Option<u16>,
+    /// What its keeper was asked, to be asked again in the same words: a gift counts once.
+    pub asked: Option<Word>,
     /// Not a client's query: another limiter's question, and its number there.
     pub asked_by: Option<(u16, u16)>,
     /// The keeper was asked a second time.
@@ -207,6 +218,18 @@
 pub struct Peer {
     pub missed: u32,
     pub silent_until: Ms,
+    /// It has answered the last question that is over.
+    pub answers: bool,
+    /// It said that it has no word of the counter's.
+    pub alone: bool,
+}
+
+pub struct Said {
+    pub id: QueryId,
+    pub word: Word,
+    pub acct: AcctId,
+    /// Granted, and not given back.
+    pub units: f64,
 }
 
 impl Try {
@@ -286,6 +309,8 @@
     pub instances: f64,
     pub me: u16,
     pub keepers: bool,
+    /// The least time between two words that ask for gifts.
+    pub want_every: Ms,
     pub own_part: f64,
     pub cold_budget: f64,
     pub turn: f64,
@@ -351,6 +376,8 @@
     pub(crate) chance: Chance,
     pub(crate) breaker: Breaker,
     pub(crate) failures: u32,
+    /// When the counter last gave a sign of life, be it that it turned a call away.
+    pub(crate) heard_at: Option<Ms>,
     pub(crate) ask: f64,
     /// What a query stakes on its decision, on average.
     pub(crate) stake: f64,
@@ -377,8 +404,11 @@
     pub(crate) answered_at: Ms,
     pub(crate) swept_at: Ms,
     pub(crate) peers: Vec<Peer>,
-    /// The last answers given to other limiters, to be given again.
-    pub(crate) said: VecDeque<(QueryId, Word)>,
+    /// The last answers given to other limiters, to be given again, with whose units were granted and how
+    /// many.
+    pub(crate) said: VecDeque<Said>,
+    /// The last moment that a word of this limiter named.
+    pub(crate) stamp: u64,
     /// Datagrams that made no sense.
     pub(crate) strange: u64,
 }
--- a/crates/aspendrum-judge/src/lib.rs
+++ b/crates/aspendrum-judge/src/lib.rs
@@ -1,5 +1,5 @@
-//! The record of a run, from what clients and stand-ins saw and never from what limiters say of themselves, and
-//! its judge. Free of I/O and clocks: times are milliseconds since the run began.
+//! The record of a run, from what clients and stand-ins saw and never from what limiters say of themselves,
+//! and its judge. Free of I/O and clocks: times are milliseconds since the run began.
 
 pub mod quota;
 pub mod record;
--- a/crates/aspendrum-judge/src/quota.rs
+++ b/crates/aspendrum-judge/src/quota.rs
@@ -54,7 +54,8 @@
 }
 
 impl Use {
-    /// Units refused though there was room: what one bucket would have granted beyond what was granted inside.
+    /// Units refused though there was room: what one bucket would have granted beyond what was granted
+    /// inside.
     pub fn refused_with_room(&self) -> f64 {
         (self.ideal - self.inside).max(0.0)
     }
@@ -96,8 +97,8 @@
 /// What "recovered" asks of all customers together.
 #[derive(Clone, Copy, Debug)]
 pub struct Well {
-    /// Units a millisecond that were in use before, or that quotas and clients allow, and the share of them that
-    /// must be in use again.
+    /// Units a millisecond that were in use before, or that quotas and clients allow, and the share of them
+    /// that must be in use again.
     pub expected: f64,
     pub share: f64,
     /// Units a millisecond and at once of all quotas: what a window grants must fit.
@@ -106,8 +107,9 @@
     pub window: Ms,
 }
 
-/// The time after `from` until a window from then on holds the share that it should and no more than the quotas;
-/// `None`: not before the end. `all` and `inside`: what was granted, and of it what one bucket would have given.
+/// The time after `from` until a window from then on holds the share that it should and no more than the
+/// quotas; `None`: not before the end. `all` and `inside`: what was granted, and of it what one bucket would
+/// have given.
 pub fn recovered(all: &[Grants], inside: &[Grants], well: &Well, from: Ms, to: Ms) -> Option<Ms> {
     let sorted = |grants: &[Grants]| {
         let mut sum: Grants = grants.iter().flatten().copied().collect();
--- a/crates/aspendrum-judge/src/rules.rs
+++ b/crates/aspendrum-judge/src/rules.rs
@@ -35,7 +35,8 @@
     for q in &record.queries {
         let what = match q.outcome {
             Final::Foreign => "was answered with what no server made for it",
-            // What a limiter cannot be reached for, or ends while it is killed or stands still, it never took.
+            // What a limiter cannot be reached for, or ends while it is killed or stands still, it never
+            // took.
             _ if record.excused(q.limiter, None, q.sent, q.ended) => continue,
             Final::Lost => "lost its connection without an answer",
             Final::Silent => "got no answer",
@@ -107,7 +108,8 @@
 /// The work sent to a server in the worst window after its cold start, over what the rule allows there.
 pub fn cold_load(record: &Record, life: &Life, work: &[(Ms, Ms)]) -> (f64, Ms) {
     let (server, figures) = (&record.servers[life.server], &record.figures);
-    // Capacity in the window by its middle: the ramp is straight, and flat once warm, so that this is never less.
+    // Capacity in the window by its middle: the ramp is straight, and flat once warm, so that this is never
+    // less.
     let may = |start: Ms| {
         let middle = server.capacity(start - life.from + figures.fall_window / 2.0);
         figures.fall_multiple * middle * figures.fall_window
--- a/crates/aspendrum-judge/tests/judge.rs
+++ b/crates/aspendrum-judge/tests/judge.rs
@@ -8,8 +8,8 @@
 const KEYED: usize = 1;
 const MUTATING: usize = 2;
 
-/// Ten queries a second for ten seconds, each answered 5 ms later by one of two servers, within a quota of 20 a
-/// second at most 5 at once, and a ceiling of 30 a second at most 10 at once.
+/// Ten queries a second for ten seconds, each answered 5 ms later by one of two servers, within a quota of 20
+/// a second at most 5 at once, and a ceiling of 30 a second at most 10 at once.
 fn sound() -> Record {
     let group = |name: &str, repeats| Group { name: name.into(), repeats, work: 100.0 };
     let customer = Customer {
--- a/crates/aspendrum-links/src/lib.rs
+++ b/crates/aspendrum-links/src/lib.rs
@@ -1,6 +1,6 @@
-//! Links between processes on loopback. Every path between two processes of a run goes through one, and a link
-//! can lose, delay, reorder, repeat, cut and heal what it carries. Which faults stand on a link at a moment is
-//! told by whoever holds the timeline; nothing here knows of time but the delays.
+//! Links between processes on loopback. Every path between two processes of a run goes through one, and a
+//! link can lose, delay, reorder, repeat, cut and heal what it carries. Which faults stand on a link at a
+//! moment is told by whoever holds the timeline; nothing here knows of time but the delays.
 
 mod mesh;
 mod relay;
@@ -18,8 +18,8 @@
 pub struct Fault {
     /// Nothing passes, and nothing is said of it.
     pub cut: bool,
-    /// The share of datagrams that get lost, 0 to 1. What a stream loses is sent again by the machine: it comes
-    /// [`RESEND`] later.
+    /// The share of datagrams that get lost, 0 to 1. What a stream loses is sent again by the machine: it
+    /// comes [`RESEND`] later.
     pub lose: f64,
     /// Milliseconds added to each datagram or chunk of a stream.
     pub delay_ms: f64,
--- a/crates/aspendrum-links/src/mesh.rs
+++ b/crates/aspendrum-links/src/mesh.rs
@@ -1,7 +1,8 @@
 //! Datagrams between limiters, each direction of each pair by itself.
 //!
-//! Limiter `i` knows limiter `j` by an address of its own, at which the mesh listens: what comes there goes to `j`
-//! from the address by which `j` knows `i`, so that `j` sees a datagram from the peer that its own list names.
+//! Limiter `i` knows limiter `j` by an address of its own, at which the mesh listens: what comes there goes
+//! to `j` from the address by which `j` knows `i`, so that `j` sees a datagram from the peer that its own
+//! list names.
 
 use crate::{Fault, Link, HELD_BACK};
 use std::io;
@@ -93,7 +94,8 @@
     }
 }
 
-/// The end of one link: the socket from which the receiver expects the sender, and where the receiver listens.
+/// The end of one link: the socket from which the receiver expects the sender, and where the receiver
+/// listens.
 #[derive(Clone)]
 struct Way {
     link: Arc<Link>,
--- a/crates/aspendrum-links/src/relay.rs
+++ b/crates/aspendrum-links/src/relay.rs
@@ -2,8 +2,8 @@
 //! over a link of its own.
 //!
 //! While either direction is cut, open connections stay open and silent and new ones never come up, as with a
-//! machine that has vanished: the line of the listener is kept full, and the kernel lets no other connection in.
-//! Once healed, held bytes flow on, and what tried to connect meanwhile gets a reset.
+//! machine that has vanished: the line of the listener is kept full, and the kernel lets no other connection
+//! in. Once healed, held bytes flow on, and what tried to connect meanwhile gets a reset.
 
 use crate::{Link, RESEND};
 use socket2::SockRef;
--- a/crates/aspendrum-rig/src/bench.rs
+++ b/crates/aspendrum-rig/src/bench.rs
@@ -1,5 +1,5 @@
-//! What one limiter costs: decisions for each second of a core, and the time it adds, against the baseline that
-//! lets all in, with the same traffic through the same links in the same run.
+//! What one limiter costs: decisions for each second of a core, and the time it adds, against the baseline
+//! that lets all in, with the same traffic through the same links in the same run.
 
 use crate::process::Start;
 use crate::report::Row;
--- a/crates/aspendrum-rig/src/clients.rs
+++ b/crates/aspendrum-rig/src/clients.rs
@@ -159,8 +159,8 @@
                         _ => Final::Dropped,
                     };
                 }
-                // The limiter closed it between queries, and the close has crossed this one: sent once more on
-                // a new connection, unless it must never run twice.
+                // The limiter closed it between queries, and the close has crossed this one: sent once more
+                // on a new connection, unless it must never run twice.
                 _ if old && rest.is_empty() && !once => {}
                 _ => return Final::Lost,
             }
--- a/crates/aspendrum-rig/src/lib.rs
+++ b/crates/aspendrum-rig/src/lib.rs
@@ -1,5 +1,5 @@
-//! The rig: a fleet of limiters as processes, stand-ins around them, links between all, open-loop traffic and a
-//! timeline of faults; the record of it all and its judge's verdict.
+//! The rig: a fleet of limiters as processes, stand-ins around them, links between all, open-loop traffic and
+//! a timeline of faults; the record of it all and its judge's verdict.
 
 pub mod bench;
 pub mod clients;
--- a/crates/aspendrum-rig/src/pass_through.rs
+++ b/crates/aspendrum-rig/src/pass_through.rs
@@ -1,6 +1,7 @@
-//! The baseline: a process that stands where a limiter would and lets all in. It reads the same configuration,
-//! answers that it is ready, forwards every query once to the servers in turn and passes their answers back. With it
-//! the judge shows that it finds what it looks for, and a limiter's cost is told as a ratio.
+//! The baseline: a process that stands where a limiter would and lets all in. It reads the same
+//! configuration, answers that it is ready, forwards every query once to the servers in turn and passes their
+//! answers back. With it the judge shows that it finds what it looks for, and a limiter's cost is told as a
+//! ratio.
 
 use aspendrum_standins::http::{self, Message};
 use serde_json::Value;
--- a/crates/aspendrum-rig/src/process.rs
+++ b/crates/aspendrum-rig/src/process.rs
@@ -32,8 +32,8 @@
         Start { program, arguments: vec!["pass-through".into()] }
     }
 
-    /// `aspendrum serve` from that file, or from the one beside this program. Where none is there it is built, so
-    /// that a fresh clone needs one command.
+    /// `aspendrum serve` from that file, or from the one beside this program. Where none is there it is
+    /// built, so that a fresh clone needs one command.
     pub fn limiter(program: Option<PathBuf>) -> Result<Start, String> {
         let arguments = ["--log", "json", "serve"].map(String::from).to_vec();
         if let Some(program) = program {
--- a/crates/aspendrum-rig/src/run.rs
+++ b/crates/aspendrum-rig/src/run.rs
@@ -1,4 +1,5 @@
-//! One run of a scenario: everything started and linked, the traffic and the faults, the record and its verdict.
+//! One run of a scenario: everything started and linked, the traffic and the faults, the record and its
+//! verdict.
 
 use crate::clients::{self, Customer, Front};
 use crate::config::{self, Places};
@@ -35,6 +36,8 @@
 const END: Duration = Duration::from_secs(10);
 /// Between a listener's close and the end of its process, milliseconds.
 const CLOSING: Ms = 100.0;
+/// After a cut, until a relay has reset whoever tried to connect meanwhile, milliseconds.
+const HEALING: Ms = 200.0;
 /// Between the fleet's readiness and the first query.
 const SETTLE: Duration = Duration::from_millis(300);
 
@@ -536,7 +539,7 @@
     fn excuse_links(&self, path: LinkPath, of: &Which, to: &Which, m: Moment) {
         let s = &self.scenario;
         let now = self.clock.now();
-        let until = s.faults[m.fault].for_s.map_or(f64::INFINITY, |lasts| now + lasts * 1000.0);
+        let until = s.faults[m.fault].for_s.map_or(f64::INFINITY, |lasts| now + lasts * 1000.0 + HEALING);
         for me in of.of(s.limiters.count, s.limiters.zones) {
             match path {
                 LinkPath::Front => self.excuse(me, None, now, until),
--- a/crates/aspendrum-rig/src/scenario.rs
+++ b/crates/aspendrum-rig/src/scenario.rs
@@ -475,8 +475,8 @@
         Ok(scenario)
     }
 
-    /// The same with one key replaced, as `limiters.count` or `plans.0.rate`; the key must be there to replace
-    /// or be one that the scenario may have.
+    /// The same with one key replaced, as `limiters.count` or `plans.0.rate`; the key must be there to
+    /// replace or be one that the scenario may have.
     pub fn with(text: &str, key: &str, value: &str) -> Result<Scenario, String> {
         let mut root: toml::Value = toml::from_str(text).map_err(|e| e.to_string())?;
         let parsed = value.parse::<i64>().map(toml::Value::Integer);
--- a/crates/aspendrum-rig/src/sweep.rs
+++ b/crates/aspendrum-rig/src/sweep.rs
@@ -25,8 +25,8 @@
     }
 }
 
-/// Plays them all, one after another; every scenario is checked with every value before the first begins. Whether
-/// all kept their rules and bounds.
+/// Plays them all, one after another; every scenario is checked with every value before the first begins.
+/// Whether all kept their rules and bounds.
 pub fn play(
     texts: &[String],
     over: &Over,
--- a/crates/aspendrum-rig/src/timeline.rs
+++ b/crates/aspendrum-rig/src/timeline.rs
@@ -38,7 +38,8 @@
     (0..=count).map(move |n| first + n as f64 * every.unwrap_or(0.0)).filter(move |at| *at < end)
 }
 
-/// Each fault from its first beginning to its last end; one that stands to the end leaves nothing to recover in.
+/// Each fault from its first beginning to its last end; one that stands to the end leaves nothing to recover
+/// in.
 pub fn troubles(s: &Scenario, from: Ms) -> Vec<Trouble> {
     let end = s.seconds * 1000.0;
     let trouble = |(n, fault): (usize, &Fault)| {
--- a/crates/aspendrum-standins/src/lib.rs
+++ b/crates/aspendrum-standins/src/lib.rs
@@ -1,5 +1,5 @@
-//! Stand-ins for what limiters talk to, written from the protocol: rate servers, the shared counter, discovery.
-//! Each can fail in its own ways and records what reached it; none knows of limiters' insides.
+//! Stand-ins for what limiters talk to, written from the protocol: rate servers, the shared counter,
+//! discovery. Each can fail in its own ways and records what reached it; none knows of limiters' insides.
 
 pub mod counter;
 pub mod discovery;
--- a/crates/aspendrum-standins/tests/standins.rs
+++ b/crates/aspendrum-standins/tests/standins.rs
@@ -1,5 +1,5 @@
-//! The stand-ins against a client that speaks the protocol plainly: each does what it is for, fails as it is told
-//! to, and records what reached it.
+//! The stand-ins against a client that speaks the protocol plainly: each does what it is for, fails as it is
+//! told to, and records what reached it.
 
 use aspendrum_judge::record::{Fate, Repeats};
 use aspendrum_standins::counter::{self, Counter};
