--- a/crates/aspendrum-rig/src/library.rs
+++ b/crates/aspendrum-rig/src/library.rs
@@ -29,6 +29,7 @@
     "discovery-gone",
     "zone-gone",
     "power-loss",
+    "ceiling",
     "few-connections",
 );
 
