--- a/crates/aspendrum-core/src/control/keepers.rs
+++ b/crates/aspendrum-core/src/control/keepers.rs
@@ -150,7 +150,7 @@
     fn terms(&self, at: usize) -> Terms {
         let a = &self.accts[at];
         let plan = &self.fig.plans[a.plan];
-        let grains = |units: f64| (units * UNIT as f64) as u64;
+        let down = |units: f64| (units * UNIT as f64) as u64;
         let (ways, whole) = (a.spread as u64, PARTS as u64 * a.spread as u64);
         let thin = plan.burst < SPARSE_PART * a.spread && self.fig.keepers;
         let (even, own) = if thin {
@@ -159,7 +159,7 @@
         } else {
             (PARTS as u64, PARTS as u64)
         };
-        let (rate, burst, largest) = (grains(plan.rate), grains(plan.burst), grains(self.fig.units_top));
+        let (rate, burst, largest) = (down(plan.rate), down(plan.burst), down(self.fig.units_top));
         Terms { rate, burst, ways, own, even, whole, largest }
     }
 
@@ -243,7 +243,7 @@
     }
 
     /// Out of units, a keeper asks those of the set that have not given lately for what they hold, one after
-    /// another, each at most once in the time that fills the burst: what idle limiters hold goes to where the
+    /// another, each at most twice in the time that fills the burst: what idle limiters hold goes to where the
     /// traffic is. A part of the words that a limiter takes in is for that.
     fn want(&mut self, at: usize, terms: &Terms) {
         let (a, now) = (&self.accts[at], self.now as u64);
--- a/crates/aspendrum-judge/src/rules.rs
+++ b/crates/aspendrum-judge/src/rules.rs
@@ -16,8 +16,8 @@
 const HELD: Ms = 1000.0;
 
 /// Every breach, in the order of the rules.
-pub fn breaches(record: &Record, grants: &[Grants]) -> Vec<Breach> {
-    let by_id: HashMap<u64, &Query> = record.queries.iter().map(|q| (q.id, q)).collect();
+pub fn breaches(record: &Record, grants: &[Grants], cold: &[ColdLoad]) -> Vec<Breach> {
+    let by_id = by_id(record);
     let mut runs: HashMap<u64, Vec<&Forward>> = HashMap::new();
     for f in &record.forwards {
         runs.entry(f.id).or_default().push(f);
@@ -26,11 +26,15 @@
     one_answer(record, &mut found);
     no_effect_twice(record, &by_id, &runs, &mut found);
     drains_kept(record, &by_id, &mut found);
-    cold_servers_stand(record, &by_id, &mut found);
+    cold_servers_stand(cold, &mut found);
     ceilings_kept(record, grants, &mut found);
     found
 }
 
+fn by_id(record: &Record) -> HashMap<u64, &Query> {
+    record.queries.iter().map(|q| (q.id, q)).collect()
+}
+
 fn one_answer(record: &Record, found: &mut Vec<Breach>) {
     for q in &record.queries {
         let what = match q.outcome {
@@ -105,8 +109,22 @@
     }
 }
 
-/// The work sent to a server in the worst window after its cold start, over what the rule allows there.
-pub fn cold_load(record: &Record, life: &Life, work: &[(Ms, Ms)]) -> (f64, Ms) {
+/// A cold start, and the work sent to the server in the worst window after it, over what the rule allows there.
+pub struct ColdLoad<'a> {
+    pub life: &'a Life,
+    pub load: f64,
+    /// The window's beginning.
+    pub at: Ms,
+}
+
+/// Every cold start's.
+pub fn cold_loads(record: &Record) -> Vec<ColdLoad<'_>> {
+    let by_id = by_id(record);
+    let cold = record.lives.iter().filter(|l| l.cold);
+    cold.map(|life| cold_load(record, life, &cold_work(record, &by_id, life))).collect()
+}
+
+fn cold_load<'a>(record: &Record, life: &'a Life, work: &[(Ms, Ms)]) -> ColdLoad<'a> {
     let (server, figures) = (&record.servers[life.server], &record.figures);
     // Capacity in the window by its middle: the ramp is straight, and flat once warm, so that this is never
     // less.
@@ -114,15 +132,15 @@
         let middle = server.capacity(start - life.from + figures.fall_window / 2.0);
         figures.fall_multiple * middle * figures.fall_window
     };
-    let (mut sum, mut end, mut worst) = (0.0, 0, (0.0, 0.0));
+    let (mut sum, mut end, mut worst) = (0.0, 0, ColdLoad { life, load: 0.0, at: 0.0 });
     for (i, (start, _)) in work.iter().enumerate() {
         while end < work.len() && work[end].0 < start + figures.fall_window {
             sum += work[end].1;
             end += 1;
         }
         let load = sum / may(*start);
-        if load > worst.0 {
-            worst = (load, *start);
+        if load > worst.load {
+            worst = ColdLoad { life, load, at: *start };
         }
         sum -= work[i].1;
     }
@@ -130,7 +148,7 @@
 }
 
 /// The work that reached a server in one of its lives while it was cold: when, and core milliseconds.
-pub fn cold_work(record: &Record, by_id: &HashMap<u64, &Query>, life: &Life) -> Vec<(Ms, Ms)> {
+fn cold_work(record: &Record, by_id: &HashMap<u64, &Query>, life: &Life) -> Vec<(Ms, Ms)> {
     let until = life.from + record.servers[life.server].ramp;
     let here = |f: &&Forward| f.server == life.server && f.whole >= life.from && f.whole < until;
     let mut work: Vec<(Ms, Ms)> = record
@@ -143,12 +161,11 @@
     work
 }
 
-fn cold_servers_stand(record: &Record, by_id: &HashMap<u64, &Query>, found: &mut Vec<Breach>) {
-    for life in record.lives.iter().filter(|l| l.cold) {
-        let (load, at) = cold_load(record, life, &cold_work(record, by_id, life));
-        if load > 1.0 {
+fn cold_servers_stand(cold: &[ColdLoad], found: &mut Vec<Breach>) {
+    for ColdLoad { life, load, at } in cold {
+        if *load > 1.0 {
             let what = format!("cold server {} was sent {load:.2} of what the rule allows", life.server);
-            found.push(Breach { rule: 4, at, what });
+            found.push(Breach { rule: 4, at: *at, what });
         } else if let Some(at) = life.fell {
             let what = format!("cold server {} fell over", life.server);
             found.push(Breach { rule: 4, at, what });
--- a/crates/aspendrum-judge/src/verdict.rs
+++ b/crates/aspendrum-judge/src/verdict.rs
@@ -4,7 +4,7 @@
 use crate::record::{Final, Ms, Query, Record, Trouble};
 use crate::rules::{self, Breach};
 use hdrhistogram::Histogram;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 
 /// After a fault, use is looked at over windows of this length, or of a burst's refill where that is longer.
 const WINDOW: Ms = 3000.0;
@@ -38,9 +38,7 @@
         .enumerate()
         .map(|(n, customer)| quota::used(customer, &queries[n], &grants[n], record.from, record.to));
     let (uses, inside): (Vec<Use>, Vec<quota::Grants>) = played.unzip();
-    let by_id: HashMap<u64, &Query> = record.queries.iter().map(|q| (q.id, q)).collect();
-    let cold = record.lives.iter().filter(|l| l.cold);
-    let cold_load = cold.map(|l| rules::cold_load(record, l, &rules::cold_work(record, &by_id, l)).0);
+    let cold = rules::cold_loads(record);
 
     let mut times = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds and digits are within range");
     for q in record.queries.iter().filter(|q| q.outcome == Final::Answered) {
@@ -77,10 +75,10 @@
     };
     let reached: HashSet<u64> = record.forwards.iter().map(|f| f.id).collect();
     Verdict {
-        breaches: rules::breaches(record, &grants),
+        breaches: rules::breaches(record, &grants, &cold),
         whole: together(record, &uses),
         uses,
-        cold_load: cold_load.fold(0.0, f64::max),
+        cold_load: cold.iter().map(|c| c.load).fold(0.0, f64::max),
         outcomes: kinds.map(|kind| (kind, count(kind))).to_vec(),
         times,
         recoveries: record.troubles.iter().map(recover).collect(),
--- a/crates/aspendrum-rig/src/clients.rs
+++ b/crates/aspendrum-rig/src/clients.rs
@@ -2,13 +2,13 @@
 
 use crate::scenario::{Customers, Scenario};
 use aspendrum_judge::record::{Final, Ms, Query, Repeats};
-use aspendrum_standins::{http, Clock};
+use aspendrum_standins::{http, lock, Clock};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::Mutex;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -180,11 +180,6 @@
     }
 }
 
-/// The list of idle connections is whole whoever panicked while holding it.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
-
 fn request(s: &Scenario, customers: &[Customer], query: &Planned) -> String {
     let (customer, group) = (&customers[query.customer], &s.groups[query.group]);
     let (method, more) = match group.repeats {
--- a/crates/aspendrum-rig/src/pass_through.rs
+++ b/crates/aspendrum-rig/src/pass_through.rs
@@ -4,12 +4,13 @@
 //! ratio.
 
 use aspendrum_standins::http::{self, Message};
+use aspendrum_standins::lock;
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -94,8 +95,3 @@
         Ok(answer)
     }
 }
-
-/// The list is whole whoever panicked while holding it.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
--- a/crates/aspendrum-rig/src/process.rs
+++ b/crates/aspendrum-rig/src/process.rs
@@ -97,10 +97,6 @@
         Ok(Process { child, pid })
     }
 
-    pub fn id(&self) -> i32 {
-        self.pid.as_raw()
-    }
-
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         Ok(kill(self.pid, signal)?)
     }
@@ -120,7 +116,7 @@
         let _ = self.child.kill().await;
     }
 
-    /// Memory that only it holds and that it holds in all, KiB, as the kernel tells now.
+    /// Its resident memory now, shared pages included, KiB, as the kernel tells it.
     pub fn memory_kb(&self) -> Option<u64> {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid)).ok()?;
         let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
--- a/crates/aspendrum-rig/src/run.rs
+++ b/crates/aspendrum-rig/src/run.rs
@@ -12,9 +12,11 @@
 use aspendrum_standins::counter::{self, Counter};
 use aspendrum_standins::discovery::{self, Discovery, Health};
 use aspendrum_standins::server::{self, Server, Shared};
-use aspendrum_standins::Clock;
+use aspendrum_standins::{lock, Clock};
+use futures_util::future::join_all;
 use nix::sys::resource::{getrlimit, setrlimit, Resource};
 use nix::sys::signal::Signal;
+use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -448,19 +450,9 @@
     }
 
     /// The same for each of these limiters, all at once.
-    async fn each<F: std::future::Future<Output = ()>>(&self, of: &Which, what: impl Fn(usize) -> F) {
+    async fn each<F: Future<Output = ()>>(&self, of: &Which, what: impl Fn(usize) -> F) {
         let s = &self.scenario;
-        let all: Vec<F> = of.of(s.limiters.count, s.limiters.zones).into_iter().map(what).collect();
-        let mut all: Vec<_> = all.into_iter().map(Box::pin).collect();
-        std::future::poll_fn(|context| {
-            all.retain_mut(|f| f.as_mut().poll(context).is_pending());
-            if all.is_empty() {
-                std::task::Poll::Ready(())
-            } else {
-                std::task::Poll::Pending
-            }
-        })
-        .await;
+        join_all(of.of(s.limiters.count, s.limiters.zones).into_iter().map(what)).await;
     }
 
     /// Ends it, or starts it again.
@@ -734,8 +726,3 @@
     };
     matches!(timeout(Duration::from_secs(1), ask).await, Ok(Ok(true)))
 }
-
-/// Plain data, whole whoever panicked while holding it.
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
-}
--- a/crates/aspendrum-rig/src/scenario.rs
+++ b/crates/aspendrum-rig/src/scenario.rs
@@ -42,7 +42,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Limiters {
     pub count: usize,
-    #[serde(default = "one_zone")]
+    #[serde(default = "single")]
     pub zones: usize,
     /// Whether they may send each other datagrams.
     #[serde(default = "yes")]
@@ -166,7 +166,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Customers {
-    #[serde(default = "one_zone")]
+    #[serde(default = "single")]
     pub count: usize,
     pub plan: String,
     /// The share of all limiters that make up the set of each; 1: all.
@@ -439,7 +439,7 @@
 fn one_f() -> f64 {
     1.0
 }
-fn one_zone() -> usize {
+fn single() -> usize {
     1
 }
 fn yes() -> bool {
--- a/crates/aspendrum-shared/src/purse.rs
+++ b/crates/aspendrum-shared/src/purse.rs
@@ -1,8 +1,8 @@
 //! A limiter's purse of one customer: units that it may spend without anybody's word.
 //!
 //! Each limiter of the set fills its own purse with its share of the rate, from its start on and from
-//! nothing: the customer's first keeper with the larger part of the whole, each other with an even part of
-//! the rest. Whoever asks the customer's keeper gives it all that is in its own purse, in the question
+//! nothing. Whoever names the shares sees to it that those of all limiters of the set are the whole: even
+//! parts, or some more and some none. Whoever asks the customer's keeper gives it all that is in its own purse, in the question
 //! itself. A gift is gone from the giver before it is sent, and taken at most once: it names its moment, and
 //! the keeper takes only what is later than the last it took from that giver, younger than [`LATEST`], and
 //! sent after its own start. What is lost on the way nobody spends.
@@ -28,8 +28,8 @@
     pub burst: Grains,
     /// Limiters of the set; at least 1.
     pub ways: u64,
-    /// Shares of the whole, in parts of `whole`: this limiter's own, and that of each limiter which is not
-    /// the first keeper. All limiters' own shares together are the whole.
+    /// Shares of the whole, in parts of `whole`: this limiter's own, and what each giver's is counted as in
+    /// the cap of whoever takes. All limiters' own shares together are the whole.
     pub own: u64,
     pub even: u64,
     pub whole: u64,
@@ -117,7 +117,7 @@
     }
 
     /// What it holds at most: its parts, or a whole query where they are less.
-    pub fn cap(&self, terms: &Terms, now: Ms) -> Grains {
+    fn cap(&self, terms: &Terms, now: Ms) -> Grains {
         self.parts(terms, now).max(terms.largest)
     }
 
@@ -193,7 +193,7 @@
         true
     }
 
-    /// Whether that limiter gave within the last window: it need not be asked for what it holds.
+    /// Whether that limiter gave within the last half of a window: it need not be asked for what it holds.
     pub fn heard(&self, terms: &Terms, from: u16, now: Ms) -> bool {
         self.givers.iter().any(|g| g.number == from && now.saturating_sub(g.taken) <= terms.window() / 2)
     }
--- a/crates/aspendrum-standins/src/lib.rs
+++ b/crates/aspendrum-standins/src/lib.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// A stand-in's state is plain data: whoever panicked while holding it left it whole.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// For plain data, which is whole whoever panicked while holding it.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
