--- /dev/null
+++ b/crates/aspendrum-catalog/src/lib.rs
@@ -0,0 +1,8 @@
+//! What the programs of the system know and tell each other: their settings, the operator's configuration,
+//! the platform's list of servers, and the words on held connections. No I/O.
+
+pub mod config;
+pub mod hash;
+pub mod news;
+pub mod servers;
+pub mod settings;
--- /dev/null
+++ b/crates/aspendrum-catalog/src/news.rs
@@ -0,0 +1,87 @@
+//! The words on the held connections between control, agents and proxies. All times in milliseconds; ages,
+//! never times of day: no two clocks here agree.
+
+use crate::servers::Server;
+use serde::{Deserialize, Serialize};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// A proxy that takes queries.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Front {
+    pub addr: SocketAddrV4,
+    pub zone: String,
+    /// New clients may be sent to it.
+    pub ready: bool,
+}
+
+/// Part of what is decided, each whole and newer than the one before.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Part {
+    /// A configuration, as the operator sent it.
+    Config {
+        version: u32,
+        text: Vec<u8>,
+    },
+    /// The zones that are evacuated, and the number of the last order about any zone.
+    Evacuated {
+        number: u64,
+        zones: Vec<String>,
+    },
+    /// The platform's list, and its age when it was said.
+    Servers {
+        age: u32,
+        list: Vec<Server>,
+    },
+    Fronts(Vec<Front>),
+    /// Where control is, and in which zone.
+    Control(Vec<(Ipv4Addr, String)>),
+}
+
+/// The kinds of parts: numbered changes of one kind supersede each other.
+pub const KINDS: usize = 5;
+
+impl Part {
+    pub fn kind(&self) -> usize {
+        match self {
+            Part::Config { .. } => 0,
+            Part::Evacuated { .. } => 1,
+            Part::Servers { .. } => 2,
+            Part::Fronts(_) => 3,
+            Part::Control(_) => 4,
+        }
+    }
+}
+
+/// What flows down: from control to an agent, from an agent to its proxy.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Down {
+    News {
+        number: u64,
+        part: Part,
+    },
+    /// Answers a beat. `age`: that long ago a majority of control's disks held no configuration above the one
+    /// that was said last; none if that was never so.
+    Beat {
+        stamp: u64,
+        age: Option<u32>,
+    },
+}
+
+/// What flows up: from a proxy to its agent, from an agent to control.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Up {
+    /// The first word: who speaks, and from where.
+    Hello { host: String, front: SocketAddrV4, zone: String },
+    /// `stamp` comes back with the answer. `applied`: the version in force at the proxy, 0 for none.
+    Beat { stamp: u64, ready: bool, applied: u32 },
+    /// All news up to that number are in force.
+    Applied { number: u64 },
+}
+
+/// A word on a connection to control: an agent's, or that of another machine of control, whose words only
+/// control can read.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word<B = ()> {
+    Up(Up),
+    Between(B),
+}
--- a/crates/aspendrum-core/src/api.rs
+++ b/crates/aspendrum-core/src/api.rs
@@ -80,6 +80,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Member {
     pub server: ServerId,
+    /// Queries of a pool go to its members only. 0 where there is one pool.
+    pub pool: u16,
     pub health: Health,
     pub cell: u16,
     pub zone: u8,
@@ -101,6 +103,11 @@
     pub first: f32,
     pub client_repeat: bool,
     pub write: bool,
+    pub pool: u16,
+    /// Zones whose servers may run it, a bit each; all where it does not matter.
+    pub zones: u64,
+    /// Servers to which it may be sent, one after another.
+    pub most: u8,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -164,6 +171,8 @@
     Shed {
         id: QueryId,
         retry_after: Ms,
+        /// It was beyond its customer's quota.
+        beyond: bool,
     },
     Drop {
         id: QueryId,
--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -68,6 +68,7 @@
 const GOLDEN: f64 = 0.618_033_988_75;
 const CARRIED_TIME: Ms = 5000.0;
 const BUSY_GAIN: f64 = 0.02;
+const BUSY_TOP: f64 = 5.0;
 const IDLE: Ms = 90_000.0;
 
 const BREAKER: [(Breaker, Signal, Breaker, Effect); 2] = [
@@ -240,17 +241,13 @@
         } else if self.fig.counter && self.breaker == Breaker::Closed {
             let fig = &self.fig.plans[plan];
             let room = a.level + if a.sparse { 0.0 } else { fig.rate * (self.now - a.at) };
-            // A counter that just failed is short of calls: none is spent on what even the whole refill
-            // since the last total leaves no room for.
-            // A keeper's own count is the customer's.
+            // A counter that just failed is short of calls. A keeper's own count is the customer's.
             let sure = if kept { !a.room_here(fig, units, self.now) } else { self.now < self.strained_until };
             let room = if kept { a.local } else { room };
             if sure && a.seen && room < units {
                 return self.admit(slot, false);
             }
-            // First of all those that the local count would turn away: the rest needs no word of others. A
-            // sparse customer's first query of a window here knows nothing: with hundreds of limiters each
-            // free one let a customer far beyond its quota (calm+mass, over quota 0.126 -> 0.087 of G).
+            // First of all those that the local count would turn away, and a sparse customer's first.
             let here = a.room_here(fig, units, self.now) && (a.seen || !a.sparse);
             let stake = self.queries[slot].worth * units * if here { 1.0 } else { NEED };
             self.stake += STAKE_GAIN * (stake - self.stake);
@@ -308,8 +305,7 @@
         if answered && rtt < LATE * self.fig.counter_wait {
             self.ask = (self.ask * (1.0 + ASK_GAIN)).min(1.0);
         } else {
-            // Calls that were out together fail together, from one cause: each by itself, a single stall took
-            // the share to its least and opened the breaker. Nor does an outage tell what the counter bears.
+            // Calls that were out together fail together, from one cause, and count once.
             if news && self.breaker == Breaker::Closed {
                 (self.ask, self.cut_at) = ((self.ask * (1.0 - ASK_CUT)).max(ASK_LEAST), self.now);
             }
@@ -319,8 +315,7 @@
             self.failures = 0;
             self.read(at, &call, total);
         } else {
-            // A counter works on calls that nobody waits for: what it answers too late it has added, and
-            // adding it again would count it twice.
+            // What a counter answers too late it has added.
             let a = &mut self.accts[at];
             if outcome != Outcome::TimedOut {
                 self.owe(at, call.add);
@@ -370,7 +365,6 @@
             a.turn_window(self.now, fig);
             let window = if a.sparse { a.turn(self.now, fig).fract() * fig.window } else { fig.window };
             let sum: f64 = a.log.drain(..).filter(|g| g.0 >= self.now - window).map(|g| g.1).sum();
-            // A sparse one's waits for that add: hundreds of limiters' sums would fill the line.
             a.carry += if a.sparse { sum } else { 0.0 };
             a.level -= if a.sparse { 0.0 } else { sum };
             self.owe(at, sum);
@@ -384,7 +378,6 @@
         let (a, add) = (&mut self.accts[at], call.add);
         let fig = &self.fig.plans[a.plan];
         if a.sparse != (call.name >> ID_BITS > 0) {
-            // Called before the count went over to one limiter, or back: it tells of another name.
             return;
         }
         if a.sparse {
@@ -402,13 +395,11 @@
             (a.level, a.at, a.total, a.seen) = (a.local, self.now, total, true);
             return;
         }
-        // A total far below what this limiter has read betrays a lost name (flush, empty return, end of
-        // its time): the level goes on, so nobody is handed a fresh burst. Refunds only lower it a little.
+        // A total far below what this limiter has read betrays a lost name: the level goes on.
         let noise = self.fig.units_top * a.spread;
         let reborn = !a.seen || others < -noise;
         others = if reborn { (total - add).max(0.0) } else { others };
         if !a.seen && others > fig.burst {
-            // A name older than this instance tells use but not its time.
             others = fig.burst / 2.0;
         }
         a.level = (a.level + fig.rate * (self.now - a.at) - others).clamp(-noise, fig.burst);
@@ -503,20 +494,21 @@
     /// Seen from here, a server that holds a query for long is as slow as that query says.
     fn cost(&self, s: &Server) -> f64 {
         let zone = if s.zone == self.fig.zone { 1.0 } else { 1.0 + CROSS_WEIGHT * self.fig.cross };
-        // A cold server's turn comes so seldom to one of hundreds that it is taken as it comes: passed over
-        // for servers not heard of lately, 36 cold ones got a third of their part while 24 warm ones jammed.
+        // A cold server's turn comes so seldom to one of hundreds that it is taken as it comes.
         let turn = if self.fig.crowd > 1.0 && self.cold(s.started) { COLD_TURN } else { 1.0 };
         s.rtt.max(s.silent(self.now)) * (1.0 + f64::from(s.out)) * zone * (1.0 + s.busy * s.busy) * turn
     }
 
     fn pick(&mut self, slot: usize) -> Option<usize> {
-        let q = &self.queries[slot];
+        let q = &self.queries.items[slot];
         let resend = self.resend(q);
         let (mut best, mut least) = (None, f64::INFINITY);
         for i in 0..self.servers.items.len() {
-            let jitter = 0.95 + 0.1 * self.chance.roll();
-            let s = &self.servers[i];
-            let cost = self.cost(s) * jitter;
+            let s = &self.servers.items[i];
+            if s.pool != q.pool || q.zones >> (s.zone & 63) & 1 == 0 {
+                continue;
+            }
+            let cost = self.cost(s) * (0.95 + 0.1 * self.chance.roll());
             if cost < least && self.usable(s) && self.reaches(q, resend, i) {
                 (best, least) = (Some(i), cost);
             }
@@ -536,7 +528,8 @@
 
     /// How this query may be sent on now, by rules 1 and 2.
     fn resend(&self, q: &Query) -> Resend {
-        let never = q.stage == Stage::Over || q.streaming || q.sent >= self.fig.most || self.too_late(q);
+        let never =
+            q.stage == Stage::Over || q.streaming || q.sent >= self.fig.most.min(q.most) || self.too_late(q);
         Some(self.rule(q).0).filter(|_| !never).unwrap_or(Resend::No)
     }
 
@@ -574,8 +567,9 @@
 
     /// Most important first, of equals the one with least time left, for as long as credits are left.
     fn dispatch(&mut self) {
+        // Pools without a server that may be used now, and the last pool's free share.
+        let (mut stuck, mut spare) = (0_u64, None);
         while !self.waiting.is_empty() {
-            let spare = self.spare();
             let mut order: Option<(f64, Ms, usize)> = None;
             for (i, &slot) in self.waiting.iter().enumerate() {
                 let q = &self.queries[slot];
@@ -583,13 +577,22 @@
                 let open = f64::from(self.fig.plans[a.plan].open);
                 let held = q.sent == 0 && open > 0.0 && f64::from(a.out) >= (open / a.spread).ceil().max(1.0);
                 let next = order.is_none_or(|o| (q.worth, -q.slo_at) > (o.0, o.1));
-                if !held && next && (q.inside || spare > 0.5) {
+                if held || !next || stuck >> (q.pool & 63) & 1 == 1 {
+                    continue;
+                }
+                let known = spare.filter(|s: &(u16, f64)| s.0 == q.pool);
+                let (_, share) = *spare.insert(known.unwrap_or_else(|| (q.pool, self.spare(q.pool))));
+                if share > if q.inside { 0.0 } else { 0.5 } {
                     order = Some((q.worth, -q.slo_at, i));
                 }
             }
-            let Some((_, _, i)) = order.filter(|_| spare > 0.0) else { return };
+            let Some((_, _, i)) = order else { return };
             let slot = self.waiting[i];
-            let Some(server) = self.pick(slot) else { return };
+            spare = None;
+            let Some(server) = self.pick(slot) else {
+                stuck |= 1 << (self.queries[slot].pool & 63);
+                continue;
+            };
             self.waiting.remove(i);
             self.send(slot, server);
         }
@@ -597,9 +600,9 @@
 
     /// The free share of the fleet's credits. Single servers keep a whole credit each, so many limiters
     /// could crowd few servers; the sum of the fractions is what bounds them together.
-    fn spare(&self) -> f64 {
+    fn spare(&self, pool: u16) -> f64 {
         let (mut all, mut out) = (0.0, 0.0);
-        for s in self.servers.items.iter().filter(|s| s.serving()) {
+        for s in self.servers.items.iter().filter(|s| s.pool == pool && s.serving()) {
             all += s.credits;
             out += f64::from(s.out);
         }
@@ -676,7 +679,6 @@
                 0.2
             }
             Outcome::TimedOut | Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => {
-                // A server that fails quickly must not look quick.
                 s.rtt = s.rtt.max(slo / 4.0);
                 s.credits = (s.credits * 0.7).max(CREDIT_LEAST);
                 1.0
@@ -691,7 +693,8 @@
     /// Where a third of the fleet is aside the trouble is not single servers': a shared slowdown or a cut
     /// must not set the rest aside too.
     fn set_aside(&mut self, server: usize) {
-        let ready = self.servers.items.iter().filter(|s| s.health == Health::Ready);
+        let pool = self.servers[server].pool;
+        let ready = self.servers.items.iter().filter(|s| s.pool == pool && s.health == Health::Ready);
         let (all, aside) =
             ready.fold((0, 0), |n, s| (n.0 + 1, n.1 + u32::from(s.standing != Standing::Ready)));
         if 3 * aside < all || self.servers[server].standing == Standing::Trial {
@@ -713,7 +716,7 @@
     fn report(&mut self, server: usize, load: &Load) {
         let known = |at: &usize| *at < usize::from(load.n) && !load.values[*at].is_nan();
         let Some(at) = self.fig.report_busy.filter(known) else { return };
-        let busy = f64::from(load.values[at]).clamp(0.0, 1.0);
+        let busy = f64::from(load.values[at]).clamp(0.0, BUSY_TOP);
         self.servers[server].busy = busy;
         self.busy += BUSY_GAIN * (busy - self.busy);
     }
@@ -737,7 +740,8 @@
         let retry_after = if useful { advice.min(self.fig.advice) } else { 0.0 };
         let (id, may) = (q.id, self.rule(q).1);
         let shed = may == May::Shed || may == May::ShedIfAll && all;
-        self.acts.push(if shed { Action::Shed { id, retry_after } } else { Action::Drop { id } });
+        let beyond = !q.inside;
+        self.acts.push(if shed { Action::Shed { id, retry_after, beyond } } else { Action::Drop { id } });
         if q.sent == 0 && q.stage == Stage::Waiting && q.inside {
             self.give_back(slot);
         }
@@ -769,15 +773,14 @@
             let at = self.place(self.fresh(m));
             let s = &mut self.servers[at];
             s.health = m.health;
-            (s.cell, s.zone, s.size) = (m.cell, m.zone, f64::from(m.size));
+            (s.cell, s.zone, s.size, s.pool) = (m.cell, m.zone, f64::from(m.size), m.pool);
         }
         self.dispatch();
     }
 
     fn fresh(&self, m: &Member) -> Server {
         let credits = if self.cold(m.started) { 1.0 } else { CREDIT_START / self.fig.instances };
-        // Hundreds of limiters that each hold one whole query would push a cold server over together: each
-        // starts at another part of a query, told by its number, so that they come in turn.
+        // Each limiter starts at another part of a query, so that hundreds come to a cold server in turn.
         let cold_left = (self.fig.turn + f64::from(m.server) * GOLDEN).fract();
         let (started, rtt, busy) = (m.started, self.typical, self.busy);
         let mut s = Server { id: m.server, started, credits, rtt, cold_left, busy, ..Server::default() };
@@ -802,8 +805,7 @@
         let ready = self.servers.items.iter().filter(|s| s.health == Health::Ready);
         let (n, sizes, warm) = ready
             .fold((0.0, 0.0, 0.0), |n, s| (n.0 + 1.0, n.1 + s.size, n.2 + self.present_share(s.started)));
-        // A cold server counts for what it can do, not as a whole one: with six in ten replaced, parts by all
-        // servers alike were two fifths of what a warm one carried, and shrank as that starved the fleet.
+        // A cold server counts for what it can do, not as a whole one.
         let carried = self.carried() / f64::max(warm, 1.0);
         let mean = if sizes > 0.0 { sizes / n } else { 1.0 };
         for i in 0..self.servers.items.len() {
@@ -842,7 +844,6 @@
     /// A refund waits a moment for the customer's next add; if none comes it goes by itself, lest the other
     /// limiters take refused units for use for as long as this one hears nothing of the customer.
     fn settle(&mut self) {
-        // Kept while the breaker is open: an amount that nobody settles would keep its customer for ever.
         while let Some(&(at, _)) =
             self.owed.front().filter(|o| o.1 <= self.now && self.breaker == Breaker::Closed)
         {
@@ -864,7 +865,6 @@
         // more for each would fill the counter. Without a counter nothing is owed.
         if !a.sparse && self.fig.counter {
             a.carry += units;
-            // A strained counter gets fewer and larger sums: half of its calls were such.
             self.owed.push_back((at, self.now + SETTLE_AFTER / self.ask));
         }
     }
@@ -885,8 +885,7 @@
             // An old or missing report does not make a server idle.
             s.busy += RTT_FADE * (self.busy - s.busy);
             let every = if s.standing == Standing::Aside { 250.0 } else { 500.0 } * self.fig.crowd;
-            // A report that one of hundreds of limiters hears steers too small a share of the load to pay for
-            // the probe, which each of them would pay: herd+mass 0.35 -> 0.43, probes 0.045 -> 0.001 of G.
+            // A report that one of hundreds hears steers too little of the load to pay for the probe.
             let wanted =
                 s.standing == Standing::Aside || cold && self.fig.report_probes && self.fig.crowd <= 1.0;
             let can = self.fig.may_probe && !s.probing && s.health == Health::Ready;
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -73,6 +73,7 @@
 #[derive(Default)]
 pub struct Server {
     pub id: ServerId,
+    pub pool: u16,
     pub health: Health,
     pub standing: Standing,
     pub cell: u16,
@@ -186,6 +187,10 @@
 pub struct Query {
     pub id: QueryId,
     pub group: usize,
+    /// Whose servers may run it, in which zones, and how many of them may be tried.
+    pub pool: u16,
+    pub zones: u64,
+    pub most: usize,
     pub acct: usize,
     pub units: f64,
     pub stage: Stage,
@@ -243,7 +248,8 @@
     pub fn new(new: &NewQuery, acct: usize, now: Ms) -> Self {
         let (group, units) = (usize::from(new.group), f64::from(new.units).max(0.0));
         let (id, until, since, inside) = (new.id, new.until, now, true);
-        Query { id, group, acct, units, since, until, inside, ..Query::default() }
+        let (pool, zones, most) = (new.pool, new.zones, usize::from(new.most));
+        Query { id, group, pool, zones, most, acct, units, since, until, inside, ..Query::default() }
     }
 
     pub fn known(&self) -> Known {
@@ -288,6 +294,34 @@
     pub ceiling_burst: f64,
 }
 
+impl GroupFig {
+    fn of(g: &Group) -> GroupFig {
+        GroupFig {
+            slo: g.slo,
+            semantics: g.semantics,
+            repeat_group: g.repeat_group,
+            window: g.repeat_window,
+            importance: g.importance,
+        }
+    }
+}
+
+impl PlanFig {
+    fn of(p: &Plan) -> PlanFig {
+        PlanFig {
+            rate: p.rate / 1000.0,
+            burst: p.burst,
+            window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
+            price: p.price,
+            over_worth: p.over_worth,
+            over_cost: p.over_cost,
+            open: p.open,
+            ceiling_rate: p.ceiling_rate / 1000.0,
+            ceiling_burst: p.ceiling_burst,
+        }
+    }
+}
+
 /// The figures that decisions use, worked out of the settings at start.
 #[derive(Default)]
 pub struct Figures {
@@ -322,27 +356,9 @@
 
 impl Figures {
     pub fn new(s: &Settings) -> Self {
-        let group = |g: &Group| GroupFig {
-            slo: g.slo,
-            semantics: g.semantics,
-            repeat_group: g.repeat_group,
-            window: g.repeat_window,
-            importance: g.importance,
-        };
-        let plan = |p: &Plan| PlanFig {
-            rate: p.rate / 1000.0,
-            burst: p.burst,
-            window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
-            price: p.price,
-            over_worth: p.over_worth,
-            over_cost: p.over_cost,
-            open: p.open,
-            ceiling_rate: p.ceiling_rate / 1000.0,
-            ceiling_burst: p.ceiling_burst,
-        };
         Figures {
-            groups: s.groups.iter().map(group).collect(),
-            plans: s.plans.iter().map(plan).collect(),
+            groups: s.groups.iter().map(GroupFig::of).collect(),
+            plans: s.plans.iter().map(PlanFig::of).collect(),
             report_busy: s.load_values.iter().position(|v| *v == LoadValue::CpuShare),
             report_probes: s.reports == ReportsVia::Probes,
             asks: s.discovery_asks,
@@ -414,6 +430,17 @@
 }
 
 impl Control {
+    /// A new configuration: endpoint groups and plans keep their numbers, and more may follow behind them.
+    /// Fewer than before are not taken.
+    pub fn configure(&mut self, groups: &[Group], plans: &[Plan]) {
+        if groups.len() < self.fig.groups.len() || plans.len() < self.fig.plans.len() {
+            return;
+        }
+        self.fig.groups = groups.iter().map(GroupFig::of).collect();
+        self.fig.plans = plans.iter().map(PlanFig::of).collect();
+        self.paces.resize_with(groups.len(), Pace::default);
+    }
+
     /// Where a server's record stands; a server that started again gets the fresh one.
     pub(crate) fn place(&mut self, fresh: Server) -> usize {
         let id = u64::from(fresh.id);
--- a/crates/aspendrum-core/tests/decisions.rs
+++ b/crates/aspendrum-core/tests/decisions.rs
@@ -19,7 +19,7 @@
 }
 
 fn member(server: ServerId, health: Health, cell: u16, started: Ms) -> Member {
-    Member { server, health, cell, zone: 0, size: 1.0, kind: 0, started }
+    Member { server, pool: 0, health, cell, zone: 0, size: 1.0, kind: 0, started }
 }
 
 impl Rig {
@@ -65,8 +65,21 @@
     fn ask_of(&mut self, id: QueryId, acct: AcctId, spread: f32) {
         let (until, units) = (self.now + 3000.0, 1.0);
         let (client_repeat, write) = (false, false);
-        let q =
-            NewQuery { id, group: 0, until, acct, plan: 0, spread, units, first: 0.0, client_repeat, write };
+        let q = NewQuery {
+            id,
+            group: 0,
+            until,
+            acct,
+            plan: 0,
+            spread,
+            units,
+            first: 0.0,
+            client_repeat,
+            write,
+            pool: 0,
+            zones: u64::MAX,
+            most: u8::MAX,
+        };
         self.tell(&Event::Query(q));
     }
 
--- a/crates/aspendrum-core/tests/keepers.rs
+++ b/crates/aspendrum-core/tests/keepers.rs
@@ -68,6 +68,7 @@
         self.limiters[me] = Some(Control::new(self.now, 7 + me as u64, &s, &mut Vec::new()));
         let member = |server| Member {
             server,
+            pool: 0,
             health: Health::Ready,
             cell: 0,
             zone: 0,
@@ -147,6 +148,9 @@
                 first: 0.0,
                 client_repeat: false,
                 write: false,
+                pool: 0,
+                zones: u64::MAX,
+                most: u8::MAX,
             }),
         );
     }
@@ -316,6 +320,7 @@
         let health = |s| if s <= gone { Health::Draining } else { Health::Ready };
         let member = |server, health, started| Member {
             server,
+            pool: 0,
             health,
             cell: 0,
             zone: 0,
--- /dev/null
+++ b/crates/aspendrum-folio/src/frames.rs
@@ -0,0 +1,87 @@
+//! Held connections between our own processes: frames of postcard behind a length of four bytes.
+
+use crate::hands::spawn;
+use crate::mail::{self, Post};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use socket2::SockRef;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddrV4, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// No frame is longer: a sender of nonsense must not make a reader take memory without end.
+pub const LONGEST: usize = 32 << 20;
+const STACK: usize = 96 << 10;
+
+/// A frame's bytes. What cannot be written as one is empty, and a link ends on it.
+pub fn frame<T: Serialize>(word: &T) -> Vec<u8> {
+    let body = postcard::to_allocvec(word).unwrap_or_default();
+    let mut out = (body.len() as u32).to_le_bytes().to_vec();
+    out.extend_from_slice(&body);
+    out
+}
+
+/// Reads one frame. `InvalidData`: it is too long, or no word of ours.
+pub fn read<T: DeserializeOwned>(from: &mut impl Read) -> io::Result<T> {
+    let mut length = [0; 4];
+    from.read_exact(&mut length)?;
+    let length = u32::from_le_bytes(length) as usize;
+    if length > LONGEST {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut body = Vec::new();
+    from.take(length as u64).read_to_end(&mut body)?;
+    if body.len() < length {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    postcard::from_bytes(&body).map_err(|_| io::ErrorKind::InvalidData.into())
+}
+
+/// The writing side of a held connection. Whoever says something never waits: a peer that does not read loses
+/// the link.
+pub struct Link {
+    post: Post<Vec<u8>>,
+    stream: Arc<TcpStream>,
+}
+
+impl Link {
+    /// `silence`: so long may bytes stay without the peer's acknowledgement.
+    pub fn over(stream: Arc<TcpStream>, silence: Duration, room: usize) -> io::Result<Link> {
+        stream.set_nodelay(true)?;
+        let _ = SockRef::from(&*stream).set_tcp_user_timeout(Some(silence));
+        let own = stream.clone();
+        let post = mail::with(room, move |inbox: mail::Inbox<Vec<u8>>| {
+            spawn("link", STACK, move || {
+                while let Ok(bytes) = inbox.next(None) {
+                    if bytes.is_empty() || (&*own).write_all(&bytes).is_err() {
+                        break;
+                    }
+                }
+                let _ = own.shutdown(Shutdown::Both);
+            })
+        })?;
+        Ok(Link { post, stream })
+    }
+
+    pub fn dial(to: SocketAddrV4, wait: Duration) -> io::Result<Arc<TcpStream>> {
+        TcpStream::connect_timeout(&to.into(), wait).map(Arc::new)
+    }
+
+    pub fn say<T: Serialize>(&self, word: &T) {
+        if self.post.offer(frame(word)).is_err() {
+            self.end();
+        }
+    }
+
+    pub fn end(&self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.end();
+        self.post.close();
+    }
+}
--- /dev/null
+++ b/crates/aspendrum-folio/src/lib.rs
@@ -0,0 +1,12 @@
+//! The plumbing that old and new programs share: rings, threads, letter boxes, connections to servers, HTTP
+//! framing, frames between own processes. Nothing here decides.
+
+pub mod daemon;
+pub mod frames;
+pub mod hands;
+pub mod mail;
+pub mod matcher;
+pub mod message;
+pub mod pool;
+pub mod reception;
+pub mod ring;
--- /dev/null
+++ b/crates/aspendrum-folio/src/message.rs
@@ -0,0 +1,289 @@
+//! What all our HTTP/1.1 codecs share: the framing of bodies, headers, and whole messages (RFC 9112).
+
+use crate::ring::Ring;
+
+/// What stands in a buffer so far.
+pub enum Parsed<T> {
+    More,
+    Whole(T),
+    Bad(u16),
+}
+
+/// How a body ends.
+pub enum Length {
+    Known(usize),
+    Chunked,
+    Unknown,
+}
+
+/// A message whose framing is in doubt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Doubt;
+
+/// Two lengths, or a length beside chunks, are the door to smuggled queries.
+pub fn length(headers: &[httparse::Header]) -> Result<Length, Doubt> {
+    let mut found = Length::Unknown;
+    for h in headers {
+        // Of the others none matters here: a good answer may bring a report that cannot be read.
+        let known = h.name.eq_ignore_ascii_case("content-length");
+        if !known && !h.name.eq_ignore_ascii_case("transfer-encoding") {
+            continue;
+        }
+        let value = std::str::from_utf8(h.value).map_err(|_| Doubt)?.trim();
+        let next = if known {
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            Length::Known(if digits { value.parse().unwrap_or(usize::MAX) } else { return Err(Doubt) })
+        } else if value.eq_ignore_ascii_case("chunked") {
+            Length::Chunked
+        } else {
+            return Err(Doubt);
+        };
+        match (&found, &next) {
+            (Length::Unknown, _) => found = next,
+            (Length::Known(a), Length::Known(b)) if a == b => {}
+            _ => return Err(Doubt),
+        }
+    }
+    Ok(found)
+}
+
+pub fn chunks(bytes: &[u8], most: usize) -> Parsed<(usize, Vec<u8>)> {
+    let (mut at, mut body) = (0, Vec::new());
+    loop {
+        let (skip, size) = match httparse::parse_chunk_size(&bytes[at..]) {
+            Ok(httparse::Status::Complete((skip, size))) => (skip, size),
+            Ok(httparse::Status::Partial) if bytes.len() - at < 64 => return Parsed::More,
+            _ => return Parsed::Bad(502),
+        };
+        if size > (most - body.len()) as u64 {
+            return Parsed::Bad(502);
+        }
+        let (from, to) = (at + skip, at + skip + size as usize);
+        if size == 0 {
+            // Trailers are read over, up to the empty line.
+            return match (bytes[from..].starts_with(b"\r\n"), find(&bytes[from..], b"\r\n\r\n")) {
+                (true, _) => Parsed::Whole((from + 2, body)),
+                (_, Some(end)) => Parsed::Whole((from + end + 4, body)),
+                _ => Parsed::More,
+            };
+        }
+        if bytes.len() < to + 2 {
+            return Parsed::More;
+        }
+        if &bytes[to..to + 2] != b"\r\n" {
+            return Parsed::Bad(502);
+        }
+        body.extend_from_slice(&bytes[from..to]);
+        at = to + 2;
+    }
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|w| w == what)
+}
+
+pub fn raw<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a [u8]> {
+    headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
+}
+
+pub fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a str> {
+    std::str::from_utf8(raw(headers, name)?).ok().map(str::trim)
+}
+
+pub fn closes(headers: &[httparse::Header], version: Option<u8>) -> bool {
+    let told = header(headers, "Connection").unwrap_or("");
+    let says = |word: &str| told.split(',').any(|t| t.trim().eq_ignore_ascii_case(word));
+    says("close") || version == Some(0) && !says("keep-alive")
+}
+
+/// The most headers of one message.
+const HEADERS: usize = 64;
+
+/// The most bytes that a message's head and its body may have.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub head: usize,
+    pub body: usize,
+}
+
+pub type Headers = Vec<(String, Vec<u8>)>;
+
+/// A whole request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    pub method: String,
+    /// The target as it came: a path with its query.
+    pub path: String,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+    /// The client wants the connection closed behind the answer.
+    pub close: bool,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Response {
+    pub status: u16,
+    pub reason: String,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+    /// The server closes the connection behind it.
+    pub close: bool,
+}
+
+/// The one value of a header; none if it is absent, comes twice or is no text.
+pub fn only<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
+    let mut found = headers.iter().filter(|h| h.0.eq_ignore_ascii_case(name));
+    let value = found.next().filter(|_| found.next().is_none())?;
+    std::str::from_utf8(&value.1).ok().map(str::trim)
+}
+
+pub fn has(headers: &Headers, name: &str) -> bool {
+    headers.iter().any(|h| h.0.eq_ignore_ascii_case(name))
+}
+
+/// Headers that concern one connection only: these, and those that `Connection` names (RFC 9110, 7.6.1).
+pub fn one_hop(headers: &Headers, name: &str) -> bool {
+    const ALWAYS: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "proxy-connection",
+        "content-length",
+        "expect",
+    ];
+    let named = |h: &(String, Vec<u8>)| {
+        h.0.eq_ignore_ascii_case("connection")
+            && std::str::from_utf8(&h.1)
+                .is_ok_and(|v| v.split(',').any(|t| t.trim().eq_ignore_ascii_case(name)))
+    };
+    ALWAYS.iter().any(|a| a.eq_ignore_ascii_case(name)) || headers.iter().any(named)
+}
+
+fn owned(headers: &[httparse::Header]) -> Headers {
+    headers.iter().map(|h| (h.name.to_string(), h.value.to_vec())).collect()
+}
+
+/// The body behind a head of that many bytes, and how many bytes it takes up.
+fn body(bytes: &[u8], at: usize, length: Result<Length, Doubt>, most: usize) -> Parsed<(usize, Vec<u8>)> {
+    match length {
+        Ok(Length::Known(n)) if n > most => Parsed::Bad(413),
+        Ok(Length::Known(n)) if bytes.len() < at + n => Parsed::More,
+        Ok(Length::Known(n)) => Parsed::Whole((at + n, bytes[at..at + n].to_vec())),
+        Ok(Length::Chunked) => match chunks(&bytes[at..], most) {
+            Parsed::Whole((size, body)) => Parsed::Whole((at + size, body)),
+            Parsed::More => Parsed::More,
+            Parsed::Bad(_) => Parsed::Bad(400),
+        },
+        Ok(Length::Unknown) => Parsed::Whole((at, Vec::new())),
+        Err(Doubt) => Parsed::Bad(400),
+    }
+}
+
+/// Takes one request off the ring once it is whole. `Bad`: the status that its sender is told.
+pub fn request(ring: &mut Ring, bounds: &Bounds) -> Parsed<Request> {
+    let mut space = [httparse::EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Request::new(&mut space);
+    let bytes = ring.whole();
+    let at = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(at)) if at <= bounds.head => at,
+        Ok(httparse::Status::Partial) if bytes.len() < bounds.head => return Parsed::More,
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Parsed::Bad(431),
+        Err(_) => return Parsed::Bad(400),
+    };
+    let (taken, body) = match body(bytes, at, length(head.headers), bounds.body) {
+        Parsed::Whole(found) => found,
+        Parsed::More => return Parsed::More,
+        Parsed::Bad(status) => return Parsed::Bad(status),
+    };
+    let (Some(method), Some(path)) = (head.method, head.path) else { return Parsed::Bad(400) };
+    let request = Request {
+        method: method.to_string(),
+        path: path.to_string(),
+        close: closes(head.headers, head.version),
+        headers: owned(head.headers),
+        body,
+    };
+    ring.take(taken);
+    Parsed::Whole(request)
+}
+
+/// Takes one answer off the ring once it is whole; answers of 1xx are read over. One that only the end of the
+/// connection delimits cannot be told from one that was cut off, so it is never whole.
+pub fn response(ring: &mut Ring, bounds: &Bounds) -> Parsed<Response> {
+    loop {
+        let mut space = [httparse::EMPTY_HEADER; HEADERS];
+        let mut head = httparse::Response::new(&mut space);
+        let bytes = ring.whole();
+        let at = match head.parse(bytes) {
+            Ok(httparse::Status::Complete(at)) if at <= bounds.head => at,
+            Ok(httparse::Status::Partial) if bytes.len() < bounds.head => return Parsed::More,
+            _ => return Parsed::Bad(502),
+        };
+        let status = head.code.unwrap_or(0);
+        if status == 101 || status < 100 {
+            return Parsed::Bad(502);
+        }
+        if status < 200 {
+            ring.take(at);
+            continue;
+        }
+        let length = match length(head.headers) {
+            _ if status == 204 || status == 304 => Ok(Length::Known(0)),
+            Ok(Length::Unknown) => return Parsed::Bad(502),
+            length => length,
+        };
+        let (taken, body) = match body(bytes, at, length, bounds.body) {
+            Parsed::Whole(found) => found,
+            Parsed::More => return Parsed::More,
+            Parsed::Bad(_) => return Parsed::Bad(502),
+        };
+        let response = Response {
+            status,
+            reason: head.reason.unwrap_or("").to_string(),
+            close: closes(head.headers, head.version),
+            headers: owned(head.headers),
+            body,
+        };
+        ring.take(taken);
+        return Parsed::Whole(response);
+    }
+}
+
+/// The usual words behind a status (RFC 9110, 15).
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        307 => "Temporary Redirect",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Answer",
+    }
+}
+
+/// An answer of our own, whole.
+pub fn answer(status: u16, headers: &[(&str, &str)], close: bool, body: &[u8]) -> Vec<u8> {
+    let mut out = format!("HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len());
+    for (name, value) in headers {
+        out += &format!("{name}: {value}\r\n");
+    }
+    out += if close { "Connection: close\r\n\r\n" } else { "\r\n" };
+    let mut out = out.into_bytes();
+    out.extend_from_slice(body);
+    out
+}
--- a/crates/aspendrum/src/pool.rs
+++ b/crates/aspendrum-folio/src/pool.rs
@@ -2,8 +2,7 @@
 //! well before a server would close them, and bounded in number. Nothing is ever sent twice from here.
 
 use crate::hands::lock;
-use crate::http::{self, Answer, Lanes, Parsed};
-use crate::limits::Limits;
+use crate::message::Parsed;
 use crate::ring::{waited, Ring};
 use aspendrum_core::api::{Outcome, ServerId};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
@@ -14,12 +13,34 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+/// Sizes, counts and times of connections to servers.
+#[derive(Clone, Debug)]
+pub struct Lines {
+    /// Descriptors that servers may hold.
+    pub sockets: usize,
+    /// A ring's size at the start, and at the most.
+    pub ring: usize,
+    pub ring_top: usize,
+    /// No wait for a socket is shorter: the system takes none of nothing.
+    pub shortest: Duration,
+    /// How long one write may take, and how long one read waits before the time is looked at.
+    pub write: Duration,
+    pub read: Duration,
+    /// A connection idle for so long is closed, unless its server named a time.
+    pub idle: Duration,
+    /// It rests for so long between two calls: whatever comes behind an answer has come by then, and is not
+    /// taken for the next one's.
+    pub rest: Duration,
+}
+
 /// A connection that carries one call at a time.
 pub struct Conn {
     pub stream: Arc<TcpStream>,
     inward: Ring,
     pub outward: Ring,
     idle_since: Instant,
+    /// How long it may stay idle.
+    pub good_for: Duration,
     pub dial: SocketAddr,
     /// The time a read may take, as last set: setting it anew for each forward would cost a system call.
     read_wait: Duration,
@@ -41,7 +62,7 @@
     fn open(
         addr: SocketAddr,
         wait: Duration,
-        limits: &Limits,
+        lines: &Lines,
         place: Place,
         shown: impl FnOnce(&Arc<TcpStream>) -> bool,
     ) -> io::Result<Conn> {
@@ -50,18 +71,18 @@
         if !shown(&stream) {
             return Err(ErrorKind::Interrupted.into());
         }
-        SockRef::from(&*stream).connect_timeout(&addr.into(), wait.max(limits.shortest))?;
+        SockRef::from(&*stream).connect_timeout(&addr.into(), wait.max(lines.shortest))?;
         stream.set_nodelay(true)?;
-        stream.set_write_timeout(Some(limits.server_write))?;
-        let ring = || Ring::new(limits.ring, limits.ring_top);
+        stream.set_write_timeout(Some(lines.write))?;
+        let ring = || Ring::new(lines.ring, lines.ring_top);
         let (inward, outward, idle_since) = (ring(), ring(), Instant::now());
-        let (dial, read_wait) = (addr, Duration::ZERO);
-        Ok(Conn { stream, inward, outward, idle_since, dial, read_wait, _place: place })
+        let (dial, read_wait, good_for) = (addr, Duration::ZERO, lines.idle);
+        Ok(Conn { stream, inward, outward, idle_since, good_for, dial, read_wait, _place: place })
     }
 
     /// A connection outside the pool's count, for discovery.
-    pub fn apart(addr: SocketAddr, wait: Duration, limits: &Limits) -> io::Result<Conn> {
-        Conn::open(addr, wait, limits, Place(Arc::new(AtomicUsize::new(1))), |_| true)
+    pub fn apart(addr: SocketAddr, wait: Duration, lines: &Lines) -> io::Result<Conn> {
+        Conn::open(addr, wait, lines, Place(Arc::new(AtomicUsize::new(1))), |_| true)
     }
 
     /// Nothing may lie on an idle connection: bytes belong to no call, and an end means that whatever is
@@ -78,11 +99,16 @@
         self.outward.drain(&mut &*self.stream).map_err(|_| Outcome::ConnectFailed)
     }
 
-    /// Reads one whole answer.
-    pub fn receive(&mut self, until: Instant, lanes: &Lanes, limits: &Limits) -> Result<Answer, Outcome> {
+    /// Reads one whole answer, as the codec finds it.
+    pub fn receive<T>(
+        &mut self,
+        until: Instant,
+        lines: &Lines,
+        mut codec: impl FnMut(&mut Ring) -> Parsed<T>,
+    ) -> Result<T, Outcome> {
         let mut from = &*self.stream;
         loop {
-            match http::answer(&mut self.inward, lanes, limits) {
+            match codec(&mut self.inward) {
                 Parsed::Whole(answer) => return Ok(answer),
                 Parsed::Bad(_) => return Err(Outcome::Error),
                 Parsed::More => {}
@@ -92,7 +118,7 @@
                 return Err(Outcome::TimedOut);
             }
             // Short of the end it is looked at again each time that the usual wait is over.
-            let wait = left.clamp(limits.shortest, limits.server_read);
+            let wait = left.clamp(lines.shortest, lines.read);
             let limited = if wait == self.read_wait { Ok(()) } else { from.set_read_timeout(Some(wait)) };
             self.read_wait = wait;
             match limited.and_then(|()| self.inward.fill(&mut from)) {
@@ -115,12 +141,16 @@
 pub struct Pool {
     shelves: Mutex<HashMap<ServerId, Shelf>>,
     open: Arc<AtomicUsize>,
-    limits: Arc<Limits>,
+    lines: Lines,
 }
 
 impl Pool {
-    pub fn new(limits: Arc<Limits>) -> Pool {
-        Pool { shelves: Mutex::default(), open: Arc::default(), limits }
+    pub fn new(lines: Lines) -> Pool {
+        Pool { shelves: Mutex::default(), open: Arc::default(), lines }
+    }
+
+    pub fn lines(&self) -> &Lines {
+        &self.lines
     }
 
     fn shelves(&self) -> MutexGuard<'_, HashMap<ServerId, Shelf>> {
@@ -165,17 +195,17 @@
             let (dial, conn) = {
                 let mut shelves = self.shelves();
                 let shelf = shelves.get_mut(&server).ok_or(Outcome::ConnectFailed)?;
-                let rested = shelf.idle.iter().rposition(|c| c.idle_since.elapsed() >= self.limits.rest);
+                let rested = shelf.idle.iter().rposition(|c| c.idle_since.elapsed() >= self.lines.rest);
                 (shelf.dial.ok_or(Outcome::ConnectFailed)?, rested.map(|at| shelf.idle.remove(at)))
             };
             match conn {
-                Some(conn) if conn.idle_since.elapsed() < self.limits.idle_server && conn.still_good() => {
+                Some(conn) if conn.idle_since.elapsed() < conn.good_for && conn.still_good() => {
                     return if shown(&conn.stream) { Ok(conn) } else { Err(Outcome::Moot) }
                 }
                 Some(_) => {}
                 None => {
                     let place = self.seat().ok_or(Outcome::Moot)?;
-                    let opened = Conn::open(dial, wait, &self.limits, place, shown);
+                    let opened = Conn::open(dial, wait, &self.lines, place, shown);
                     return opened.map_err(|_| Outcome::ConnectFailed);
                 }
             }
@@ -197,7 +227,7 @@
 
     /// A place among the descriptors; when all are taken, the longest idle connection makes room.
     fn seat(&self) -> Option<Place> {
-        if self.open.load(Ordering::Relaxed) >= self.limits.server_sockets {
+        if self.open.load(Ordering::Relaxed) >= self.lines.sockets {
             let mut shelves = self.shelves();
             let oldest = shelves.values_mut().filter(|s| !s.idle.is_empty());
             let oldest = oldest.min_by_key(|s| s.idle.first().map(|c| c.idle_since))?;
@@ -209,9 +239,8 @@
 
     /// Closes what has been idle for long.
     pub fn sweep(&self) {
-        let old = self.limits.idle_server;
         for shelf in self.shelves().values_mut() {
-            shelf.idle.retain(|c| c.idle_since.elapsed() < old);
+            shelf.idle.retain(|c| c.idle_since.elapsed() < c.good_for);
         }
     }
 }
--- /dev/null
+++ b/crates/aspendrum-folio/src/reception.rs
@@ -0,0 +1,89 @@
+//! A listener for short calls of servers, operators and the platform: each request is answered by one
+//! function, on a thread that is kept for the next connection.
+
+use crate::hands::{spawn, Hands};
+use crate::message::{self, Bounds, Parsed, Request};
+use crate::ring::Ring;
+use std::io::Write;
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub stack: usize,
+    pub bounds: Bounds,
+    /// A connection on which nothing comes for so long is closed.
+    pub idle: Duration,
+    pub hands: Duration,
+}
+
+/// An answer of one call: status, headers, body.
+pub struct Reply {
+    pub status: u16,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn plain(status: u16) -> Reply {
+        Reply { status, headers: Vec::new(), body: Vec::new() }
+    }
+
+    pub fn json(body: Vec<u8>) -> Reply {
+        Reply { status: 200, headers: vec![("Content-Type", "application/json".into())], body }
+    }
+}
+
+/// Listens there and answers until the process ends.
+pub fn open(
+    at: SocketAddrV4,
+    terms: Terms,
+    serve: impl Fn(Request) -> Reply + Send + Sync + 'static,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(at)?;
+    let serve = Arc::new(serve);
+    let hands = Hands::new(terms.stack, terms.hands);
+    spawn("reception", terms.stack, move || loop {
+        let Ok((stream, _)) = listener.accept() else {
+            // No descriptor is free: one may be in a moment.
+            sleep(Duration::from_millis(20));
+            continue;
+        };
+        let (serve, terms) = (serve.clone(), terms.clone());
+        // Without a thread the connection is closed, and its caller goes to another limiter.
+        let _ = hands.run(Box::new(move || attend(&stream, &terms, &*serve)));
+    })?;
+    Ok(())
+}
+
+fn attend(stream: &TcpStream, terms: &Terms, serve: &dyn Fn(Request) -> Reply) {
+    let mut ring = Ring::new(1 << 10, terms.bounds.head + terms.bounds.body + 1024);
+    let set = stream.set_nodelay(true).and_then(|()| stream.set_read_timeout(Some(terms.idle)));
+    if set.and_then(|()| stream.set_write_timeout(Some(terms.idle))).is_err() {
+        return;
+    }
+    loop {
+        let (reply, close) = match message::request(&mut ring, &terms.bounds) {
+            Parsed::More => match ring.fill(&mut &*stream) {
+                Ok(n) if n > 0 => continue,
+                _ => return,
+            },
+            Parsed::Bad(status) => (Reply::plain(status), true),
+            Parsed::Whole(request) => {
+                let close = request.close;
+                (serve(request), close)
+            }
+        };
+        let headers: Vec<(&str, &str)> = reply.headers.iter().map(|h| (h.0, h.1.as_str())).collect();
+        let bytes = message::answer(reply.status, &headers, close, &reply.body);
+        if (&*stream).write_all(&bytes).is_err() {
+            return;
+        }
+        if close {
+            crate::pool::linger(stream, Duration::from_millis(200), 64 << 10);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/aspendrum-lectern/src/agent.rs
@@ -0,0 +1,60 @@
+//! The loopback connection to the agent on this machine: news come in and are applied, beats go out.
+
+use crate::Shop;
+use aspendrum_catalog::news::{Down, Up};
+use aspendrum_catalog::settings::Settings;
+use aspendrum_folio::frames::{self, Link};
+use aspendrum_folio::hands::{lock, spawn};
+use std::io::BufReader;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::Duration;
+
+const STACK: usize = 512 << 10;
+const REDIAL: Duration = Duration::from_millis(100);
+const SILENCE: Duration = Duration::from_secs(5);
+const ROOM: usize = 32;
+
+/// The link, while there is one.
+#[derive(Default)]
+pub struct Agent(Mutex<Option<Arc<Link>>>);
+
+impl Agent {
+    /// A sign of life. The stamp comes back with the licence's age.
+    pub fn beat(&self, stamp: u64, ready: bool, applied: u32) {
+        let link = lock(&self.0).clone();
+        if let Some(link) = link {
+            link.say(&Up::Beat { stamp, ready, applied });
+        }
+    }
+}
+
+/// Keeps the link for as long as the process runs.
+pub fn hold(shop: &Arc<Shop>, settings: &Settings, front: SocketAddrV4) -> std::io::Result<()> {
+    let (shop, at) = (shop.clone(), SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.agent_port()));
+    let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    spawn("agent", STACK, move || loop {
+        if let Ok(stream) = Link::dial(at, SILENCE) {
+            if let Ok(link) = Link::over(stream.clone(), SILENCE, ROOM) {
+                let link = Arc::new(link);
+                link.say(&Up::Hello { host: host.clone(), front, zone: zone.clone() });
+                *lock(&shop.agent.0) = Some(link.clone());
+                let mut from = BufReader::with_capacity(4 << 10, &*stream);
+                while let Ok(said) = frames::read::<Down>(&mut from) {
+                    match said {
+                        Down::News { number, part } => {
+                            shop.desk.apply(part);
+                            link.say(&Up::Applied { number });
+                        }
+                        Down::Beat { stamp, age } => shop.licence(stamp, age),
+                    }
+                }
+                *lock(&shop.agent.0) = None;
+                log::info!("event=agent_lost");
+            }
+        }
+        sleep(REDIAL);
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -0,0 +1,568 @@
+//! The desk: the module, the servers it may use, the counters and the queries in hand, behind one lock. Each
+//! thread tells it what happened and carries on; nothing under the lock waits for anybody.
+
+use crate::counts::{Call, Calls, Ledger, Word};
+use crate::stacks::{Stacks, Terms, Warmth};
+use aspendrum_catalog::config::{Config, Route, Tenant};
+use aspendrum_catalog::hash::digest;
+use aspendrum_catalog::news::{Front, Part};
+use aspendrum_catalog::settings::Settings;
+use aspendrum_core::api::*;
+use aspendrum_core::control::Control;
+use aspendrum_folio::hands::lock;
+use aspendrum_folio::mail::Post;
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+/// The module's beat, and how often servers' standing is looked at.
+pub const BEAT_MS: Ms = 5.0;
+const STACKS_EVERY: Ms = 20.0;
+/// Names of counters have 40 bits.
+const NAME_BITS: u32 = 40;
+/// The module's clock does not begin at nothing: it takes that for long ago.
+const EPOCH: Ms = 1000.0;
+/// The module sends to a server what it is paid back by answers; so many limiters share the first of it. More,
+/// and a few servers' first credits hold queries up at a proxy that sees a tenth of the traffic.
+const CREDIT_SHARERS: u32 = 2;
+/// The module gives up on a query that it holds at this multiple of its aim: late answers have their worth.
+const SLO_TIMES: f64 = 3.0;
+/// In the module's figures of another region's price; see docs/system.md.
+const REGION_PRICE: f64 = 0.15;
+
+/// What the module orders for a query.
+#[derive(Debug)]
+pub enum Order {
+    Forward {
+        forward: u8,
+        server: ServerId,
+    },
+    Shed {
+        advice: Ms,
+        beyond: bool,
+    },
+    Drop,
+    /// It would go to a further server, and the budget for such is spent.
+    Spent,
+}
+
+/// A query as the desk is asked.
+pub struct Ask {
+    pub route: usize,
+    pub service: u16,
+    pub tenant: Option<usize>,
+    pub zones: u64,
+    pub until: Instant,
+    pub orders: Post<Order>,
+}
+
+/// What is decided, as queries read it: a configuration, and the module's numbers for its parts.
+pub struct View {
+    pub config: Config,
+    groups: Vec<u16>,
+    plans: Vec<u32>,
+    accts: Vec<AcctId>,
+    pub pools: HashMap<String, u16>,
+    /// Regions in which a route's and a tenant's queries may be served, a bit each.
+    pub route_zones: Vec<u64>,
+    pub tenant_zones: Vec<u64>,
+}
+
+struct Seat {
+    orders: Post<Order>,
+    pool: u16,
+    forwards: u8,
+}
+
+struct Inner {
+    control: Control,
+    acts: Vec<Action>,
+    later: Vec<Event<'static>>,
+    members: Vec<Member>,
+    stacks: Stacks,
+    stacks_at: Ms,
+    calls: Calls,
+    ledger: Ledger,
+    seats: HashMap<QueryId, Seat>,
+    next: QueryId,
+    groups: Vec<Group>,
+    group_of: HashMap<(u64, u64, bool, u64), u16>,
+    plans: Vec<Plan>,
+    plan_of: HashMap<String, u32>,
+    probes: Vec<ServerId>,
+}
+
+pub struct Desk {
+    inner: Mutex<Inner>,
+    view: Mutex<Option<Arc<View>>>,
+    begun: Instant,
+    me: Ipv4Addr,
+    count_port: u16,
+    socket: UdpSocket,
+    settings: Settings,
+}
+
+impl Desk {
+    pub fn new(settings: &Settings, socket: UdpSocket) -> Desk {
+        let region = settings.region_number(&settings.region).unwrap_or(0);
+        let group = Group {
+            slo: 400.0,
+            limit: 2000.0,
+            semantics: Semantics::Mutating,
+            repeat_group: RepeatGroup::All,
+            repeat_window: 0.0,
+            importance: 1.0,
+            late_share: 0.0,
+            stream: false,
+        };
+        let module = module(region, &group);
+        let (mut acts, seed) = (Vec::new(), fastrand::u64(..));
+        let control = Control::new(EPOCH, seed, &module, &mut acts);
+        let inner = Inner {
+            control,
+            acts: Vec::new(),
+            later: Vec::new(),
+            members: Vec::new(),
+            stacks: Stacks::new(Terms::of(settings), settings.ip),
+            stacks_at: 0.0,
+            calls: Calls::new(),
+            ledger: Ledger::new(fastrand::u32(1..)),
+            seats: HashMap::new(),
+            next: 1,
+            groups: vec![group],
+            group_of: HashMap::new(),
+            plans: vec![plan(0.0, 0.0)],
+            plan_of: HashMap::new(),
+            probes: Vec::new(),
+        };
+        Desk {
+            inner: Mutex::new(inner),
+            view: Mutex::default(),
+            begun: Instant::now(),
+            me: settings.ip,
+            count_port: settings.count_port(),
+            socket,
+            settings: settings.clone(),
+        }
+    }
+
+    pub fn view(&self) -> Option<Arc<View>> {
+        lock(&self.view).clone()
+    }
+
+    pub fn at(&self, when: Instant) -> Ms {
+        EPOCH + when.saturating_duration_since(self.begun).as_secs_f64() * 1000.0
+    }
+
+    pub fn now(&self) -> Ms {
+        self.at(Instant::now())
+    }
+
+    /// A query came. Its orders follow; the first may be there at once.
+    pub fn ask(&self, view: &View, ask: Ask) -> QueryId {
+        let now = self.now();
+        let mut inner = lock(&self.inner);
+        let id = inner.next;
+        inner.next += 1;
+        inner.stacks.first(now, ask.service);
+        let (plan, acct) = match ask.tenant {
+            Some(n) => (view.plans[n], view.accts[n]),
+            None => (0, 0),
+        };
+        let new = NewQuery {
+            id,
+            group: view.groups[ask.route],
+            until: self.at(ask.until),
+            acct,
+            plan,
+            spread: inner.stacks.sharers() as f32,
+            units: 1.0,
+            first: 0.0,
+            client_repeat: false,
+            write: false,
+            pool: ask.service,
+            zones: ask.zones,
+            most: view.config.routes[ask.route].tries.min(u32::from(u8::MAX)) as u8,
+        };
+        inner.seats.insert(id, Seat { orders: ask.orders, pool: ask.service, forwards: 0 });
+        self.turn(&mut inner, now, &Event::Query(new));
+        id
+    }
+
+    /// A forward has ended.
+    pub fn ended(&self, id: QueryId, forward: u8, server: ServerId, how: (Outcome, Ms, Load), over: bool) {
+        let (outcome, rtt, load) = how;
+        let now = self.now();
+        let mut inner = lock(&self.inner);
+        let event = Event::ForwardEnded { id, forward, server, outcome, rtt, over, used: 0, actual: 1, load };
+        self.turn(&mut inner, now, &event);
+        if over {
+            inner.seats.remove(&id);
+        }
+    }
+
+    /// The query has its answer, and reads no orders any more.
+    pub fn quit(&self, id: QueryId) {
+        let now = self.now();
+        let mut inner = lock(&self.inner);
+        inner.seats.remove(&id);
+        self.turn(&mut inner, now, &Event::ClientLeft { id });
+    }
+
+    /// Where a server is and what it is called.
+    pub fn server(&self, id: ServerId) -> Option<(SocketAddrV4, String)> {
+        lock(&self.inner).stacks.book(id).map(|b| (b.addr(), b.server.uid.clone()))
+    }
+
+    /// A server's address, name and the path of its health check.
+    pub fn check(&self, id: ServerId) -> Option<(SocketAddrV4, String, String)> {
+        let (addr, uid, service) = {
+            let inner = lock(&self.inner);
+            let book = inner.stacks.book(id)?;
+            (book.addr(), book.server.uid.clone(), book.server.service.clone())
+        };
+        let check = self.view()?.config.service(&service)?.check.clone();
+        Some((addr, uid, check))
+    }
+
+    pub fn probed(&self, server: ServerId, outcome: Outcome, rtt: Ms, load: Load, warm_left: Option<Ms>) {
+        let now = self.now();
+        let mut inner = lock(&self.inner);
+        if let Some(left) = warm_left {
+            inner.stacks.said_cold(now, server, left);
+        }
+        self.turn(&mut inner, now, &Event::Probed { server, outcome, rtt, load });
+    }
+
+    /// What is due. The servers that the module wants to hear of.
+    pub fn beat(&self) -> Vec<ServerId> {
+        let now = self.now();
+        let mut inner = lock(&self.inner);
+        if now - inner.stacks_at >= STACKS_EVERY {
+            inner.stacks_at = now;
+            inner.members = inner.stacks.beat(now);
+            self.members(&mut inner, now);
+        }
+        for call in inner.calls.late(now) {
+            self.failed(&mut inner, now, call);
+        }
+        self.turn(&mut inner, now, &Event::Timer { token: 0 });
+        std::mem::take(&mut inner.probes)
+    }
+
+    fn failed(&self, inner: &mut Inner, now: Ms, call: Call) {
+        let (name, outcome, total, rtt) = (call.name, Outcome::TimedOut, 0.0, now - call.sent);
+        self.turn(inner, now, &Event::Counted { name, outcome, total, rtt });
+    }
+
+    /// A datagram of another proxy. The answer to it, if it asks.
+    pub fn heard(&self, from: Ipv4Addr, word: Word) -> Option<Word> {
+        let now = self.now();
+        let mut inner = lock(&self.inner);
+        match word {
+            Word::Add { call, name, add } if add.is_finite() => {
+                let total = inner.ledger.add(now, name, add);
+                Some(Word::Total { call, total, life: inner.ledger.life() })
+            }
+            Word::Total { call, total, life } if total.is_finite() => {
+                if let Some((call, total)) = inner.calls.answered(now, call, total, life) {
+                    if call.holder == from {
+                        let (name, rtt, total) = (call.name, now - call.sent, total as f32);
+                        self.turn(
+                            &mut inner,
+                            now,
+                            &Event::Counted { name, outcome: Outcome::Ok, total, rtt },
+                        );
+                    }
+                }
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn turn(&self, inner: &mut Inner, now: Ms, event: &Event) {
+        let mut acts = std::mem::take(&mut inner.acts);
+        inner.control.handle(now, event, &mut acts);
+        self.act(inner, now, &mut acts);
+        inner.acts = acts;
+        // What an act led to comes once its event is through.
+        while let Some(event) = inner.later.pop() {
+            let mut acts = std::mem::take(&mut inner.acts);
+            inner.control.handle(now, &event, &mut acts);
+            self.act(inner, now, &mut acts);
+            inner.acts = acts;
+        }
+        if !inner.members.is_empty() {
+            self.members(inner, now);
+        }
+    }
+
+    fn members(&self, inner: &mut Inner, now: Ms) {
+        while !inner.members.is_empty() {
+            let entries = std::mem::take(&mut inner.members);
+            let event = Event::Members { list: ListKind::Delta, version: 0, entries: &entries };
+            let mut acts = std::mem::take(&mut inner.acts);
+            inner.control.handle(now, &event, &mut acts);
+            self.act(inner, now, &mut acts);
+            inner.acts = acts;
+        }
+    }
+
+    fn act(&self, inner: &mut Inner, now: Ms, acts: &mut Vec<Action>) {
+        for act in acts.drain(..) {
+            match act {
+                Action::Forward { id, server, .. } => self.forward(inner, now, id, server),
+                Action::Shed { id, retry_after, beyond } => {
+                    inner.say(id, Order::Shed { advice: retry_after, beyond });
+                }
+                Action::Drop { id } => inner.say(id, Order::Drop),
+                Action::Count { name, add, .. } => self.count(inner, now, name, add),
+                Action::Probe { server } => inner.probes.push(server),
+                Action::Fault(text) => log::error!("event=module_fault text=\"{text}\""),
+                Action::Log(text) => log::debug!("event=module text=\"{text}\""),
+                // A forward that is given up ends by its own time; the beat is this shell's; the rest is for
+                // other fleets.
+                Action::Cancel { .. }
+                | Action::Close { .. }
+                | Action::Timer { .. }
+                | Action::Fetch
+                | Action::Watch { .. }
+                | Action::Tell { .. } => {}
+            }
+        }
+    }
+
+    fn forward(&self, inner: &mut Inner, now: Ms, id: QueryId, server: ServerId) {
+        let Some(seat) = inner.seats.get_mut(&id) else { return };
+        let (forward, pool) = (seat.forwards, seat.pool);
+        seat.forwards += 1;
+        let (may, change) = inner.stacks.leave_for(now, server);
+        inner.members.extend(change);
+        if !may {
+            let (outcome, load) = (Outcome::Moot, Load::default());
+            let (rtt, over, used, actual) = (0.0, false, 0, 0);
+            inner.later.push(Event::ForwardEnded {
+                id,
+                forward,
+                server,
+                outcome,
+                rtt,
+                over,
+                used,
+                actual,
+                load,
+            });
+        } else if forward > 0 && !inner.stacks.further(now, pool) {
+            inner.say(id, Order::Spent);
+            let (outcome, load) = (Outcome::Moot, Load::default());
+            let (rtt, over, used, actual) = (0.0, true, 0, 0);
+            inner.later.push(Event::ForwardEnded {
+                id,
+                forward,
+                server,
+                outcome,
+                rtt,
+                over,
+                used,
+                actual,
+                load,
+            });
+        } else {
+            inner.say(id, Order::Forward { forward, server });
+        }
+    }
+
+    fn count(&self, inner: &mut Inner, now: Ms, name: u64, add: f32) {
+        match inner.calls.holder(name) {
+            Some(holder) if holder != self.me => {
+                let call = inner.calls.begin(now, holder, name, add);
+                self.send(holder, &Word::Add { call, name, add });
+            }
+            // Alone, or not listed yet: its own word is all there is.
+            _ => {
+                let total = inner.ledger.add(now, name, add);
+                let from = (self.me, inner.ledger.life());
+                let total = inner.calls.read(name, from, f64::from(total), f64::from(add)) as f32;
+                inner.later.push(Event::Counted { name, outcome: Outcome::Ok, total, rtt: 0.0 });
+            }
+        }
+    }
+
+    pub fn send(&self, to: Ipv4Addr, word: &Word) {
+        let mut space = [0; 32];
+        if let Ok(bytes) = postcard::to_slice(word, &mut space) {
+            let _ = self.socket.send_to(bytes, SocketAddrV4::new(to, self.count_port));
+        }
+    }
+
+    /// Applies what is decided. False: it was older than what is in force.
+    pub fn apply(&self, part: Part) {
+        let now = self.now();
+        match part {
+            Part::Config { version, text } => match Config::read(&text) {
+                Ok(config) => self.configure(config),
+                // Control checked it by the same reader.
+                Err(fault) => log::error!("event=config_unreadable version={version:08x} why=\"{fault}\""),
+            },
+            Part::Evacuated { zones, .. } => {
+                let mut inner = lock(&self.inner);
+                inner.stacks.evacuate(now, &zones);
+                inner.members = inner.stacks.beat(now);
+                self.members(&mut inner, now);
+            }
+            Part::Servers { age, list } => {
+                let mut inner = lock(&self.inner);
+                let region = |zone: &str| self.settings.region_of(zone).unwrap_or(u8::MAX);
+                inner.stacks.list(now, f64::from(age), list, region);
+                inner.members = inner.stacks.beat(now);
+                self.members(&mut inner, now);
+            }
+            Part::Fronts(fronts) => self.fronts(now, &fronts),
+            Part::Control(_) => {}
+        }
+    }
+
+    fn fronts(&self, now: Ms, fronts: &[Front]) {
+        let mut ready: Vec<Ipv4Addr> = fronts.iter().filter(|f| f.ready).map(|f| *f.addr.ip()).collect();
+        ready.sort_unstable();
+        ready.dedup();
+        let mut inner = lock(&self.inner);
+        for call in inner.calls.holders(ready.clone()) {
+            self.failed(&mut inner, now, call);
+        }
+        inner.stacks.fronts(ready);
+    }
+
+    fn configure(&self, config: Config) {
+        let mut inner = lock(&self.inner);
+        let held = self.view();
+        if held.is_some_and(|v| v.config.version >= config.version) {
+            return;
+        }
+        for service in &config.services {
+            let warmth = Warmth { warmup: service.warmup_s * 1000.0, rate: service.warm_rate_s };
+            inner.stacks.warmth(&service.name, warmth);
+        }
+        let tenants: &[Tenant] = config.tenants.as_deref().unwrap_or(&[]);
+        let groups = config.routes.iter().map(|r| inner.group(r)).collect();
+        let plans = tenants.iter().map(|t| inner.plan(t)).collect();
+        let name = |t: &Tenant| digest(t.name.as_bytes()) & ((1 << NAME_BITS) - 1);
+        let accts = tenants.iter().map(name).collect();
+        let pools = config.services.iter().map(|s| (s.name.clone(), inner.stacks.pool(&s.name))).collect();
+        let zones = |homes: &[String]| match homes {
+            [] => u64::MAX,
+            homes => {
+                let number = |h: &String| self.settings.region_number(h);
+                homes.iter().filter_map(number).fold(0, |bits, n| bits | 1 << n)
+            }
+        };
+        let route_zones = config.routes.iter().map(|r| zones(&r.homes)).collect();
+        let tenant_zones = tenants.iter().map(|t| zones(&t.homes)).collect();
+        let Inner { control, groups: all, plans: every, .. } = &mut *inner;
+        control.configure(all, every);
+        log::info!("event=applied version={:08x} routes={}", config.version, config.routes.len());
+        let view = View { config, groups, plans, accts, pools, route_zones, tenant_zones };
+        *lock(&self.view) = Some(Arc::new(view));
+    }
+
+    /// All that is needed to take queries is there.
+    pub fn knows(&self) -> bool {
+        self.view().is_some() && lock(&self.inner).stacks.books().next().is_some()
+    }
+
+    pub fn applied(&self) -> u32 {
+        self.view().map_or(0, |v| v.config.version)
+    }
+}
+
+impl Inner {
+    fn say(&mut self, id: QueryId, order: Order) {
+        if let Some(seat) = self.seats.get(&id) {
+            // A full letter box means that nobody reads orders there any more.
+            let _ = seat.orders.offer(order);
+        }
+    }
+
+    fn group(&mut self, route: &Route) -> u16 {
+        let key = (route.goal_ms.to_bits(), route.limit_ms.to_bits(), route.repeatable, route.prio.to_bits());
+        if let Some(n) = self.group_of.get(&key) {
+            return *n;
+        }
+        let n = self.groups.len() as u16;
+        self.groups.push(Group {
+            slo: route.goal_ms * SLO_TIMES,
+            limit: route.limit_ms,
+            semantics: if route.repeatable { Semantics::Repeatable } else { Semantics::Mutating },
+            importance: 1.0 / (1.0 + route.prio),
+            ..self.groups[0].clone()
+        });
+        self.group_of.insert(key, n);
+        n
+    }
+
+    fn plan(&mut self, tenant: &Tenant) -> u32 {
+        let next = self.plans.len() as u32;
+        let n = *self.plan_of.entry(tenant.name.clone()).or_insert(next);
+        let now = plan(tenant.rate_s, if tenant.burst > 0.0 { tenant.burst } else { tenant.rate_s });
+        match self.plans.get_mut(n as usize) {
+            Some(plan) => *plan = now,
+            None => self.plans.push(now),
+        }
+        n
+    }
+}
+
+/// A plan of the module's: a quota, and nothing for what is beyond it.
+fn plan(rate: f64, burst: f64) -> Plan {
+    Plan {
+        rate,
+        burst,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 1.0,
+        open: 0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    }
+}
+
+/// The module's settings here. Regions are its zones.
+fn module(region: u8, group: &Group) -> aspendrum_core::api::Settings {
+    aspendrum_core::api::Settings {
+        me: 0,
+        instances: CREDIT_SHARERS,
+        zone: region,
+        tick: BEAT_MS,
+        groups: vec![group.clone()],
+        plans: vec![plan(0.0, 0.0)],
+        load_values: vec![LoadValue::CpuShare],
+        reports: ReportsVia::Answers,
+        discovery_asks: false,
+        must_ask_in: 0.0,
+        drain_grace: 0.0,
+        fall_multiple: 1.0,
+        fall_window: 1000.0,
+        cold_share: 1.0,
+        cold_time: 0.0,
+        answer_grace: 0.0,
+        may_cancel: false,
+        may_probe: true,
+        may_tell: false,
+        second_copies: false,
+        send_cap: 8,
+        retry_after: true,
+        max_retry_after: 2000.0,
+        counter: true,
+        counter_wait: 600.0,
+        counter_price: 0.0,
+        probe_price: 0.0,
+        cross_zone_price: REGION_PRICE,
+        units_top: 1.0,
+        cost_after: false,
+        meter: 0.0,
+        peer_in_per_s: 0.0,
+    }
+}
--- /dev/null
+++ b/crates/aspendrum-lectern/src/door.rs
@@ -0,0 +1,132 @@
+//! Connections of clients: each has a thread while it is open, which reads one query at a time, serves it, and
+//! writes its answer.
+
+use crate::query;
+use crate::Shop;
+use aspendrum_folio::hands::lock;
+use aspendrum_folio::message::{self, Bounds, Parsed};
+use aspendrum_folio::pool::linger;
+use aspendrum_folio::ring::{waited, Ring};
+use socket2::SockRef;
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// A client's ring at the start; what a query may be at the most comes from the configuration.
+const RING: usize = 2 << 10;
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_BYTES: usize = 256 << 10;
+/// For a client that does not read its answer.
+const WRITE_WAIT: Duration = Duration::from_secs(10);
+const BACKLOG: i32 = 1024;
+
+/// A connection that can be told to end while it waits for a query.
+struct Client {
+    stream: Arc<TcpStream>,
+    busy: AtomicBool,
+}
+
+#[derive(Default)]
+pub struct Clients {
+    open: Mutex<HashMap<u64, Arc<Client>>>,
+}
+
+impl Clients {
+    pub fn count(&self) -> usize {
+        lock(&self.open).len()
+    }
+
+    /// Ends those between queries: only the side that is read, so that a query which has come by now is still
+    /// read and answered.
+    pub fn close_idle(&self) {
+        for client in lock(&self.open).values().filter(|c| !c.busy.load(Ordering::Acquire)) {
+            let _ = client.stream.shutdown(Shutdown::Read);
+        }
+    }
+}
+
+/// Takes connections in for as long as the process lives.
+pub fn accept(shop: &Arc<Shop>, listener: &TcpListener) {
+    let _ = SockRef::from(listener).listen(BACKLOG);
+    let mut next = 0;
+    loop {
+        let Ok((stream, _)) = listener.accept() else {
+            sleep(Duration::from_millis(10));
+            continue;
+        };
+        next += 1;
+        shop.accepted();
+        let client = Arc::new(Client { stream: Arc::new(stream), busy: AtomicBool::new(false) });
+        lock(&shop.clients.open).insert(next, client.clone());
+        let (own, number) = (shop.clone(), next);
+        let job = move || {
+            attend(&own, &client);
+            lock(&own.clients.open).remove(&number);
+        };
+        if shop.hands.run(Box::new(job)).is_err() {
+            // No thread is to be had: closed unread, its client goes to another limiter.
+            lock(&shop.clients.open).remove(&next);
+        }
+    }
+}
+
+fn attend(shop: &Shop, client: &Client) {
+    let stream = &client.stream;
+    if stream.set_nodelay(true).and_then(|()| stream.set_write_timeout(Some(WRITE_WAIT))).is_err() {
+        return;
+    }
+    let mut ring: Option<Ring> = None;
+    let mut limited = Duration::ZERO;
+    let mut begun: Option<Instant> = None;
+    loop {
+        let Some(view) = shop.desk.view() else { return };
+        let caps = view.config.caps;
+        let bounds = Bounds { head: caps.hdr_bytes as usize, body: caps.body_bytes as usize };
+        let ring = ring.get_or_insert_with(|| Ring::new(RING, bounds.head + bounds.body + 1024));
+        match message::request(ring, &bounds) {
+            Parsed::Whole(request) => {
+                client.busy.store(true, Ordering::Release);
+                begun = None;
+                let answer = query::serve(shop, &request, Instant::now());
+                let close = answer.close || shop.draining();
+                let written = (&**stream).write_all(&answer.bytes).is_ok();
+                client.busy.store(false, Ordering::Release);
+                if !written || close {
+                    return linger(stream, LINGER, LINGER_BYTES);
+                }
+            }
+            Parsed::Bad(status) => {
+                let bytes = message::answer(status, &[], true, b"");
+                let _ = (&**stream).write_all(&bytes);
+                return linger(stream, LINGER, LINGER_BYTES);
+            }
+            Parsed::More => {
+                let idle = ring.is_empty();
+                let wait =
+                    Duration::from_secs_f64(if idle { caps.idle_ms } else { caps.hdr_ms }.max(1.0) / 1000.0);
+                if wait != limited {
+                    let _ = stream.set_read_timeout(Some(wait));
+                    limited = wait;
+                }
+                match ring.fill(&mut &**stream) {
+                    Ok(0) => return,
+                    Ok(_) => {
+                        begun.get_or_insert_with(Instant::now);
+                    }
+                    Err(e) if waited(&e) && idle => return,
+                    Err(e) if waited(&e) => {
+                        let bytes = message::answer(408, &[], true, b"");
+                        let _ = (&**stream).write_all(&bytes);
+                        return linger(stream, LINGER, LINGER_BYTES);
+                    }
+                    Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                    Err(_) => return,
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/aspendrum-lectern/src/query.rs
@@ -0,0 +1,248 @@
+//! The life of one query, on the thread of its client's connection: found its route and tenant, asked of the
+//! desk, carried to a server as often as that orders, and answered exactly once.
+
+use crate::desk::{Ask, Order, View};
+use crate::wire::{self, Taken};
+use crate::Shop;
+use aspendrum_core::api::{Load, Ms, Outcome, QueryId, ServerId};
+use aspendrum_folio::mail;
+use aspendrum_folio::message::{self, Bounds, Request, Response};
+use std::time::{Duration, Instant};
+
+/// Orders of one query that may wait.
+const ORDERS: usize = 8;
+/// The client is answered so much before it gives up.
+const MARGIN: Duration = Duration::from_millis(12);
+/// When to come again where nothing is known that says when.
+const AGAIN_MS: Ms = 150.0;
+/// Without the desk's word a query ends so long after its time.
+const DESK_LATE: Duration = Duration::from_millis(20);
+/// Answers that belong to other tries, read over on one connection.
+const STRANGERS: usize = 3;
+
+/// An answer to the client: its bytes, and whether the connection ends behind it.
+pub struct Answer {
+    pub bytes: Vec<u8>,
+    pub close: bool,
+}
+
+struct Query<'a> {
+    shop: &'a Shop,
+    request: &'a Request,
+    id: &'a str,
+    repeatable: bool,
+    tenant: Option<&'a str>,
+    until: Instant,
+    close: bool,
+    /// A forward was written whole and is not known to have run nowhere.
+    may_have_run: bool,
+    /// A server's own failure, to be passed on if nothing better comes.
+    failure: Option<Response>,
+    offered: bool,
+}
+
+pub fn serve(shop: &Shop, request: &Request, at: Instant) -> Answer {
+    let close = request.close || shop.draining();
+    let own = |status, id: &str, again| Answer { bytes: wire::own(status, id, again, close), close };
+    let Some(asked) = wire::asked(request) else { return own(400, "", None) };
+    let Some(view) = shop.desk.view().filter(|_| request.path.starts_with('/')) else {
+        return Answer { bytes: wire::own(503, asked.id, Some(AGAIN_MS), true), close: true };
+    };
+    let Some(route) = view.config.route(asked.host, &request.path) else { return own(404, asked.id, None) };
+    let rule = &view.config.routes[route];
+    let tenant = match (view.config.tenants.is_some(), asked.key) {
+        (true, Some(key)) => match view.config.tenant(key) {
+            None if !rule.public => return own(401, asked.id, None),
+            found => found,
+        },
+        (true, None) if !rule.public => return own(401, asked.id, None),
+        _ => None,
+    };
+    // A key may have been taken away unheard: the licence says that none was, up to now.
+    if view.config.tenants.is_some() && !shop.licensed() {
+        return Answer { bytes: wire::own(503, asked.id, Some(AGAIN_MS), true), close: true };
+    }
+    let zones = view.route_zones[route] & tenant.map_or(u64::MAX, |n| view.tenant_zones[n]);
+    let service = rule.service(fastrand::f64());
+    let Some(pool) = view.pools.get(service).copied() else { return own(404, asked.id, None) };
+    let wait = asked.budget.unwrap_or(rule.limit_ms).min(rule.limit_ms).clamp(0.0, 3_600_000.0);
+    let until = at + Duration::from_secs_f64(wait / 1000.0);
+    let mut query = Query {
+        shop,
+        request,
+        id: asked.id,
+        repeatable: rule.repeatable,
+        tenant: tenant.and_then(|n| Some(view.config.tenants.as_ref()?[n].name.as_str())),
+        until,
+        close,
+        may_have_run: false,
+        failure: None,
+        offered: false,
+    };
+    query.run(&view, route, pool, tenant, zones)
+}
+
+impl Query<'_> {
+    fn run(&mut self, view: &View, route: usize, service: u16, tenant: Option<usize>, zones: u64) -> Answer {
+        let (post, orders) = mail::here(ORDERS);
+        let until = self.until;
+        let id = self.shop.desk.ask(view, Ask { route, service, tenant, zones, until, orders: post });
+        loop {
+            match orders.next(Some(until + DESK_LATE)).ok() {
+                Some(Order::Forward { forward, server }) => {
+                    if let Some(response) = self.carry(id, forward, server) {
+                        return self.pass_on(&response);
+                    }
+                }
+                Some(Order::Shed { advice, beyond }) => {
+                    self.shop.desk.quit(id);
+                    let again = if advice > 0.0 { advice } else { AGAIN_MS };
+                    return self.refuse(if beyond { 429 } else { 503 }, again);
+                }
+                Some(Order::Drop) => {
+                    self.shop.desk.quit(id);
+                    return self.give_up();
+                }
+                Some(Order::Spent) => {
+                    self.shop.desk.quit(id);
+                    return if self.may_have_run { self.give_up() } else { self.refuse(503, AGAIN_MS) };
+                }
+                None => {
+                    self.shop.desk.quit(id);
+                    return self.give_up();
+                }
+            }
+        }
+    }
+
+    /// A promise that nothing ran, kept only where that is so.
+    fn refuse(&self, status: u16, again: Ms) -> Answer {
+        if self.may_have_run && !self.repeatable {
+            return self.give_up();
+        }
+        let close = self.close;
+        Answer { bytes: wire::own(status, self.id, Some(again), close), close }
+    }
+
+    fn give_up(&self) -> Answer {
+        if let Some(failure) = &self.failure {
+            return self.pass_on(failure);
+        }
+        let close = self.close;
+        if !self.may_have_run && Instant::now() + MARGIN < self.until {
+            return Answer { bytes: wire::own(503, self.id, Some(AGAIN_MS), close), close };
+        }
+        let status = match (self.may_have_run, Instant::now() + 2 * MARGIN >= self.until) {
+            (false, _) => 503,
+            (true, true) => 504,
+            (true, false) => 502,
+        };
+        Answer { bytes: wire::own(status, self.id, None, close), close }
+    }
+
+    fn pass_on(&self, response: &Response) -> Answer {
+        // What a server says without its word that nothing ran is no promise of ours.
+        let promises = matches!(response.status, 408 | 421 | 429 | 503);
+        let status = if promises && self.may_have_run { 502 } else { response.status };
+        Answer { bytes: wire::reply(response, status, self.close), close: self.close }
+    }
+
+    /// One forward. An answer that ends the query, if it brought one.
+    fn carry(&mut self, id: QueryId, forward: u8, server: ServerId) -> Option<Response> {
+        let begun = Instant::now();
+        let (outcome, response) = self.attempt(server, begun);
+        let load = response.as_ref().map_or(Load::default(), wire::load);
+        let over = outcome == Outcome::Ok;
+        let proven = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        self.may_have_run |= !proven;
+        let rtt = begun.elapsed().as_secs_f64() * 1000.0;
+        self.shop.desk.ended(id, forward, server, (outcome, rtt, load), over);
+        if over {
+            return response;
+        }
+        self.failure =
+            response.filter(|r| !proven && wire::taken(r) == Taken::Failed).or(self.failure.take());
+        None
+    }
+
+    fn attempt(&mut self, server: ServerId, begun: Instant) -> (Outcome, Option<Response>) {
+        let (shop, until) = (self.shop, self.until - MARGIN);
+        let left = until.saturating_duration_since(begun);
+        if left.is_zero() {
+            return (Outcome::Moot, None);
+        }
+        let Some((addr, uid)) = shop.desk.server(server) else { return (Outcome::Moot, None) };
+        shop.pool.place(server, addr.into());
+        let mut conn = match shop.pool.take(server, left.min(shop.connect_wait), |_| true) {
+            Ok(conn) => conn,
+            Err(outcome) => return (outcome, None),
+        };
+        let budget = (until.saturating_duration_since(Instant::now()).as_millis() as u64).max(1);
+        if !conn.outward.put(&wire::forward(self.request, &uid, self.tenant, budget)) {
+            return (Outcome::Moot, None);
+        }
+        self.offered = true;
+        if let Err(outcome) = conn.send() {
+            return (outcome, None);
+        }
+        for _ in 0..=STRANGERS {
+            let got = conn.receive(until, shop.pool.lines(), |ring| message::response(ring, &SERVER_BOUNDS));
+            let response = match got {
+                Ok(response) => response,
+                Err(outcome) => return (outcome, None),
+            };
+            let turned_away = wire::nameless(&response)
+                && matches!(wire::taken(&response), Taken::Full | Taken::Misdirected);
+            if !wire::answers(&response, self.id) && !turned_away {
+                // One answer of an earlier try may come late, in the place of ours.
+                if response.close {
+                    return (Outcome::Reset, None);
+                }
+                continue;
+            }
+            if !response.close {
+                let kept = wire::keeps_for(&response).map(|s| Duration::from_secs_f64(s * KEPT_SHARE));
+                conn.good_for = kept.map_or(conn.good_for, |k| k.min(MOST_IDLE));
+                shop.pool.give_back(server, conn);
+            }
+            return match wire::taken(&response) {
+                Taken::Final => (Outcome::Ok, Some(response)),
+                Taken::Full => (Outcome::Full, None),
+                Taken::Misdirected => (Outcome::ConnectFailed, None),
+                Taken::Failed => (Outcome::Error, Some(response)),
+                Taken::Spoilt => (Outcome::Error, None),
+            };
+        }
+        (Outcome::Error, None)
+    }
+}
+
+/// Servers' answers are as large as the service makes them.
+pub const SERVER_BOUNDS: Bounds = Bounds { head: 32 << 10, body: 64 << 20 };
+/// Of the time that a server keeps an idle connection, how long we use it: a request on a connection that is
+/// being closed may or may not have run.
+const KEPT_SHARE: f64 = 0.6;
+const MOST_IDLE: Duration = Duration::from_secs(30);
+
+/// Asks after a server, and tells the desk in any case.
+pub fn probe(shop: &Shop, server: ServerId) {
+    let begun = Instant::now();
+    let until = begun + shop.connect_wait;
+    let told = || -> Result<(Outcome, Load, Option<Ms>), Outcome> {
+        let (addr, uid, path) = shop.desk.check(server).ok_or(Outcome::Moot)?;
+        shop.pool.place(server, addr.into());
+        let mut conn = shop.pool.take(server, shop.connect_wait, |_| true)?;
+        conn.outward.put(&wire::probe(&path, &addr.to_string()));
+        conn.send()?;
+        let answer =
+            conn.receive(until, shop.pool.lines(), |ring| message::response(ring, &SERVER_BOUNDS))?;
+        let (load, left) = (wire::load(&answer), wire::warm_left(&answer));
+        let well = answer.status == 200 && wire::server(&answer) == Some(uid.as_str());
+        if !answer.close {
+            shop.pool.give_back(server, conn);
+        }
+        Ok((if well { Outcome::Ok } else { Outcome::Error }, load, left))
+    };
+    let (outcome, load, left) = told().unwrap_or_else(|outcome| (outcome, Load::default(), None));
+    shop.desk.probed(server, outcome, begun.elapsed().as_secs_f64() * 1000.0, load, left);
+}
--- /dev/null
+++ b/crates/aspendrum-page/src/control.rs
@@ -0,0 +1,86 @@
+//! The held connection to control: to a machine nearby, and to the next one when that falls silent.
+
+use crate::desk::Note;
+use aspendrum_catalog::hash::{digest, rank};
+use aspendrum_catalog::news::Down;
+use aspendrum_catalog::settings::Settings;
+use aspendrum_folio::frames::{self, Link};
+use aspendrum_folio::hands::{lock, spawn};
+use aspendrum_folio::mail::Post;
+use std::io::BufReader;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::Duration;
+
+const STACK: usize = 96 << 10;
+const DIAL_WAIT: Duration = Duration::from_millis(600);
+const PAUSE: Duration = Duration::from_millis(100);
+/// Bytes that control does not acknowledge for so long mean that it is gone.
+const SILENCE: Duration = Duration::from_millis(1200);
+const ROOM: usize = 64;
+
+/// Where control is, the nearest first.
+#[derive(Clone)]
+pub struct Route(Arc<Mutex<Vec<Ipv4Addr>>>);
+
+impl Route {
+    pub fn new(settings: &Settings) -> Route {
+        let route = Route(Arc::default());
+        route.learn(settings, &settings.seeds.iter().map(|s| (*s.ip(), String::new())).collect::<Vec<_>>());
+        route
+    }
+
+    /// Takes a list of machines and their zones; an empty zone is not known. Agents of one zone spread over
+    /// its machines by their hosts' names.
+    pub fn learn(&self, settings: &Settings, control: &[(Ipv4Addr, String)]) {
+        let far = |zone: &str| match settings.zones.get(zone) {
+            _ if zone == settings.zone => 0,
+            Some(region) if *region == settings.region => 1,
+            Some(_) => 3,
+            None => 2,
+        };
+        let own = digest(settings.host.as_bytes());
+        let mut all: Vec<(u32, u64, Ipv4Addr)> =
+            control.iter().map(|(ip, zone)| (far(zone), rank(own, u64::from(u32::from(*ip))), *ip)).collect();
+        all.sort();
+        all.dedup_by_key(|c| c.2);
+        if !all.is_empty() {
+            *lock(&self.0) = all.into_iter().map(|c| c.2).collect();
+        }
+    }
+
+    fn get(&self, n: usize) -> Option<Ipv4Addr> {
+        let all = lock(&self.0);
+        all.get(n % all.len().max(1)).copied()
+    }
+}
+
+/// Keeps one link for as long as the process runs; the desk ends one that is of no use.
+pub fn hold(route: &Route, port: u16, notes: &Arc<Post<Note>>) -> std::io::Result<()> {
+    let (route, notes) = (route.clone(), notes.clone());
+    spawn("control", STACK, move || {
+        let (mut n, mut id) = (0, 0);
+        loop {
+            let Some(ip) = route.get(n) else {
+                sleep(PAUSE);
+                continue;
+            };
+            if let Ok(stream) = Link::dial(SocketAddrV4::new(ip, port), DIAL_WAIT) {
+                if let Ok(link) = Link::over(stream.clone(), SILENCE, ROOM) {
+                    id += 1;
+                    notes.send(Note::Control { id, ip, link }, None);
+                    let mut from = BufReader::with_capacity(4 << 10, &*stream);
+                    while let Ok(said) = frames::read::<Down>(&mut from) {
+                        notes.send(Note::Said { id, said }, None);
+                    }
+                    notes.send(Note::ControlLost { id }, None);
+                }
+            }
+            // The next one, and after all of them the nearest again.
+            n += 1;
+            sleep(PAUSE);
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/aspendrum-page/src/desk.rs
@@ -0,0 +1,255 @@
+//! The one thread that owns what the agent knows: takes news from control, never back to older ones, and sees
+//! to it that the proxy has them.
+
+use crate::control::Route;
+use aspendrum_catalog::news::{Down, Part, Up, KINDS};
+use aspendrum_catalog::servers::Roster;
+use aspendrum_catalog::settings::Settings;
+use aspendrum_folio::frames::Link;
+use aspendrum_folio::mail::Inbox;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+type Ms = f64;
+
+/// Between two beats to control: an agent that is heard of less often counts as gone.
+const BEAT: Ms = 300.0;
+/// Control without an answer for so long, or without a majority's word for so long, is left for another.
+const SILENT: Ms = 1100.0;
+const STALE: Ms = 2500.0;
+/// A proxy that said nothing for so long is not ready, whatever it said last.
+const PROXY_SILENT: Ms = 900.0;
+
+pub enum Note {
+    Control { id: u64, ip: Ipv4Addr, link: Link },
+    Said { id: u64, said: Down },
+    ControlLost { id: u64 },
+    Proxy { id: u64, link: Link },
+    ProxySaid { id: u64, said: Up },
+    ProxyLost { id: u64 },
+    Settings(Box<Settings>),
+}
+
+struct Control {
+    id: u64,
+    link: Link,
+    since: Ms,
+    answered: Ms,
+    /// The front that it was told of.
+    told: Option<SocketAddrV4>,
+}
+
+struct Proxy {
+    id: u64,
+    link: Link,
+    host: String,
+    front: Option<SocketAddrV4>,
+    heard: Ms,
+    ready: bool,
+    applied: u32,
+    said: u64,
+}
+
+pub struct Desk {
+    settings: Settings,
+    route: Route,
+    begun: Instant,
+    control: Option<Control>,
+    proxy: Option<Proxy>,
+    /// What is decided, as far as this agent knows: the newest of each kind but the list of servers.
+    held: [Option<Part>; KINDS],
+    roster: Roster,
+    /// A majority of control's disks held nothing newer then.
+    as_of: Option<Ms>,
+    /// The number of the last news of the present link, and the proxy's number for it.
+    last: u64,
+    beat_at: Ms,
+}
+
+impl Desk {
+    pub fn new(settings: Settings, route: Route) -> Desk {
+        Desk {
+            settings,
+            route,
+            begun: Instant::now(),
+            control: None,
+            proxy: None,
+            held: [const { None }; KINDS],
+            roster: Roster::default(),
+            as_of: None,
+            last: 0,
+            beat_at: f64::NEG_INFINITY,
+        }
+    }
+
+    fn now(&self) -> Ms {
+        self.begun.elapsed().as_secs_f64() * 1000.0
+    }
+
+    pub fn run(mut self, notes: &Inbox<Note>) {
+        loop {
+            let due = self.begun + Duration::from_secs_f64((self.beat_at.max(0.0) + BEAT) / 1000.0);
+            match notes.next(Some(due)) {
+                Ok(note) => self.hear(note),
+                Err(_) => self.beat(),
+            }
+        }
+    }
+
+    fn hear(&mut self, note: Note) {
+        let now = self.now();
+        match note {
+            Note::Control { id, ip, link } => {
+                log::info!("event=control_reached ip={ip}");
+                self.control = Some(Control { id, link, since: now, answered: now, told: None });
+                self.last = 0;
+                self.beat();
+            }
+            Note::Said { id, said } if self.control.as_ref().is_some_and(|c| c.id == id) => self.said(said),
+            Note::Said { .. } => {}
+            Note::ControlLost { id } => {
+                if self.control.as_ref().is_some_and(|c| c.id == id) {
+                    log::info!("event=control_lost");
+                    self.control = None;
+                }
+            }
+            Note::Proxy { id, link } => {
+                let (host, front) = (String::new(), None);
+                self.proxy =
+                    Some(Proxy { id, link, host, front, heard: now, ready: false, applied: 0, said: 0 });
+            }
+            Note::ProxySaid { id, said } => self.proxy_said(id, said),
+            Note::ProxyLost { id } => {
+                if self.proxy.as_ref().is_some_and(|p| p.id == id) {
+                    log::info!("event=proxy_lost");
+                    if let Some(proxy) = &mut self.proxy {
+                        proxy.ready = false;
+                    }
+                    self.beat();
+                }
+            }
+            Note::Settings(settings) => {
+                let seeds: Vec<_> = settings.seeds.iter().map(|s| (*s.ip(), String::new())).collect();
+                self.settings = *settings;
+                self.route.learn(&self.settings, &seeds);
+            }
+        }
+    }
+
+    fn said(&mut self, said: Down) {
+        let now = self.now();
+        match said {
+            Down::Beat { stamp, age } => {
+                if let Some(control) = &mut self.control {
+                    control.answered = now;
+                }
+                // Counted from when this was asked: the answer cannot be older than that, however late it
+                // comes.
+                let then = age.map(|age| stamp as Ms - f64::from(age));
+                self.as_of = self.as_of.into_iter().chain(then).reduce(f64::max);
+            }
+            Down::News { number, part } => {
+                self.last = number;
+                self.take(part);
+            }
+        }
+    }
+
+    /// Takes what is newer than what is held.
+    fn take(&mut self, part: Part) {
+        let now = self.now();
+        let kind = part.kind();
+        let newer = match (&part, &self.held[kind]) {
+            (Part::Config { version: new, .. }, Some(Part::Config { version: old, .. })) => new > old,
+            (Part::Evacuated { number: new, .. }, Some(Part::Evacuated { number: old, .. })) => new > old,
+            (Part::Servers { age, list }, _) => {
+                self.roster.take(list.clone(), now - f64::from(*age));
+                true
+            }
+            (Part::Control(control), _) => {
+                self.route.learn(&self.settings, control);
+                true
+            }
+            _ => true,
+        };
+        if !newer {
+            return;
+        }
+        if let Part::Config { version, .. } = &part {
+            log::info!("event=news part=config version={version:08x}");
+        }
+        self.held[kind] = Some(part);
+        self.feed(kind);
+    }
+
+    /// Tells the proxy one kind of what is held.
+    fn feed(&mut self, kind: usize) {
+        let now = self.now();
+        let Some(mut part) = self.held[kind].clone() else { return };
+        if let (Part::Servers { age, list }, Some(polled)) = (&mut part, self.roster.polled) {
+            (*age, *list) = ((now - polled).max(0.0) as u32, self.roster.told(now));
+        }
+        if let Some(proxy) = self.proxy.as_mut().filter(|p| p.front.is_some()) {
+            proxy.said += 1;
+            proxy.link.say(&Down::News { number: proxy.said, part });
+        }
+    }
+
+    fn proxy_said(&mut self, id: u64, said: Up) {
+        let now = self.now();
+        let age = self.as_of.map(|at| (now - at).max(0.0).ceil() as u32);
+        let Some(proxy) = self.proxy.as_mut().filter(|p| p.id == id) else { return };
+        proxy.heard = now;
+        match said {
+            Up::Hello { host, front, .. } => {
+                (proxy.host, proxy.front) = (host, Some(front));
+                (0..KINDS).for_each(|kind| self.feed(kind));
+                self.beat();
+            }
+            Up::Beat { stamp, ready, applied } => {
+                proxy.link.say(&Down::Beat { stamp, age });
+                let turned = proxy.ready != ready;
+                (proxy.ready, proxy.applied) = (ready, applied);
+                if turned {
+                    self.beat();
+                }
+            }
+            // All that the proxy was told is in force there, and so is all that control told us.
+            Up::Applied { number } if number == proxy.said => {
+                if let Some(control) = &self.control {
+                    control.link.say(&up(Up::Applied { number: self.last }));
+                }
+            }
+            Up::Applied { .. } => {}
+        }
+    }
+
+    /// A sign of life to control, or the end of a link that is of no use.
+    fn beat(&mut self) {
+        let now = self.now();
+        self.beat_at = now;
+        let (zone, as_of) = (self.settings.zone.clone(), self.as_of.unwrap_or(0.0));
+        let Some(control) = &mut self.control else { return };
+        let stale = now - control.since > STALE && now - as_of > STALE;
+        if now - control.answered > SILENT || stale {
+            log::info!("event=control_left stale={stale}");
+            control.link.end();
+            self.control = None;
+            return;
+        }
+        let Some(proxy) = &self.proxy else { return };
+        if let Some(front) = proxy.front.filter(|f| control.told != Some(*f)) {
+            control.told = Some(front);
+            control.link.say(&up(Up::Hello { host: proxy.host.clone(), front, zone }));
+        }
+        if proxy.front.is_some() {
+            let ready = proxy.ready && now - proxy.heard <= PROXY_SILENT;
+            control.link.say(&up(Up::Beat { stamp: now as u64, ready, applied: proxy.applied }));
+        }
+    }
+}
+
+/// Control tells agents' words from its own machines' by this.
+fn up(said: Up) -> aspendrum_catalog::news::Word {
+    aspendrum_catalog::news::Word::Up(said)
+}
--- /dev/null
+++ b/crates/aspendrum-page/src/proxy.rs
@@ -0,0 +1,46 @@
+//! The loopback connection to the proxy on this machine. It dials; there is one at a time.
+
+use crate::desk::Note;
+use aspendrum_catalog::news::Up;
+use aspendrum_folio::frames::{self, Link};
+use aspendrum_folio::hands::spawn;
+use aspendrum_folio::mail::Post;
+use std::io::BufReader;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+
+const STACK: usize = 96 << 10;
+const SILENCE: Duration = Duration::from_secs(5);
+const ROOM: usize = 64;
+
+pub fn listen(port: u16, notes: &Arc<Post<Note>>) -> std::io::Result<()> {
+    let listener = TcpListener::bind(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))?;
+    let notes = notes.clone();
+    spawn("proxy", STACK, move || {
+        let mut id = 0;
+        loop {
+            let Ok((stream, _)) = listener.accept() else {
+                sleep(Duration::from_millis(20));
+                continue;
+            };
+            id += 1;
+            let stream = Arc::new(stream);
+            let Ok(link) = Link::over(stream.clone(), SILENCE, ROOM) else { continue };
+            let own = notes.clone();
+            notes.send(Note::Proxy { id, link }, None);
+            let started = spawn("reader", STACK, move || {
+                let mut from = BufReader::with_capacity(1 << 10, &*stream);
+                while let Ok(said) = frames::read::<Up>(&mut from) {
+                    own.send(Note::ProxySaid { id, said }, None);
+                }
+                own.send(Note::ProxyLost { id }, None);
+            });
+            if let Err(e) = started {
+                log::warn!("event=reader_not_started why=\"{e}\"");
+            }
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/aspendrum-vault/src/calls.rs
@@ -0,0 +1,112 @@
+//! The calls that operators and clients make: orders, reading the configuration, and look-ups.
+
+use crate::desk::Note;
+use crate::finding::Directory;
+use aspendrum_accession::{Order, Outcome};
+use aspendrum_catalog::config::Config;
+use aspendrum_folio::mail::Post;
+use aspendrum_folio::matcher::{argument, find, Found, Node};
+use aspendrum_folio::message::Request;
+use aspendrum_folio::reception::Reply;
+use crossbeam_channel::bounded;
+use std::collections::BTreeMap;
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+/// A call waits for a majority no longer than its caller does.
+const WAIT: Duration = Duration::from_millis(950);
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Call {
+    Set,
+    Show,
+    Begin,
+    Finish,
+    LookUp,
+}
+
+fn api(inner: Vec<Node<Call>>) -> Vec<Node<Call>> {
+    vec![Node::Word("api", inner)]
+}
+
+/// The calls of the operator.
+pub fn orders() -> Vec<Node<Call>> {
+    api(vec![
+        Node::Word("Cfg.Set", vec![Node::Leaf("POST", Call::Set)]),
+        Node::Word("Cfg.Show", vec![Node::Leaf("GET", Call::Show)]),
+        Node::Word("Evac.Begin", vec![Node::Any(vec![Node::Leaf("POST", Call::Begin)])]),
+        Node::Word("Evac.Finish", vec![Node::Any(vec![Node::Leaf("POST", Call::Finish)])]),
+    ])
+}
+
+/// The calls of clients that ask where to go.
+pub fn look_ups() -> Vec<Node<Call>> {
+    api(vec![Node::Word("lookup", vec![Node::Leaf("GET", Call::LookUp)])])
+}
+
+/// What answers the operator.
+pub struct Orders {
+    pub notes: Arc<Post<Note>>,
+    pub zones: BTreeMap<String, String>,
+}
+
+impl Orders {
+    pub fn answer(&self, tree: &[Node<Call>], request: &Request) -> Reply {
+        match find(tree, &request.method, &request.path) {
+            Found::Call(Call::Set, ..) => match Config::read(&request.body) {
+                Ok(config) => {
+                    let (version, text) = (config.version, request.body.clone());
+                    log::info!("event=order call=set version={version:08x}");
+                    self.order(Order::Config { version, text }, |_| Reply::plain(200))
+                }
+                Err(fault) => {
+                    log::info!("event=order call=set refused=\"{fault}\"");
+                    Reply { body: format!("{fault}\n").into_bytes(), ..Reply::plain(400) }
+                }
+            },
+            Found::Call(Call::Show, ..) => self.order(Order::Read, |held| match held.config.version {
+                0 => Reply::plain(503),
+                _ => Reply::json(held.config.text.clone()),
+            }),
+            Found::Call(call @ (Call::Begin | Call::Finish), zone, _) => {
+                let zone = zone[0].to_string();
+                if !self.zones.contains_key(&zone) {
+                    return Reply::plain(404);
+                }
+                log::info!("event=order call={call:?} zone={zone}");
+                self.order(Order::Evacuation { zone, on: call == Call::Begin }, |_| Reply::plain(200))
+            }
+            Found::Call(Call::LookUp, ..) | Found::Nothing => Reply::plain(404),
+            Found::OtherMethod => Reply::plain(405),
+        }
+    }
+
+    /// Only what a majority of disks holds is acknowledged; anything else may still come to be held.
+    fn order(&self, order: Order, done: impl Fn(&aspendrum_accession::Holdings) -> Reply) -> Reply {
+        let (answer, outcome) = bounded(1);
+        if self.notes.offer(Note::Order { order, answer }).is_err() {
+            return Reply::plain(503);
+        }
+        match outcome.recv_timeout(WAIT) {
+            Ok(Outcome::Done(held)) => done(&held),
+            Ok(Outcome::NoMajority) | Err(_) => Reply::plain(503),
+        }
+    }
+}
+
+/// Answers a look-up: `ips` and `ttl-s`.
+pub fn look_up(directory: &RwLock<Directory>, tree: &[Node<Call>], request: &Request, ttl: f64) -> Reply {
+    match find(tree, &request.method, &request.path) {
+        Found::Call(Call::LookUp, _, query) => {
+            let told = |name| argument(query, name).unwrap_or("");
+            let ips = directory.read().unwrap_or_else(|e| e.into_inner()).look_up(told("geo"), told("az"));
+            if ips.is_empty() {
+                return Reply::plain(503);
+            }
+            let ips: Vec<String> = ips.iter().map(ToString::to_string).collect();
+            Reply::json(serde_json::json!({ "ips": ips, "ttl-s": ttl }).to_string().into_bytes())
+        }
+        Found::Call(..) | Found::Nothing => Reply::plain(404),
+        Found::OtherMethod => Reply::plain(405),
+    }
+}
--- /dev/null
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -0,0 +1,482 @@
+//! The one thread that owns what control knows. Everybody tells it what happened through one letter box; it
+//! compares what is wanted of each agent with what that was told, and tells it the difference.
+
+use crate::finding::{self, Directory};
+use crate::links;
+use crate::store::Store;
+use crate::words::Between;
+use aspendrum_accession::{Act, Order, Outcome, Place, Register, Said};
+use aspendrum_catalog::news::{Down, Front, Part, Up, KINDS};
+use aspendrum_catalog::servers::{Roster, Server};
+use aspendrum_catalog::settings::Settings;
+use aspendrum_folio::frames::Link;
+use aspendrum_folio::mail::{Inbox, Post};
+use crossbeam_channel::Sender;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
+
+type Ms = f64;
+
+/// How often what is due is looked after.
+const BEAT: Duration = Duration::from_millis(50);
+/// Between two looks at what a majority holds: agents' licences and late news rest on it.
+const READ_EVERY: Ms = 400.0;
+const HERE_EVERY: Ms = 500.0;
+/// Control that said nothing for so long does not count as there.
+const SILENT: Ms = 1600.0;
+const AGENT_SILENT: Ms = 1000.0;
+/// Of the time in which a draining server must be left, what passes between two looks at the list at most.
+const POLL_SHARE: f64 = 0.25;
+const POLL_STEP: Ms = 600.0;
+/// Of the platform's calls a second, what is taken at the most.
+const RATE_SHARE: f64 = 0.5;
+
+pub enum Note {
+    Heard { from: Place, said: Between },
+    Reached { place: Place, link: Option<Link> },
+    Agent { id: u64, link: Link },
+    AgentSaid { id: u64, said: Up },
+    AgentGone { id: u64 },
+    Order { order: Order, answer: Sender<Outcome> },
+    Polled { asked: Instant, list: Result<Vec<Server>, String> },
+    Settings(Box<Settings>),
+}
+
+/// An agent and its proxy, by their link.
+struct Seat {
+    link: Link,
+    front: Option<Front>,
+    heard: Ms,
+    /// The number of the last news it was told, the last it has applied, and what it was told of each kind.
+    said: u64,
+    applied: u64,
+    told: [Option<Part>; KINDS],
+}
+
+/// Another machine of control.
+#[derive(Default)]
+struct Peer {
+    zone: String,
+    link: Option<Link>,
+    heard: Option<Ms>,
+    fronts: Vec<Front>,
+    held: bool,
+}
+
+pub struct Desk {
+    settings: Settings,
+    store: Option<Store>,
+    register: Register,
+    me: Place,
+    begun: Instant,
+    notes: Arc<Post<Note>>,
+    peers: BTreeMap<Place, Peer>,
+    seats: HashMap<u64, Seat>,
+    roster: Roster,
+    /// When the platform's list was last read by anyone, by this clock.
+    polled: Option<Ms>,
+    polling: bool,
+    poll: Sender<SocketAddrV4>,
+    poll_failed: u32,
+    fronts: Vec<Front>,
+    directory: Arc<RwLock<Directory>>,
+    tickets: HashMap<u64, Sender<Outcome>>,
+    next_ticket: u64,
+    read_at: Ms,
+    here_at: Ms,
+}
+
+impl Desk {
+    pub fn new(
+        settings: Settings,
+        store: Option<Store>,
+        register: Register,
+        notes: Arc<Post<Note>>,
+        poll: Sender<SocketAddrV4>,
+        directory: Arc<RwLock<Directory>>,
+    ) -> Desk {
+        let me = u32::from(settings.ip);
+        Desk {
+            settings,
+            store,
+            register,
+            me,
+            begun: Instant::now(),
+            notes,
+            peers: BTreeMap::new(),
+            seats: HashMap::new(),
+            roster: Roster::default(),
+            polled: None,
+            polling: false,
+            poll,
+            poll_failed: 0,
+            fronts: Vec::new(),
+            directory,
+            tickets: HashMap::new(),
+            next_ticket: 1,
+            read_at: f64::NEG_INFINITY,
+            here_at: f64::NEG_INFINITY,
+        }
+    }
+
+    fn now(&self) -> Ms {
+        self.begun.elapsed().as_secs_f64() * 1000.0
+    }
+
+    pub fn run(mut self, notes: &Inbox<Note>, first: Vec<Act>) {
+        self.act(first);
+        self.meet();
+        let mut due = Instant::now();
+        loop {
+            match notes.next(Some(due)) {
+                Ok(note) => self.hear(note),
+                Err(_) => {
+                    due = Instant::now() + BEAT;
+                    self.beat();
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, note: Note) {
+        let now = self.now();
+        match note {
+            Note::Heard { from, said } => self.heard(from, said),
+            Note::Reached { place, link } => self.reached(place, link),
+            Note::Agent { id, link } => {
+                let told = [const { None }; KINDS];
+                self.seats.insert(id, Seat { link, front: None, heard: now, said: 0, applied: 0, told });
+            }
+            Note::AgentSaid { id, said } => self.agent(id, said),
+            Note::AgentGone { id } => {
+                if let Some(front) = self.seats.remove(&id).and_then(|s| s.front) {
+                    log::info!("event=agent_gone front={}", front.addr);
+                    self.own_fronts();
+                }
+            }
+            Note::Order { order, answer } => {
+                let ticket = self.next_ticket;
+                self.next_ticket += 1;
+                self.tickets.insert(ticket, answer);
+                let acts = self.register.order(now, order, Some(ticket));
+                self.act(acts);
+            }
+            Note::Polled { asked, list } => {
+                self.polling = false;
+                let at = asked.saturating_duration_since(self.begun).as_secs_f64() * 1000.0;
+                match list {
+                    Ok(list) => {
+                        self.poll_failed = 0;
+                        self.servers(list, at, true);
+                    }
+                    Err(why) => {
+                        self.poll_failed += 1;
+                        log::warn!("event=list_not_read failures={} why=\"{why}\"", self.poll_failed);
+                        // Not at once again: the rate is shared by all.
+                        self.polled = Some(now);
+                    }
+                }
+            }
+            Note::Settings(settings) => {
+                log::info!("event=settings_read seeds={}", settings.seeds.len());
+                self.settings = *settings;
+                self.meet();
+            }
+        }
+    }
+
+    /// Links to all control that is known of.
+    fn meet(&mut self) {
+        let seeds = self.settings.seeds.iter().map(|s| u32::from(*s.ip()));
+        let voters = self.register.kept().held.voters.iter().copied();
+        let known: Vec<Place> = seeds.chain(voters).chain(self.peers.keys().copied()).collect();
+        for place in known {
+            let peer = self.peers.entry(place).or_default();
+            if place == self.me || std::mem::replace(&mut peer.held, true) {
+                continue;
+            }
+            let silence = Duration::from_millis(SILENT as u64);
+            if let Err(e) = links::hold(place, self.settings.control_port(), silence, &self.notes) {
+                log::error!("event=link_not_started why=\"{e}\"");
+            }
+        }
+        self.peers.remove(&self.me);
+    }
+
+    fn reached(&mut self, place: Place, link: Option<Link>) {
+        log::info!(
+            "event=control_{} place={}",
+            if link.is_some() { "reached" } else { "lost" },
+            Ipv4Addr::from(place)
+        );
+        let others = self.peers.iter().map(|(p, peer)| (*p, peer.zone.clone())).collect();
+        let voters = Box::new(self.register.kept().held.clone());
+        let voters = Box::new(aspendrum_accession::Holdings { voters: voters.voters, ..Default::default() });
+        let peer = self.peers.entry(place).or_default();
+        peer.link = link;
+        let zone = self.settings.zone.clone();
+        self.say(place, Between::Hello { place: self.me, zone, others, voters });
+        let fronts = self.own();
+        self.say(place, Between::Fronts(fronts));
+        let now = self.now();
+        if let Some(polled) = self.roster.polled {
+            let (age, list) = ((now - polled).max(0.0) as u32, self.roster.told(now));
+            self.say(place, Between::Servers { age, list });
+        }
+    }
+
+    fn say(&self, to: Place, said: Between) {
+        if let Some(link) = self.peers.get(&to).and_then(|p| p.link.as_ref()) {
+            link.say(&links::Word::Between(said));
+        }
+    }
+
+    fn say_all(&self, said: &Between) {
+        for peer in self.peers.values().filter_map(|p| p.link.as_ref()) {
+            peer.say(&links::Word::Between(said.clone()));
+        }
+    }
+
+    fn heard(&mut self, from: Place, said: Between) {
+        let now = self.now();
+        let peer = self.peers.entry(from).or_default();
+        let back = peer.heard.replace(now).is_none_or(|at| now - at > SILENT);
+        match said {
+            Between::Hello { zone, others, voters, .. } => {
+                peer.zone = zone;
+                for (place, zone) in others.into_iter().filter(|o| o.0 != self.me) {
+                    let known = self.peers.entry(place).or_default();
+                    if known.zone.is_empty() {
+                        known.zone = zone;
+                    }
+                }
+                let acts = self.register.introduce(&voters);
+                self.act(acts);
+                self.meet();
+                self.tell_agents();
+            }
+            Between::Here { polled } => {
+                if let Some(age) = polled {
+                    self.polled = Some(self.polled.unwrap_or(f64::NEG_INFINITY).max(now - f64::from(age)));
+                }
+            }
+            Between::Register(said) => {
+                if said == Said::Nudge {
+                    self.read_at = f64::NEG_INFINITY;
+                }
+                let acts = self.register.hear(now, from, said);
+                self.act(acts);
+            }
+            Between::Fronts(fronts) => {
+                peer.fronts = fronts;
+                self.all_fronts();
+            }
+            Between::Servers { age, list } => self.servers(list, now - f64::from(age), false),
+        }
+        if back {
+            self.all_fronts();
+        }
+    }
+
+    fn servers(&mut self, list: Vec<Server>, polled: Ms, own: bool) {
+        self.polled = Some(self.polled.unwrap_or(f64::NEG_INFINITY).max(polled));
+        let now = self.now();
+        if self.roster.take(list, polled) {
+            if own {
+                let (age, list) = ((now - polled).max(0.0) as u32, self.roster.told(now));
+                self.say_all(&Between::Servers { age, list });
+            }
+            self.tell_agents();
+        }
+    }
+
+    fn agent(&mut self, id: u64, said: Up) {
+        let age = self.register.as_of().map(|at| (self.now() - at).max(0.0) as u32);
+        let now = self.now();
+        let Some(seat) = self.seats.get_mut(&id) else { return };
+        seat.heard = now;
+        match said {
+            Up::Hello { host, front, zone } => {
+                log::info!("event=agent_came host={host} front={front} zone={zone}");
+                seat.front = Some(Front { addr: front, zone, ready: false });
+                self.own_fronts();
+                self.tell_agents();
+            }
+            Up::Beat { stamp, ready, .. } => {
+                seat.link.say(&Down::Beat { stamp, age });
+                let front = seat.front.as_mut().filter(|f| f.ready != ready);
+                if let Some(front) = front {
+                    front.ready = ready;
+                    log::info!(
+                        "event=front_{} front={}",
+                        if ready { "ready" } else { "not_ready" },
+                        front.addr
+                    );
+                    self.own_fronts();
+                }
+            }
+            Up::Applied { number } => seat.applied = seat.applied.max(number),
+        }
+    }
+
+    fn own(&self) -> Vec<Front> {
+        self.seats.values().filter_map(|s| s.front.clone()).collect()
+    }
+
+    fn own_fronts(&mut self) {
+        let own = self.own();
+        self.say_all(&Between::Fronts(own));
+        self.all_fronts();
+    }
+
+    /// Takes together what all control that is there knows of proxies.
+    fn all_fronts(&mut self) {
+        let (now, own) = (self.now(), self.own());
+        let there = self.peers.values().filter(|p| p.heard.is_some_and(|at| now - at <= SILENT));
+        let all = finding::union(std::iter::once(&own).chain(there.map(|p| &p.fronts)));
+        if all == self.fronts {
+            return;
+        }
+        self.fronts = all;
+        let directory = Directory::new(&self.fronts, &self.settings.zones);
+        *self.directory.write().unwrap_or_else(|e| e.into_inner()) = directory;
+        self.tell_agents();
+    }
+
+    /// What every agent is to know now.
+    fn wanted(&self) -> Vec<Part> {
+        let settled = self.register.settled();
+        let now = self.now();
+        let mut wanted = Vec::new();
+        // Before a majority was read what is known here may be older than what an agent was told elsewhere.
+        if self.register.as_of().is_some() {
+            if settled.config.version > 0 {
+                let config = &settled.config;
+                wanted.push(Part::Config { version: config.version, text: config.text.clone() });
+            }
+            let (number, zones) = settled.evacuated();
+            wanted.push(Part::Evacuated { number, zones });
+        }
+        if let Some(polled) = self.roster.polled {
+            wanted.push(Part::Servers { age: (now - polled).max(0.0) as u32, list: self.roster.told(now) });
+        }
+        if !self.fronts.is_empty() {
+            wanted.push(Part::Fronts(self.fronts.clone()));
+        }
+        let mut control = vec![(self.settings.ip, self.settings.zone.clone())];
+        control.extend(self.peers.iter().map(|(p, peer)| (Ipv4Addr::from(*p), peer.zone.clone())));
+        wanted.push(Part::Control(control));
+        wanted
+    }
+
+    fn tell_agents(&mut self) {
+        let wanted = self.wanted();
+        for seat in self.seats.values_mut().filter(|s| s.front.is_some()) {
+            for part in &wanted {
+                let told = &mut seat.told[part.kind()];
+                if told.as_ref().is_some_and(|told| same(told, part)) {
+                    continue;
+                }
+                seat.said += 1;
+                seat.link.say(&Down::News { number: seat.said, part: part.clone() });
+                *told = Some(part.clone());
+            }
+        }
+    }
+
+    fn act(&mut self, acts: Vec<Act>) {
+        for act in acts {
+            match act {
+                Act::Keep => {
+                    let kept = self.register.kept();
+                    if let Some(Err(why)) = self.store.as_ref().map(|s| s.keep(kept)) {
+                        // What is not on the disk must not be said to be: the next start reads what is there.
+                        log::error!("event=disk_failed why=\"{why}\"");
+                        std::process::exit(1);
+                    }
+                }
+                Act::Say { to, said } => self.say(to, Between::Register(said)),
+                Act::Ended { ticket, outcome } => {
+                    if let Some(answer) = self.tickets.remove(&ticket) {
+                        let _ = answer.try_send(outcome);
+                    }
+                }
+                Act::News => {
+                    let settled = self.register.settled();
+                    log::info!(
+                        "event=settled version={:08x} evacuated={:?}",
+                        settled.config.version,
+                        settled.evacuated().1
+                    );
+                    self.say_all(&Between::Register(Said::Nudge));
+                    self.tell_agents();
+                }
+            }
+        }
+    }
+
+    fn beat(&mut self) {
+        let now = self.now();
+        let acts = self.register.beat(now);
+        self.act(acts);
+        if now - self.read_at >= READ_EVERY {
+            self.read_at = now;
+            let first = self.register.as_of().is_none();
+            let acts = self.register.order(now, Order::Read, None);
+            self.act(acts);
+            if first && self.register.as_of().is_some() {
+                self.tell_agents();
+            }
+        }
+        if now - self.here_at >= HERE_EVERY {
+            self.here_at = now;
+            let polled = self.polled.map(|at| (now - at).max(0.0) as u32);
+            self.say_all(&Between::Here { polled });
+            self.all_fronts();
+            // Agents that came before a majority could be read.
+            self.tell_agents();
+        }
+        // An agent that is not heard of is frozen, cut off or without power, and its proxy with it.
+        let gone = |s: &&mut Seat| now - s.heard > AGENT_SILENT && s.front.as_ref().is_some_and(|f| f.ready);
+        let mut silent = false;
+        for front in self.seats.values_mut().filter(gone).filter_map(|s| s.front.as_mut()) {
+            (front.ready, silent) = (false, true);
+            log::info!("event=front_silent front={}", front.addr);
+        }
+        if silent {
+            self.own_fronts();
+        }
+        self.poll(now);
+    }
+
+    fn poll(&mut self, now: Ms) {
+        let Some(cloud) = self.settings.cloud.filter(|_| !self.polling) else { return };
+        let heard = |p: &Peer| p.heard.is_some_and(|at| now - at <= SILENT);
+        let live: Vec<Place> = self.peers.iter().filter(|p| heard(p.1)).map(|p| *p.0).collect();
+        let every =
+            (POLL_SHARE * self.settings.drain_ms).max(1000.0 / (RATE_SHARE * self.settings.cloud_rate));
+        let age = self.polled.map(|at| now - at);
+        if finding::polls(self.me, &live, age, every, POLL_STEP) && self.poll.try_send(cloud).is_ok() {
+            self.polling = true;
+        }
+    }
+}
+
+/// Whether an agent that was told the one need not be told the other.
+fn same(told: &Part, now: &Part) -> bool {
+    match (told, now) {
+        (Part::Config { version: a, text: s }, Part::Config { version: b, text: t }) => a == b && s == t,
+        (Part::Servers { list: a, .. }, Part::Servers { list: b, .. }) => {
+            let alike = |x: &Server, y: &Server| {
+                // A cold time that merely runs out is no news; one that begins is.
+                let later = y.warm_left_ms > x.warm_left_ms;
+                let plain = |s: &Server| Server { warm_left_ms: 0, ..s.clone() };
+                !later && plain(x) == plain(y)
+            };
+            a.len() == b.len() && a.iter().zip(b).all(|(x, y)| alike(x, y))
+        }
+        (a, b) => a == b,
+    }
+}
--- /dev/null
+++ b/crates/aspendrum-vault/src/main.rs
@@ -0,0 +1,159 @@
+//! Control of the system, one process on each core machine.
+
+mod calls;
+mod desk;
+mod finding;
+mod links;
+mod poll;
+mod store;
+mod words;
+
+use aspendrum_accession::Register;
+use aspendrum_catalog::settings::{Settings, VARIABLE};
+use aspendrum_folio::daemon::{self, Wanted};
+use aspendrum_folio::hands::spawn;
+use aspendrum_folio::mail;
+use aspendrum_folio::message::Bounds;
+use aspendrum_folio::reception::{self, Terms};
+use bpaf::Bpaf;
+use crossbeam_channel::bounded;
+use desk::{Desk, Note};
+use finding::Directory;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
+
+/// Control of the system: takes orders, keeps them on disk, knows servers and proxies, answers look-ups
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Line {
+    /// Runs in the foreground until SIGTERM; SIGHUP reads the settings again
+    #[bpaf(command)]
+    Serve,
+    /// Reads and checks the settings, and says what is wrong with them
+    #[bpaf(command("check-settings"))]
+    CheckSettings,
+}
+
+const STACK: usize = 128 << 10;
+const NOTES: usize = 4096;
+/// A configuration of thousands of routes takes a few megabytes.
+const ORDERS: Bounds = Bounds { head: 16 << 10, body: 16 << 20 };
+const LOOK_UPS: Bounds = Bounds { head: 16 << 10, body: 1 << 10 };
+const SETTINGS_EVERY: Duration = Duration::from_millis(1000);
+/// Clients hold an answer for so long: shorter, and look-ups cost more than stale addresses do.
+const TTL_S: f64 = 3.0;
+
+fn main() -> ExitCode {
+    let done = daemon::log(log::LevelFilter::Info).and_then(|()| match line().run() {
+        Line::Serve => serve(),
+        Line::CheckSettings => Settings::load().map(|s| println!("{}: well-formed", s.host)),
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("vault: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve() -> Result<(), String> {
+    let settings = Settings::load()?;
+    let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+    let store = settings.datadir.as_ref().map(|d| store::Store::open(Path::new(d))).transpose()?;
+    let kept = store.as_ref().map_or(Ok(None), store::Store::read)?;
+    let founders: Vec<u32> = match settings.init {
+        true => settings.seeds.iter().map(|s| u32::from(*s.ip())).collect(),
+        false => Vec::new(),
+    };
+    let me = u32::from(settings.ip);
+    let fresh = kept.is_none();
+    // Rounds of this life begin above those of earlier ones.
+    let begin = u64::from(fastrand::u32(..)) << 24;
+    let (register, first) = Register::start(me, kept, &founders, fastrand::u64(1..), begin);
+    log::info!(
+        "event=started host={} init={} empty_disk={fresh} votes={}",
+        settings.host,
+        settings.init,
+        register.votes()
+    );
+
+    let directory = Arc::new(RwLock::new(Directory::default()));
+    let (poll, polls) = bounded::<SocketAddrV4>(1);
+    let (give, take) = bounded::<Desk>(1);
+    let start = |inbox| {
+        spawn("desk", 512 << 10, move || {
+            if let Ok(desk) = take.recv() {
+                let guard = Guard;
+                let desk: Desk = desk;
+                desk.run(&inbox, first);
+                std::mem::forget(guard);
+            }
+        })
+    };
+    let notes = Arc::new(mail::with(NOTES, start).map_err(failed("desk"))?);
+    let desk = Desk::new(settings.clone(), store, register, notes.clone(), poll, directory.clone());
+    let port = SocketAddrV4::new(settings.ip, settings.control_port());
+    links::listen(port, Duration::from_millis(1600), &notes).map_err(failed("control port"))?;
+    give.send(desk).map_err(|e| e.to_string())?;
+
+    let own = notes.clone();
+    let poller = move || {
+        let mut conn = None;
+        while let Ok(addr) = polls.recv() {
+            let asked = Instant::now();
+            let list = poll::list(addr, &mut conn);
+            if list.is_err() {
+                conn = None;
+            }
+            own.send(Note::Polled { asked, list }, None);
+        }
+    };
+    spawn("poller", STACK, poller).map_err(failed("poller"))?;
+
+    let terms =
+        |bounds| Terms { stack: STACK, bounds, idle: Duration::from_secs(10), hands: Duration::from_secs(3) };
+    if let Some(ctl) = settings.ctl {
+        let orders = calls::Orders { notes: notes.clone(), zones: settings.zones.clone() };
+        let tree = calls::orders();
+        let serve = move |request| orders.answer(&tree, &request);
+        reception::open(ctl, terms(ORDERS), serve).map_err(failed("ctl"))?;
+    }
+    if let Some(dir) = settings.dir {
+        let (tree, ttl) = (calls::look_ups(), TTL_S.min(settings.ttl_max_s));
+        let serve = move |request| calls::look_up(&directory, &tree, &request, ttl);
+        reception::open(dir, terms(LOOK_UPS), serve).map_err(failed("dir"))?;
+    }
+
+    let (tell, wanted) = bounded(8);
+    let file = std::env::var(VARIABLE).unwrap_or_default();
+    let told = move |w| {
+        let _ = tell.try_send(w);
+    };
+    daemon::watch(file, SETTINGS_EVERY, told).map_err(failed("signals"))?;
+    while let Ok(wanted) = wanted.recv() {
+        match wanted {
+            // All that was acknowledged is on disks: nothing needs to be ended first.
+            Wanted::End => break,
+            Wanted::Reload => match Settings::load() {
+                Ok(settings) => drop(notes.send(Note::Settings(Box::new(settings)), None)),
+                Err(why) => log::error!("event=settings_not_read why=\"{why}\""),
+            },
+        }
+    }
+    log::info!("event=ended");
+    Ok(())
+}
+
+/// Without its desk a process of control only refuses: better to end and be started again.
+struct Guard;
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        log::error!("event=desk_failed");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/aspendrum-vault/src/words.rs
@@ -0,0 +1,29 @@
+//! The words on a connection to control: from other machines of control, and from agents.
+
+use aspendrum_accession::{Holdings, Place, Said};
+use aspendrum_catalog::news::Front;
+use aspendrum_catalog::servers::Server;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Between {
+    /// The first word of a link: who speaks, where other control is, and who votes.
+    Hello {
+        place: Place,
+        zone: String,
+        others: Vec<(Place, String)>,
+        voters: Box<Holdings>,
+    },
+    /// A sign of life. `polled`: so long ago the platform's list was read here, in milliseconds.
+    Here {
+        polled: Option<u32>,
+    },
+    Register(Said),
+    /// The proxies whose agents hold a link to the speaker.
+    Fronts(Vec<Front>),
+    /// The platform's list, read that many milliseconds ago.
+    Servers {
+        age: u32,
+        list: Vec<Server>,
+    },
+}
--- a/crates/aspendrum-wirehost/src/frame.rs
+++ b/crates/aspendrum-wirehost/src/frame.rs
@@ -165,6 +165,9 @@
                 first: f.f32(39, "FirstDoor")?,
                 client_repeat: f.u8(43) & 2 != 0,
                 write: f.u8(43) & 4 != 0,
+                pool: 0,
+                zones: u64::MAX,
+                most: u8::MAX,
             }),
             10 => Event::PeerSaid { from: f.u16(1), data: self.tail(f, 3, 1)? },
             11 => Event::ForwardEnded {
@@ -198,6 +201,7 @@
     };
     Ok(Member {
         server: f.u32(0),
+        pool: 0,
         health,
         cell: f.u16(5),
         zone: f.u8(7),
@@ -271,7 +275,7 @@
                 self.record(73, &[&at, &size]);
             }
             Action::Drop { id } => self.record(74, &[&id.to_be_bytes()]),
-            Action::Shed { id, retry_after } => self.record(75, &[&id.to_be_bytes(), &s(*retry_after)]),
+            Action::Shed { id, retry_after, .. } => self.record(75, &[&id.to_be_bytes(), &s(*retry_after)]),
             Action::Watch { on } => self.record(76, &[&[u8::from(*on)]]),
             Action::Log(text) => {
                 let (at, size) = self.put(text.as_bytes());
--- a/crates/aspendrum-wirehost/tests/wire.rs
+++ b/crates/aspendrum-wirehost/tests/wire.rs
@@ -89,7 +89,7 @@
 #[test_case(Action::Tell { to: None, data: b"hi 7".to_vec() },
     "41 ffffffff 00000000 00000004 0000000000000000000000", "68692037" ; "tell")]
 #[test_case(Action::Cancel { id: 5, forward: 1 }, "42 0000000000000005 01 0000000000000000000000000000", "" ; "abort")]
-#[test_case(Action::Shed { id: 5, retry_after: 500.0 }, "4b 0000000000000005 3fe0000000000000 00000000000000", "" ; "say no")]
+#[test_case(Action::Shed { id: 5, retry_after: 500.0, beyond: false }, "4b 0000000000000005 3fe0000000000000 00000000000000", "" ; "say no")]
 #[test_case(Action::Drop { id: 5 }, "4a 0000000000000005 000000000000000000000000000000", "" ; "finish error")]
 #[test_case(Action::Probe { server: 9 }, "48 00000009 00000000000000000000000000000000000000", "" ; "touch")]
 #[test_case(Action::Close { server: 9 }, "45 00000009 00000000000000000000000000000000000000", "" ; "let go")]
--- a/crates/aspendrum/src/desk.rs
+++ b/crates/aspendrum/src/desk.rs
@@ -300,7 +300,7 @@
                     self.later.push(Note::Quit { id });
                 }
             }
-            Action::Shed { id, retry_after } => self.finish(id, Order::Shed { advice: retry_after }),
+            Action::Shed { id, retry_after, .. } => self.finish(id, Order::Shed { advice: retry_after }),
             Action::Drop { id } => self.finish(id, Order::Drop),
             Action::Cancel { id, forward } => {
                 if let Some(seat) = self.seats.get(&id) {
--- a/crates/aspendrum/src/discovery.rs
+++ b/crates/aspendrum/src/discovery.rs
@@ -68,6 +68,7 @@
     }
     let member = Member {
         server: server_id(text("host")?),
+        pool: 0,
         health,
         cell: number("block").unwrap_or(0.0) as u16,
         zone: place(&names.zones, text("site").unwrap_or("")),
@@ -215,7 +216,8 @@
         let limits = &self.shop.limits;
         let mut conn = match held.take() {
             Some(conn) => conn,
-            None => Conn::apart(self.agent.addr(), limits.connect_wait, limits).map_err(|e| e.to_string())?,
+            None => Conn::apart(self.agent.addr(), limits.connect_wait, self.shop.pool.lines())
+                .map_err(|e| e.to_string())?,
         };
         if !self.agent.reached(&conn) {
             return Err("its address has changed".into());
@@ -230,7 +232,7 @@
         let failed = |how: Outcome| format!("{how:?}");
         conn.send().map_err(failed)?;
         let until = Instant::now() + hold + limits.watch_late;
-        let answer = conn.receive(until, &self.shop.lanes, limits).map_err(failed)?;
+        let answer = http::receive(&mut conn, until, &self.shop).map_err(failed)?;
         if answer.status != 200 {
             return Err(format!("status {}", answer.status));
         }
--- a/crates/aspendrum/src/http.rs
+++ b/crates/aspendrum/src/http.rs
@@ -2,11 +2,16 @@
 //! here.
 
 use crate::limits::{Limits, HEADERS};
+use crate::pool::Conn;
 use crate::ring::Ring;
-use aspendrum_core::api::{Load, LoadValue, Ms, Semantics};
+use crate::Shop;
+use aspendrum_core::api::{Load, LoadValue, Ms, Outcome, Semantics};
 use aspendrum_core::settings::MS;
+pub use aspendrum_folio::message::Parsed;
+use aspendrum_folio::message::{chunks, closes, header, length, raw, Length};
 use std::collections::HashMap;
 use std::io::Write;
+use std::time::Instant;
 
 const TXN: &str = "X-Txn";
 const LANE: &str = "X-Lane";
@@ -48,13 +53,6 @@
     "x-remaining",
 ];
 
-/// What stands in a buffer so far.
-pub enum Parsed<T> {
-    More,
-    Whole(T),
-    Bad(u16),
-}
-
 /// A query as a client asked it.
 pub struct Asked {
     pub group: u16,
@@ -107,7 +105,7 @@
         Ok(Length::Known(n)) => n,
         Ok(Length::Chunked) => return Parsed::Bad(411),
         Ok(Length::Unknown) => 0,
-        Err(()) => return Parsed::Bad(400),
+        Err(_) => return Parsed::Bad(400),
     };
     if bytes.len() < at + length {
         return Parsed::More;
@@ -211,6 +209,11 @@
     pub body: Vec<u8>,
 }
 
+/// Reads one whole answer from a server, or from discovery.
+pub fn receive(conn: &mut Conn, until: Instant, shop: &Shop) -> Result<Answer, Outcome> {
+    conn.receive(until, shop.pool.lines(), |ring| answer(ring, &shop.lanes, &shop.limits))
+}
+
 /// Takes one answer off the ring once it is whole. An answer that only the end of the connection delimits
 /// cannot be told from one that was cut off, so it is never whole.
 pub fn answer(ring: &mut Ring, lanes: &Lanes, limits: &Limits) -> Parsed<Answer> {
@@ -326,88 +329,6 @@
     write!(out, "GET {path} HTTP/1.1\r\nHost: {SERVICE}\r\n\r\n").is_ok()
 }
 
-enum Length {
-    Known(usize),
-    Chunked,
-    Unknown,
-}
-
-/// Two lengths, or a length beside chunks, are the door to smuggled queries.
-fn length(headers: &[httparse::Header]) -> Result<Length, ()> {
-    let mut found = Length::Unknown;
-    for h in headers {
-        // Of the others none matters here: a good answer may bring a report that cannot be read.
-        let known = h.name.eq_ignore_ascii_case("content-length");
-        if !known && !h.name.eq_ignore_ascii_case("transfer-encoding") {
-            continue;
-        }
-        let value = std::str::from_utf8(h.value).map_err(|_| ())?.trim();
-        let next = if known {
-            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
-            Length::Known(if digits { value.parse().unwrap_or(usize::MAX) } else { return Err(()) })
-        } else if value.eq_ignore_ascii_case("chunked") {
-            Length::Chunked
-        } else {
-            return Err(());
-        };
-        match (&found, &next) {
-            (Length::Unknown, _) => found = next,
-            (Length::Known(a), Length::Known(b)) if a == b => {}
-            _ => return Err(()),
-        }
-    }
-    Ok(found)
-}
-
-fn chunks(bytes: &[u8], most: usize) -> Parsed<(usize, Vec<u8>)> {
-    let (mut at, mut body) = (0, Vec::new());
-    loop {
-        let (skip, size) = match httparse::parse_chunk_size(&bytes[at..]) {
-            Ok(httparse::Status::Complete((skip, size))) => (skip, size),
-            Ok(httparse::Status::Partial) if bytes.len() - at < 64 => return Parsed::More,
-            _ => return Parsed::Bad(502),
-        };
-        if size > (most - body.len()) as u64 {
-            return Parsed::Bad(502);
-        }
-        let (from, to) = (at + skip, at + skip + size as usize);
-        if size == 0 {
-            // Trailers are read over, up to the empty line.
-            return match (bytes[from..].starts_with(b"\r\n"), find(&bytes[from..], b"\r\n\r\n")) {
-                (true, _) => Parsed::Whole((from + 2, body)),
-                (_, Some(end)) => Parsed::Whole((from + end + 4, body)),
-                _ => Parsed::More,
-            };
-        }
-        if bytes.len() < to + 2 {
-            return Parsed::More;
-        }
-        if &bytes[to..to + 2] != b"\r\n" {
-            return Parsed::Bad(502);
-        }
-        body.extend_from_slice(&bytes[from..to]);
-        at = to + 2;
-    }
-}
-
-fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
-    bytes.windows(what.len()).position(|w| w == what)
-}
-
-fn raw<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a [u8]> {
-    headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
-}
-
-fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a str> {
-    std::str::from_utf8(raw(headers, name)?).ok().map(str::trim)
-}
-
-fn closes(headers: &[httparse::Header], version: Option<u8>) -> bool {
-    let told = header(headers, "Connection").unwrap_or("");
-    let says = |word: &str| told.split(',').any(|t| t.trim().eq_ignore_ascii_case(word));
-    says("close") || version == Some(0) && !says("keep-alive")
-}
-
 fn customer(headers: &[httparse::Header]) -> Option<u64> {
     let cookies = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("cookie"));
     let mut pairs = cookies.filter_map(|h| std::str::from_utf8(h.value).ok()).flat_map(|v| v.split(';'));
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -7,18 +7,16 @@
 pub mod counter;
 pub mod desk;
 pub mod discovery;
-mod hands;
 pub mod http;
 pub mod limits;
-pub mod mail;
 pub mod peers;
-pub mod pool;
 pub mod query;
 pub mod resp;
-pub mod ring;
 pub mod shutdown;
 
 use aspendrum_core::api::ListKind;
+pub(crate) use aspendrum_folio::hands;
+pub use aspendrum_folio::{mail, pool, ring};
 use backoff::Backoff;
 use clients::Clients;
 use config::Config;
@@ -114,7 +112,7 @@
                 load_values: config.settings.load_values.clone(),
             },
             door: door.clone(),
-            pool: Arc::new(Pool::new(limits.clone())),
+            pool: Arc::new(Pool::new(limits.lines())),
             clients: Clients::default(),
             hands: Hands::new(limits.stack, limits.idle_hands),
             started: Instant::now(),
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -2,6 +2,7 @@
 //! What is decided about queries is not here but in the module.
 
 use crate::config::{ms, Config};
+use aspendrum_folio::pool::Lines;
 use std::time::Duration;
 
 #[derive(Clone, Debug)]
@@ -80,6 +81,20 @@
 const SPARE_HANDS: usize = 4;
 
 impl Limits {
+    /// What the pool of connections to servers needs of them.
+    pub fn lines(&self) -> Lines {
+        Lines {
+            sockets: self.server_sockets,
+            ring: self.ring,
+            ring_top: self.ring_top,
+            shortest: self.shortest,
+            write: self.server_write,
+            read: self.server_read,
+            idle: self.idle_server,
+            rest: self.rest,
+        }
+    }
+
     pub fn of(config: &Config) -> Limits {
         // The program's own: standard streams, listener, signals, counter, discovery, peers, and spare ones.
         let own = 40.min(config.sockets / 4);
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -47,6 +47,9 @@
         first: asked.first,
         client_repeat: asked.client_repeat,
         write: asked.write,
+        pool: 0,
+        zones: u64::MAX,
+        most: u8::MAX,
     };
     let last = until + limits.desk_late;
     let taken = shop.door.tell_by(last, Note::Query { new, orders: desk, line: line.clone() });
@@ -124,7 +127,7 @@
     };
     let wait = as_ms(left());
     let sent = if asked.forward(wait, &mut conn.outward) { conn.send() } else { Err(Outcome::Moot) };
-    let got = sent.and_then(|()| conn.receive(until, &shop.lanes, &shop.limits));
+    let got = sent.and_then(|()| http::receive(&mut conn, until, shop));
     let cut = line.leave(forward);
     match got {
         // What came back whole counts, even if the cut came in the same moment.
@@ -177,7 +180,7 @@
     let mut conn = shop.pool.take(server, wait(), |_| true)?;
     http::get(&mut conn.outward, path);
     conn.send()?;
-    let answer = conn.receive(until, &shop.lanes, &shop.limits)?;
+    let answer = http::receive(&mut conn, until, shop)?;
     let load = match answer.load.n {
         0 => http::load_of_body(&answer.body, &shop.lanes.load_values),
         _ => answer.load,
