Counters by windows at their holder behind a fence; queries no server can take go back; even cold turns

Change: plans counted by windows as the source has it, refused units stay counted; the window runs at the holder, and a counter that moved answers nothing until its last holder's window is over; the module's time for a query is the route's limit; a query that waits for 0.4 of its aim goes back with Retry-After.

--- a/crates/aspendrum-catalog/src/news.rs
+++ b/crates/aspendrum-catalog/src/news.rs
@@ -64,6 +64,8 @@
     Beat {
         stamp: u64,
         age: Option<u32>,
+        /// Control is heard of; an agent says no while it has no answer of any machine of control.
+        heard: bool,
     },
 }
 
--- a/crates/aspendrum-catalog/src/settings.rs
+++ b/crates/aspendrum-catalog/src/settings.rs
@@ -167,6 +167,9 @@
         retry_ratio: f64 = "terms.bounds.retry-ratio", Some(0.2), not_negative;
         retry_win_s: f64 = "terms.bounds.retry-win-s", Some(10.0), positive;
         retry_slack: f64 = "terms.bounds.retry-slack", Some(0.0), not_negative;
+        quota_win_s: f64 = "terms.bounds.quota-win-s", Some(5.0), positive;
+        quota_excess: f64 = "terms.bounds.quota-excess", Some(0.0), not_negative;
+        quota_slack: f64 = "terms.bounds.quota-slack", Some(0.0), not_negative;
         warm_excess: f64 = "terms.bounds.warm-excess", Some(1.0), positive;
         warm_slack: f64 = "terms.bounds.warm-slack", Some(0.0), not_negative;
         evac_ms: f64 = "terms.bounds.evac-ms", Some(5000.0), positive;
--- a/crates/aspendrum-core/src/api.rs
+++ b/crates/aspendrum-core/src/api.rs
@@ -223,6 +223,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
+    /// Counted by windows of burst over rate whatever its size, as the source has it.
+    pub windowed: bool,
     /// Units a second; 0: no such quota.
     pub rate: f64,
     pub burst: f64,
--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -135,7 +135,7 @@
 
     /// A count that goes over to one limiter, or back to all, knows nothing yet of what the others used.
     fn split(&mut self, fig: &PlanFig, ways: f64, now: Ms) {
-        (self.ways, self.sparse) = (ways, fig.burst < SPARSE_PART * ways);
+        (self.ways, self.sparse) = (ways, fig.windowed || fig.burst < SPARSE_PART * ways);
         // Parts under a whole query would let nobody send: each limiter of a sparse customer may send one.
         self.local = if self.sparse { fig.burst } else { fig.burst / ways };
         (self.level, self.at, self.local_at) = (fig.burst, now, now);
--- a/crates/aspendrum-core/src/settings.rs
+++ b/crates/aspendrum-core/src/settings.rs
@@ -72,6 +72,7 @@
 
 fn plan(p: &Pairs, at: &str) -> Result<Plan, String> {
     Ok(Plan {
+        windowed: false,
         rate: p.number(&format!("{at}.PerSecond"))?,
         burst: p.number(&format!("{at}.Depth"))?,
         price: p.number(&format!("{at}.WorthFactor"))?,
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -283,6 +283,7 @@
 }
 
 pub struct PlanFig {
+    pub windowed: bool,
     pub rate: f64,
     pub burst: f64,
     pub window: Ms,
@@ -309,6 +310,7 @@
 impl PlanFig {
     fn of(p: &Plan) -> PlanFig {
         PlanFig {
+            windowed: p.windowed,
             rate: p.rate / 1000.0,
             burst: p.burst,
             window: if p.rate > 0.0 { p.burst / p.rate * 1000.0 } else { 0.0 },
--- a/crates/aspendrum-core/tests/common/mod.rs
+++ b/crates/aspendrum-core/tests/common/mod.rs
@@ -19,6 +19,7 @@
             stream: false,
         }],
         plans: vec![Plan {
+            windowed: false,
             rate: 2.0,
             burst: 4.0,
             price: 1.0,
--- a/crates/aspendrum-lectern/src/counts.rs
+++ b/crates/aspendrum-lectern/src/counts.rs
@@ -15,51 +15,108 @@
         name: u64,
         add: f32,
     },
-    /// `life`: the holder's, so that a counter which began anew is told from one that went on.
     Total {
         call: u32,
         total: f32,
-        life: u32,
     },
+    /// Nothing was added: the counter may still be held elsewhere, or its tenant is not known here.
+    Fenced {
+        call: u32,
+    },
+}
+
+/// The quota of one tenant, as counters need it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    pub rate: f64,
+    pub burst: f64,
+    /// A counter's window.
+    pub window: Ms,
+}
+
+/// What the terms leave above a tenant's quota, in any span of `win` seconds: `excess` of it, and `slack`.
+#[derive(Clone, Copy, Debug)]
+pub struct Leave {
+    pub win: f64,
+    pub excess: f64,
+    pub slack: f64,
+}
+
+/// Of that, what windows grant. The rest is for proxies that are cut off and decide by their own part.
+const LEAVE_TAKEN: f64 = 0.5;
+/// Shorter, and chance alone fills a window of a tenant well within its quota.
+const LEAST_WINDOW_S: f64 = 0.5;
+
+impl Quota {
+    /// A window of burst over rate, and what one may grant so that no span of `win` seconds, wherever it lies
+    /// over the windows, holds more than the terms allow: (win rate + burst)(1 + excess) + slack, of which
+    /// `LEAVE_TAKEN` of excess and slack, over win / window + 1 windows.
+    pub fn of(rate: f64, burst: f64, leave: &Leave) -> Quota {
+        let burst = if burst > 0.0 { burst } else { rate };
+        if rate <= 0.0 {
+            return Quota { rate: 0.0, burst: 0.0, window: 0.0 };
+        }
+        let window = (burst / rate).max(LEAST_WINDOW_S);
+        let allowed =
+            (leave.win * rate + burst) * (1.0 + LEAVE_TAKEN * leave.excess) + LEAVE_TAKEN * leave.slack;
+        let burst = allowed / (leave.win / window + 1.0);
+        Quota { rate: burst / window, burst, window: window * 1000.0 }
+    }
+}
+
+struct Counter {
+    total: f64,
+    begun: Ms,
 }
 
 /// The counters held here.
+#[derive(Default)]
 pub struct Ledger {
-    life: u32,
-    totals: HashMap<u64, (f64, Ms)>,
-    swept: Ms,
+    counters: HashMap<u64, Counter>,
+    quotas: HashMap<u64, Quota>,
+    /// When the list of those that may hold counters last changed.
+    changed: Ms,
 }
 
-/// Counters unused for so long are let go, as the module's names are.
-const FORGET: Ms = 60_000.0;
+/// Beyond a window: so long do others go by an older list of holders.
+const FENCE: Ms = 400.0;
 
 impl Ledger {
-    pub fn new(life: u32) -> Ledger {
-        Ledger { life, totals: HashMap::new(), swept: 0.0 }
+    pub fn quotas(&mut self, quotas: HashMap<u64, Quota>) {
+        self.counters.retain(|name, _| quotas.contains_key(name));
+        self.quotas = quotas;
+    }
+
+    pub fn changed(&mut self, now: Ms) {
+        self.changed = now;
     }
 
-    /// The plain add: the total with it.
-    pub fn add(&mut self, now: Ms, name: u64, add: f32) -> f32 {
-        if now - self.swept > FORGET {
-            self.swept = now;
-            self.totals.retain(|_, t| now - t.1 <= FORGET);
+    /// The plain add: the total of the window with it. None: a counter that was not held here before may be
+    /// granted from by its last holder until that one's window is over.
+    pub fn add(&mut self, now: Ms, name: u64, add: f32) -> Option<f32> {
+        let quota = self.quotas.get(&name)?;
+        if !self.counters.contains_key(&name) && now - self.changed < quota.window + FENCE {
+            return None;
         }
-        let total = self.totals.entry(name).or_insert((0.0, now));
-        total.0 += f64::from(add);
-        total.1 = now;
-        total.0 as f32
+        let counter = self.counters.entry(name).or_insert(Counter { total: 0.0, begun: now });
+        if now - counter.begun >= quota.window {
+            *counter = Counter { total: 0.0, begun: now };
+        }
+        counter.total += f64::from(add);
+        Some(counter.total as f32)
     }
 
-    pub fn life(&self) -> u32 {
-        self.life
+    /// Counters that are another's now are forgotten: held again, they begin behind the fence.
+    pub fn keep(&mut self, held: impl Fn(u64) -> bool) {
+        self.counters.retain(|name, _| held(*name));
     }
 }
 
 /// A call that waits for its total.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Call {
+    /// The name as the module knows it.
     pub name: u64,
-    pub add: f32,
     pub holder: Ipv4Addr,
     pub sent: Ms,
     until: Ms,
@@ -77,39 +134,28 @@
 const LEAST_WAIT: Ms = 20.0;
 const MOST_WAIT: Ms = 300.0;
 
-/// A counter's holder as totals were last read from it.
-struct Read {
-    from: (Ipv4Addr, u32),
-    last: f64,
-    offset: f64,
-}
-
 /// The calls to counters, here and elsewhere.
 pub struct Calls {
     holders: Vec<Ipv4Addr>,
     waiting: HashMap<u32, Call>,
     next: u32,
     ways: HashMap<Ipv4Addr, Way>,
-    reads: HashMap<u64, Read>,
 }
 
 impl Calls {
     pub fn new() -> Calls {
-        Calls {
-            holders: Vec::new(),
-            waiting: HashMap::new(),
-            next: 1,
-            ways: HashMap::new(),
-            reads: HashMap::new(),
-        }
+        Calls { holders: Vec::new(), waiting: HashMap::new(), next: 1, ways: HashMap::new() }
     }
 
-    /// The proxies that may hold counters. Calls to one that is gone have failed.
-    pub fn holders(&mut self, holders: Vec<Ipv4Addr>) -> Vec<Call> {
+    /// The proxies that may hold counters. Calls to one that is gone have failed; none if nothing changed.
+    pub fn holders(&mut self, holders: Vec<Ipv4Addr>) -> Option<Vec<Call>> {
+        if self.holders == holders {
+            return None;
+        }
         let gone = |c: &Call| !holders.contains(&c.holder);
         let lost: Vec<u32> = self.waiting.iter().filter(|w| gone(w.1)).map(|w| *w.0).collect();
         self.holders = holders;
-        lost.iter().filter_map(|call| self.waiting.remove(call)).collect()
+        Some(lost.iter().filter_map(|call| self.waiting.remove(call)).collect())
     }
 
     /// Who holds a name; none while no proxy is known.
@@ -118,37 +164,25 @@
     }
 
     /// Begins a call; the number that its answer bears.
-    pub fn begin(&mut self, now: Ms, holder: Ipv4Addr, name: u64, add: f32) -> u32 {
+    pub fn begin(&mut self, now: Ms, holder: Ipv4Addr, name: u64) -> u32 {
         self.next = self.next.wrapping_add(1);
         let wait = self
             .ways
             .get(&holder)
             .map_or(FIRST_WAIT, |w| (2.0 * w.mean + 4.0 * w.dev + LEAST_WAIT).clamp(LEAST_WAIT, MOST_WAIT));
-        self.waiting.insert(self.next, Call { name, add, holder, sent: now, until: now + wait });
+        self.waiting.insert(self.next, Call { name, holder, sent: now, until: now + wait });
         self.next
     }
 
-    /// An answer came. None: nobody waits for it any more.
-    pub fn answered(&mut self, now: Ms, call: u32, total: f32, life: u32) -> Option<(Call, f64)> {
+    /// An answer came. None: nobody waits for it any more, or another was asked.
+    pub fn answered(&mut self, now: Ms, from: Ipv4Addr, call: u32) -> Option<Call> {
+        self.waiting.get(&call).filter(|c| c.holder == from)?;
         let call = self.waiting.remove(&call)?;
         let rtt = now - call.sent;
         let way = self.ways.entry(call.holder).or_insert(Way { mean: rtt, dev: rtt / 2.0 });
         way.dev += 0.25 * ((rtt - way.mean).abs() - way.dev);
         way.mean += 0.125 * (rtt - way.mean);
-        let total = self.read(call.name, (call.holder, life), f64::from(total), f64::from(call.add));
-        Some((call, total))
-    }
-
-    /// A total as the module is to see it: one that goes on where a counter changed its holder, so that nobody
-    /// takes an empty counter for a fresh burst.
-    pub fn read(&mut self, name: u64, from: (Ipv4Addr, u32), total: f64, add: f64) -> f64 {
-        let read = self.reads.entry(name).or_insert(Read { from, last: 0.0, offset: 0.0 });
-        if read.from != from {
-            // As if others had added nothing while it moved.
-            (read.from, read.offset) = (from, read.last - (total - add));
-        }
-        read.last = total + read.offset;
-        read.last
+        Some(call)
     }
 
     /// Calls without an answer in time.
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -1,7 +1,7 @@
 //! The desk: the module, the servers it may use, the counters and the queries in hand, behind one lock. Each
 //! thread tells it what happened and carries on; nothing under the lock waits for anybody.
 
-use crate::counts::{Call, Calls, Ledger, Word};
+use crate::counts::{Call, Calls, Leave, Ledger, Quota, Word};
 use crate::stacks::{Stacks, Terms, Warmth};
 use aspendrum_catalog::config::{Config, Route, Tenant};
 use aspendrum_catalog::hash::digest;
@@ -20,14 +20,15 @@
 pub const BEAT_MS: Ms = 5.0;
 const STACKS_EVERY: Ms = 20.0;
 /// Names of counters have 40 bits.
-const NAME_BITS: u32 = 40;
+const NAMES: u64 = (1 << 40) - 1;
 /// The module's clock does not begin at nothing: it takes that for long ago.
 const EPOCH: Ms = 1000.0;
 /// The module sends to a server what it is paid back by answers; so many limiters share the first of it. More,
 /// and a few servers' first credits hold queries up at a proxy that sees a tenth of the traffic.
 const CREDIT_SHARERS: u32 = 2;
-/// The module gives up on a query that it holds at this multiple of its aim: late answers have their worth.
-const SLO_TIMES: f64 = 3.0;
+/// A proxy that hears nothing of control may be counted as gone by the others, who share out the whole. It
+/// spends so much of its even part: with a sixth of the proxies cut off that stays within what windows leave.
+const ALONE_SHARE: f64 = 0.4;
 /// In the module's figures of another region's price; see docs/system.md.
 const REGION_PRICE: f64 = 0.15;
 
@@ -84,6 +85,8 @@
     stacks_at: Ms,
     calls: Calls,
     ledger: Ledger,
+    /// Nothing is heard of control.
+    alone: bool,
     seats: HashMap<QueryId, Seat>,
     next: QueryId,
     groups: Vec<Group>,
@@ -127,7 +130,8 @@
             stacks: Stacks::new(Terms::of(settings), settings.ip),
             stacks_at: 0.0,
             calls: Calls::new(),
-            ledger: Ledger::new(fastrand::u32(1..)),
+            ledger: Ledger::default(),
+            alone: false,
             seats: HashMap::new(),
             next: 1,
             groups: vec![group],
@@ -176,7 +180,7 @@
             until: self.at(ask.until),
             acct,
             plan,
-            spread: inner.stacks.sharers() as f32,
+            spread: (inner.stacks.sharers() as f64 / if inner.alone { ALONE_SHARE } else { 1.0 }) as f32,
             units: 1.0,
             first: 0.0,
             client_repeat: false,
@@ -263,18 +267,20 @@
         match word {
             Word::Add { call, name, add } if add.is_finite() => {
                 let total = inner.ledger.add(now, name, add);
-                Some(Word::Total { call, total, life: inner.ledger.life() })
+                Some(total.map_or(Word::Fenced { call }, |total| Word::Total { call, total }))
             }
-            Word::Total { call, total, life } if total.is_finite() => {
-                if let Some((call, total)) = inner.calls.answered(now, call, total, life) {
-                    if call.holder == from {
-                        let (name, rtt, total) = (call.name, now - call.sent, total as f32);
-                        self.turn(
-                            &mut inner,
-                            now,
-                            &Event::Counted { name, outcome: Outcome::Ok, total, rtt },
-                        );
-                    }
+            Word::Total { call, total } if total.is_finite() => {
+                if let Some(call) = inner.calls.answered(now, from, call) {
+                    let (name, rtt) = (call.name, now - call.sent);
+                    self.turn(&mut inner, now, &Event::Counted { name, outcome: Outcome::Ok, total, rtt });
+                }
+                None
+            }
+            Word::Fenced { call } => {
+                if let Some(call) = inner.calls.answered(now, from, call) {
+                    let (name, outcome, total, rtt) =
+                        (call.name, Outcome::ConnectFailed, 0.0, now - call.sent);
+                    self.turn(&mut inner, now, &Event::Counted { name, outcome, total, rtt });
                 }
                 None
             }
@@ -375,19 +381,18 @@
     }
 
     fn count(&self, inner: &mut Inner, now: Ms, name: u64, add: f32) {
-        match inner.calls.holder(name) {
+        // The module's names bear its own window; the counter's window is its holder's.
+        let tenant = name & NAMES;
+        let total = match inner.calls.holder(tenant).filter(|_| !inner.alone) {
             Some(holder) if holder != self.me => {
-                let call = inner.calls.begin(now, holder, name, add);
-                self.send(holder, &Word::Add { call, name, add });
-            }
-            // Alone, or not listed yet: its own word is all there is.
-            _ => {
-                let total = inner.ledger.add(now, name, add);
-                let from = (self.me, inner.ledger.life());
-                let total = inner.calls.read(name, from, f64::from(total), f64::from(add)) as f32;
-                inner.later.push(Event::Counted { name, outcome: Outcome::Ok, total, rtt: 0.0 });
+                let call = inner.calls.begin(now, holder, name);
+                return self.send(holder, &Word::Add { call, name: tenant, add });
             }
-        }
+            Some(_) => inner.ledger.add(now, tenant, add),
+            None => None,
+        };
+        let (outcome, total) = total.map_or((Outcome::ConnectFailed, 0.0), |total| (Outcome::Ok, total));
+        inner.later.push(Event::Counted { name, outcome, total, rtt: 0.0 });
     }
 
     pub fn send(&self, to: Ipv4Addr, word: &Word) {
@@ -429,8 +434,13 @@
         ready.sort_unstable();
         ready.dedup();
         let mut inner = lock(&self.inner);
-        for call in inner.calls.holders(ready.clone()) {
-            self.failed(&mut inner, now, call);
+        if let Some(lost) = inner.calls.holders(ready.clone()) {
+            inner.ledger.changed(now);
+            let Inner { ledger, calls, .. } = &mut *inner;
+            ledger.keep(|name| calls.holder(name) == Some(self.me));
+            for call in lost {
+                self.failed(&mut inner, now, call);
+            }
         }
         inner.stacks.fronts(ready);
     }
@@ -447,9 +457,11 @@
         }
         let tenants: &[Tenant] = config.tenants.as_deref().unwrap_or(&[]);
         let groups = config.routes.iter().map(|r| inner.group(r)).collect();
-        let plans = tenants.iter().map(|t| inner.plan(t)).collect();
-        let name = |t: &Tenant| digest(t.name.as_bytes()) & ((1 << NAME_BITS) - 1);
-        let accts = tenants.iter().map(name).collect();
+        let leave = self.leave();
+        let quota = |t: &Tenant| Quota::of(t.rate_s, t.burst, &leave);
+        let plans = tenants.iter().map(|t| inner.plan(&t.name, quota(t))).collect();
+        let accts: Vec<AcctId> = tenants.iter().map(|t| digest(t.name.as_bytes()) & NAMES).collect();
+        inner.ledger.quotas(accts.iter().copied().zip(tenants.iter().map(quota)).collect());
         let pools = config.services.iter().map(|s| (s.name.clone(), inner.stacks.pool(&s.name))).collect();
         let zones = |homes: &[String]| match homes {
             [] => u64::MAX,
@@ -467,6 +479,19 @@
         *lock(&self.view) = Some(Arc::new(view));
     }
 
+    fn leave(&self) -> Leave {
+        let s = &self.settings;
+        Leave { win: s.quota_win_s, excess: s.quota_excess, slack: s.quota_slack }
+    }
+
+    /// Whether anything is heard of control.
+    pub fn alone(&self, alone: bool) {
+        let mut inner = lock(&self.inner);
+        if std::mem::replace(&mut inner.alone, alone) != alone {
+            log::info!("event=control_{}", if alone { "silent" } else { "heard" });
+        }
+    }
+
     /// All that is needed to take queries is there.
     pub fn knows(&self) -> bool {
         self.view().is_some() && lock(&self.inner).stacks.books().next().is_some()
@@ -492,7 +517,8 @@
         }
         let n = self.groups.len() as u16;
         self.groups.push(Group {
-            slo: route.goal_ms * SLO_TIMES,
+            // Late answers have their worth: servers are not left idle for an aim that cannot be met.
+            slo: route.limit_ms,
             limit: route.limit_ms,
             semantics: if route.repeatable { Semantics::Repeatable } else { Semantics::Mutating },
             importance: 1.0 / (1.0 + route.prio),
@@ -502,10 +528,10 @@
         n
     }
 
-    fn plan(&mut self, tenant: &Tenant) -> u32 {
+    fn plan(&mut self, tenant: &str, quota: Quota) -> u32 {
         let next = self.plans.len() as u32;
-        let n = *self.plan_of.entry(tenant.name.clone()).or_insert(next);
-        let now = plan(tenant.rate_s, if tenant.burst > 0.0 { tenant.burst } else { tenant.rate_s });
+        let n = *self.plan_of.entry(tenant.to_string()).or_insert(next);
+        let now = plan(quota.rate, quota.burst);
         match self.plans.get_mut(n as usize) {
             Some(plan) => *plan = now,
             None => self.plans.push(now),
@@ -517,6 +543,7 @@
 /// A plan of the module's: a quota, and nothing for what is beyond it.
 fn plan(rate: f64, burst: f64) -> Plan {
     Plan {
+        windowed: true,
         rate,
         burst,
         price: 1.0,
--- a/crates/aspendrum-lectern/src/main.rs
+++ b/crates/aspendrum-lectern/src/main.rs
@@ -43,6 +43,8 @@
 const SETTINGS_EVERY: Duration = Duration::from_millis(1000);
 /// Beats to the agent.
 const AGENT_EVERY: Duration = Duration::from_millis(250);
+/// An agent that said nothing for so long is gone, and with it the word of control.
+const ALONE: Duration = Duration::from_millis(1200);
 const SWEEP_EVERY: Duration = Duration::from_millis(1000);
 /// A server that does not take a connection for so long is passed over.
 const CONNECT_WAIT: Duration = Duration::from_millis(400);
@@ -69,6 +71,8 @@
     licensed: AtomicU64,
     revoke_ms: Option<f64>,
     accepted: AtomicU64,
+    /// When the agent last said that control is heard of.
+    heard_at: AtomicU64,
 }
 
 impl Shop {
@@ -92,6 +96,12 @@
         self.licensed.fetch_max(end.max(0.0) as u64, Ordering::AcqRel);
     }
 
+    pub fn heard(&self, heard: bool) {
+        if heard {
+            self.heard_at.store(self.age(), Ordering::Release);
+        }
+    }
+
     fn ready(&self) -> bool {
         !self.draining() && self.desk.knows() && self.licensed()
     }
@@ -134,6 +144,7 @@
         licensed: AtomicU64::new(0),
         revoke_ms: settings.revoked.then_some(settings.revoke_ms),
         accepted: AtomicU64::new(0),
+        heard_at: AtomicU64::new(0),
     });
     if let Some(at) = settings.readyz {
         let bounds = Bounds { head: 8 << 10, body: 1 << 10 };
@@ -229,6 +240,8 @@
         let turned = ready != shop.ready();
         if turned || told.elapsed() >= AGENT_EVERY {
             (told, ready) = (Instant::now(), shop.ready());
+            let silent = shop.age().saturating_sub(shop.heard_at.load(Ordering::Acquire));
+            shop.desk.alone(silent > ALONE.as_millis() as u64);
             shop.agent.beat(shop.age(), ready, shop.desk.applied());
         }
         if swept.elapsed() >= SWEEP_EVERY {
--- a/crates/aspendrum-lectern/src/query.rs
+++ b/crates/aspendrum-lectern/src/query.rs
@@ -15,6 +15,8 @@
 const MARGIN: Duration = Duration::from_millis(12);
 /// When to come again where nothing is known that says when.
 const AGAIN_MS: Ms = 150.0;
+/// Of a query's aim, how long it waits for a server at the most.
+const HELD_SHARE: f64 = 0.4;
 /// Without the desk's word a query ends so long after its time.
 const DESK_LATE: Duration = Duration::from_millis(20);
 /// Answers that belong to other tries, read over on one connection.
@@ -87,8 +89,11 @@
         let (post, orders) = mail::here(ORDERS);
         let until = self.until;
         let id = self.shop.desk.ask(view, Ask { route, service, tenant, zones, until, orders: post });
+        let goal = view.config.routes[route].goal_ms;
         loop {
-            match orders.next(Some(until + DESK_LATE)).ok() {
+            // A query that no server can take now is better asked of another proxy, while its aim can be met.
+            let held = Instant::now() + Duration::from_secs_f64(goal * HELD_SHARE / 1000.0);
+            match orders.next(Some(held.min(until + DESK_LATE))).ok() {
                 Some(Order::Forward { forward, server }) => {
                     if let Some(response) = self.carry(id, forward, server) {
                         return self.pass_on(&response);
@@ -109,7 +114,17 @@
                 }
                 None => {
                     self.shop.desk.quit(id);
-                    return self.give_up();
+                    // An order that came in the same moment is not carried out.
+                    while let Ok(Order::Forward { forward, server }) = orders.next(Some(Instant::now())) {
+                        self.shop.desk.ended(
+                            id,
+                            forward,
+                            server,
+                            (Outcome::Moot, 0.0, Load::default()),
+                            true,
+                        );
+                    }
+                    return if self.may_have_run { self.give_up() } else { self.refuse(503, AGAIN_MS) };
                 }
             }
         }
--- a/crates/aspendrum-lectern/src/stacks.rs
+++ b/crates/aspendrum-lectern/src/stacks.rs
@@ -206,8 +206,8 @@
         if before >= most {
             return 0.0;
         }
-        let sharers = most.min(self.sharers()) as f64;
-        (bound / sharers - 1.0).max(0.0)
+        // Not more where fewer proxies are known: after a start of all, each knows of few.
+        (bound / most as f64 - 1.0).max(0.0)
     }
 
     fn wanted(&self, now: Ms, book: &Book) -> Health {
--- a/crates/aspendrum-page/src/control.rs
+++ b/crates/aspendrum-page/src/control.rs
@@ -11,7 +11,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const STACK: usize = 96 << 10;
 const DIAL_WAIT: Duration = Duration::from_millis(600);
@@ -19,6 +19,7 @@
 /// Bytes that control does not acknowledge for so long mean that it is gone.
 const SILENCE: Duration = Duration::from_millis(1200);
 const ROOM: usize = 64;
+const HELD: Duration = Duration::from_secs(4);
 
 /// Where control is, the nearest first.
 #[derive(Clone)]
@@ -50,6 +51,11 @@
         }
     }
 
+    /// Whether no machine of control is nearer, as far as zones are known.
+    pub fn nearest(&self, ip: Ipv4Addr) -> bool {
+        lock(&self.0).first().is_none_or(|first| *first == ip)
+    }
+
     fn get(&self, n: usize) -> Option<Ipv4Addr> {
         let all = lock(&self.0);
         all.get(n % all.len().max(1)).copied()
@@ -66,19 +72,21 @@
                 sleep(PAUSE);
                 continue;
             };
+            n += 1;
             if let Ok(stream) = Link::dial(SocketAddrV4::new(ip, port), DIAL_WAIT) {
                 if let Ok(link) = Link::over(stream.clone(), SILENCE, ROOM) {
                     id += 1;
+                    let since = Instant::now();
                     notes.send(Note::Control { id, ip, link }, None);
                     let mut from = BufReader::with_capacity(4 << 10, &*stream);
                     while let Ok(said) = frames::read::<Down>(&mut from) {
                         notes.send(Note::Said { id, said }, None);
                     }
                     notes.send(Note::ControlLost { id }, None);
+                    // A link that held: the nearest is tried first again.
+                    n = if since.elapsed() > HELD || id == 1 { 0 } else { n };
                 }
             }
-            // The next one, and after all of them the nearest again.
-            n += 1;
             sleep(PAUSE);
         }
     })?;
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -17,6 +17,8 @@
 /// Control without an answer for so long, or without a majority's word for so long, is left for another.
 const SILENT: Ms = 1100.0;
 const STALE: Ms = 2500.0;
+/// Control that was not heard of for so long may have taken this machine off its list.
+const ALONE: Ms = 1500.0;
 /// A proxy that said nothing for so long is not ready, whatever it said last.
 const PROXY_SILENT: Ms = 900.0;
 
@@ -32,6 +34,7 @@
 
 struct Control {
     id: u64,
+    ip: Ipv4Addr,
     link: Link,
     since: Ms,
     answered: Ms,
@@ -63,6 +66,8 @@
     as_of: Option<Ms>,
     /// The number of the last news of the present link, and the proxy's number for it.
     last: u64,
+    /// When control last answered on a link that is gone.
+    lost: Ms,
     beat_at: Ms,
 }
 
@@ -78,6 +83,7 @@
             roster: Roster::default(),
             as_of: None,
             last: 0,
+            lost: f64::NEG_INFINITY,
             beat_at: f64::NEG_INFINITY,
         }
     }
@@ -101,7 +107,7 @@
         match note {
             Note::Control { id, ip, link } => {
                 log::info!("event=control_reached ip={ip}");
-                self.control = Some(Control { id, link, since: now, answered: now, told: None });
+                self.control = Some(Control { id, ip, link, since: now, answered: now, told: None });
                 self.last = 0;
                 self.beat();
             }
@@ -110,7 +116,7 @@
             Note::ControlLost { id } => {
                 if self.control.as_ref().is_some_and(|c| c.id == id) {
                     log::info!("event=control_lost");
-                    self.control = None;
+                    self.leave();
                 }
             }
             Note::Proxy { id, link } => {
@@ -139,7 +145,7 @@
     fn said(&mut self, said: Down) {
         let now = self.now();
         match said {
-            Down::Beat { stamp, age } => {
+            Down::Beat { stamp, age, .. } => {
                 if let Some(control) = &mut self.control {
                     control.answered = now;
                 }
@@ -166,8 +172,15 @@
                 self.roster.take(list.clone(), now - f64::from(*age));
                 true
             }
-            (Part::Control(control), _) => {
+            (Part::Control(control), held) => {
+                let first = held.is_none();
                 self.route.learn(&self.settings, control);
+                // Seeds do not tell their zones: before anything depends on the link it goes to the nearest.
+                if first {
+                    if let Some(far) = self.control.as_ref().filter(|c| !self.route.nearest(c.ip)) {
+                        far.link.end();
+                    }
+                }
                 true
             }
             _ => true,
@@ -198,6 +211,8 @@
     fn proxy_said(&mut self, id: u64, said: Up) {
         let now = self.now();
         let age = self.as_of.map(|at| (now - at).max(0.0).ceil() as u32);
+        let heard = self.control.as_ref().map_or(self.lost, |c| c.answered);
+        let heard = now - heard <= ALONE;
         let Some(proxy) = self.proxy.as_mut().filter(|p| p.id == id) else { return };
         proxy.heard = now;
         match said {
@@ -207,7 +222,7 @@
                 self.beat();
             }
             Up::Beat { stamp, ready, applied } => {
-                proxy.link.say(&Down::Beat { stamp, age });
+                proxy.link.say(&Down::Beat { stamp, age, heard });
                 let turned = proxy.ready != ready;
                 (proxy.ready, proxy.applied) = (ready, applied);
                 if turned {
@@ -224,6 +239,12 @@
         }
     }
 
+    fn leave(&mut self) {
+        if let Some(control) = self.control.take() {
+            self.lost = control.answered;
+        }
+    }
+
     /// A sign of life to control, or the end of a link that is of no use.
     fn beat(&mut self) {
         let now = self.now();
@@ -234,8 +255,7 @@
         if now - control.answered > SILENT || stale {
             log::info!("event=control_left stale={stale}");
             control.link.end();
-            self.control = None;
-            return;
+            return self.leave();
         }
         let Some(proxy) = &self.proxy else { return };
         if let Some(front) = proxy.front.filter(|f| control.told != Some(*f)) {
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -27,6 +27,8 @@
 /// Control that said nothing for so long does not count as there.
 const SILENT: Ms = 1600.0;
 const AGENT_SILENT: Ms = 1000.0;
+/// A majority was read so lately that its news of proxies are the fleet's.
+const SURE: Ms = 1200.0;
 /// Of the time in which a draining server must be left, what passes between two looks at the list at most.
 const POLL_SHARE: f64 = 0.25;
 const POLL_STEP: Ms = 600.0;
@@ -305,7 +307,7 @@
                 self.tell_agents();
             }
             Up::Beat { stamp, ready, .. } => {
-                seat.link.say(&Down::Beat { stamp, age });
+                seat.link.say(&Down::Beat { stamp, age, heard: true });
                 let front = seat.front.as_mut().filter(|f| f.ready != ready);
                 if let Some(front) = front {
                     front.ready = ready;
@@ -362,7 +364,9 @@
         if let Some(polled) = self.roster.polled {
             wanted.push(Part::Servers { age: (now - polled).max(0.0) as u32, list: self.roster.told(now) });
         }
-        if !self.fronts.is_empty() {
+        // Without a majority it knows of its own agents only: what others were told of the rest stands.
+        let sure = self.register.as_of().is_some_and(|at| now - at <= SURE);
+        if sure && !self.fronts.is_empty() {
             wanted.push(Part::Fronts(self.fronts.clone()));
         }
         let mut control = vec![(self.settings.ip, self.settings.zone.clone())];
