--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -24,8 +24,7 @@
 /// The share of the SLO time that an answer should take: less earns credit, more costs it.
 const AIM_SHARE: f64 = 0.25;
 const CREDIT_GAIN: f64 = 0.3;
-/// All credits shrink together within a few answers: a fleet that is overdriven as a whole (capacity lost,
-/// a shared slowdown, work piled up) gives each server too few answers for its own credits to follow.
+/// All credits shrink together: an overdriven fleet gives each server too few answers for its own to follow.
 const BASE_TIMES: f64 = 2.0;
 /// Quicker, and a jam soon counts as the normal time of an answer and the target never pushes it down.
 const BASE_GROWTH: f64 = 0.000_01;
@@ -48,9 +47,9 @@
 /// Under this many units in a limiter's even part of the burst it sees a customer too seldom to follow it.
 const SPARSE_PART: f64 = 1.0;
 const ID_BITS: u32 = 40;
-/// Of a ceiling, what the first keeper grants from. The rest is split evenly, for whoever cannot reach it.
+const LATELY: Ms = 5000.0;
+/// Of a ceiling, what the first keeper grants from.
 const LEAD_PART: f64 = 0.6;
-/// Whoever was asked for a customer lately decides for it alone, even where it cannot reach the keeper.
 const KEPT_FOR: Ms = 2000.0;
 /// A window's name must outlive the window by more than the way to the counter.
 const SPARSE_TTL: Ms = 1000.0;
@@ -100,8 +99,7 @@
 ];
 
 /// A ceiling is held without the others' word or the counter's: each grant comes out of a part that only this
-/// limiter spends, which starts with nothing, so an outage, a lost name, a restart or a swing of traffic adds
-/// nothing. `share` of it is this part; `keep` of the part stays.
+/// limiter spends, which starts with nothing. `share` of it is this part; `keep` of the part stays.
 fn spend_part(part: &mut Part, fig: &PlanFig, share: f64, units: f64, keep: f64, now: Ms) -> bool {
     let share = CEILING_SHARE * share;
     part.left = (part.left + share * fig.ceiling_rate * (now - part.at)).min(share * fig.ceiling_burst);
@@ -135,7 +133,11 @@
 
     /// A count that goes over to one limiter, or back to all, knows nothing yet of what the others used.
     fn split(&mut self, fig: &PlanFig, ways: f64, now: Ms) {
+        let known = fig.windowed && self.ways > 0.0;
         (self.ways, self.sparse) = (ways, fig.windowed || fig.burst < SPARSE_PART * ways);
+        if known {
+            return; // Limiters that come and go hand nobody a fresh part.
+        }
         // Parts under a whole query would let nobody send: each limiter of a sparse customer may send one.
         self.local = if self.sparse { fig.burst } else { fig.burst / ways };
         (self.level, self.at, self.local_at) = (fig.burst, now, now);
@@ -251,7 +253,8 @@
             let here = a.room_here(fig, units, self.now) && (a.seen || !a.sparse);
             let stake = self.queries[slot].worth * units * if here { 1.0 } else { NEED };
             self.stake += STAKE_GAIN * (stake - self.stake);
-            let chance = self.ask_chance(stake);
+            // Counters shared out over limiters bear a call for each query.
+            let chance = if fig.windowed { 1.0 } else { self.ask_chance(stake) };
             if self.chance.roll() >= chance {
                 return self.decide_locally(slot, false);
             }
@@ -272,11 +275,13 @@
             return at;
         }
         let kept_at = f64::NEG_INFINITY;
-        // Nothing was spent of it since the start, or (forgotten) for as long as that takes.
         let part = Part { left: 0.0, at: self.begun.max(self.now - IDLE) };
         let purse = self.purse(part.at);
         let mut new = Acct { id, plan, spread, kept_at, part, lead: part, purse, ..Acct::default() };
         new.split(&self.fig.plans[plan], spread, self.now);
+        // Started again, it may have granted its part just before.
+        let lately = self.fig.plans[plan].windowed && self.now - self.begun < LATELY;
+        new.local = if lately { 0.0 } else { new.local };
         self.accts.add(id, new)
     }
 
@@ -371,9 +376,7 @@
         }
     }
 
-    /// Follows the customer's store from the totals, as if others had added evenly since the last read:
-    /// taken all at once at the end, use that refill has long made good would empty the store of a limiter
-    /// that reads seldom.
+    /// Follows the customer's store from the totals, as if others had added evenly since the last read.
     fn read(&mut self, at: usize, call: &Call, total: f64) {
         let (a, add) = (&mut self.accts[at], call.add);
         let fig = &self.fig.plans[a.plan];
@@ -598,8 +601,7 @@
         }
     }
 
-    /// The free share of the fleet's credits. Single servers keep a whole credit each, so many limiters
-    /// could crowd few servers; the sum of the fractions is what bounds them together.
+    /// The free share of the pool's credits: single servers keep a whole credit each, the sum bounds them.
     fn spare(&self, pool: u16) -> f64 {
         let (mut all, mut out) = (0.0, 0.0);
         for s in self.servers.items.iter().filter(|s| s.pool == pool && s.serving()) {
@@ -690,8 +692,7 @@
         }
     }
 
-    /// Where a third of the fleet is aside the trouble is not single servers': a shared slowdown or a cut
-    /// must not set the rest aside too.
+    /// Where a third of a pool is aside the trouble is not single servers': the rest is not set aside too.
     fn set_aside(&mut self, server: usize) {
         let pool = self.servers[server].pool;
         let ready = self.servers.items.iter().filter(|s| s.pool == pool && s.health == Health::Ready);
