--- a/crates/aspendrum-lectern/src/counts.rs
+++ b/crates/aspendrum-lectern/src/counts.rs
@@ -43,7 +43,7 @@
 }
 
 /// Of that, what windows grant. The rest is for proxies that are cut off and decide by their own part.
-const LEAVE_TAKEN: f64 = 0.5;
+const LEAVE_TAKEN: f64 = 0.3;
 /// Shorter, and chance alone fills a window of a tenant well within its quota.
 const LEAST_WINDOW_S: f64 = 0.5;
 
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -26,6 +26,9 @@
 /// The module sends to a server what it is paid back by answers; so many limiters share the first of it. More,
 /// and a few servers' first credits hold queries up at a proxy that sees a tenth of the traffic.
 const CREDIT_SHARERS: u32 = 2;
+/// Of its even part of a quota, what a proxy spends without its counter's word: the counter's last window may
+/// have been spent whole just before.
+const LOCAL_SHARE: f64 = 0.75;
 /// A proxy that hears nothing of control may be counted as gone by the others, who share out the whole. It
 /// spends so much of its even part: with a sixth of the proxies cut off that stays within what windows leave.
 const ALONE_SHARE: f64 = 0.4;
@@ -180,7 +183,8 @@
             until: self.at(ask.until),
             acct,
             plan,
-            spread: (inner.stacks.sharers() as f64 / if inner.alone { ALONE_SHARE } else { 1.0 }) as f32,
+            spread: (inner.stacks.sharers() as f64 / if inner.alone { ALONE_SHARE } else { LOCAL_SHARE })
+                as f32,
             units: 1.0,
             first: 0.0,
             client_repeat: false,
--- a/crates/aspendrum-page/src/control.rs
+++ b/crates/aspendrum-page/src/control.rs
@@ -19,15 +19,21 @@
 /// Bytes that control does not acknowledge for so long mean that it is gone.
 const SILENCE: Duration = Duration::from_millis(1200);
 const ROOM: usize = 64;
+/// A machine without a majority is not dialled again for so long.
+const SHUN: Duration = Duration::from_secs(4);
 const HELD: Duration = Duration::from_secs(4);
 
 /// Where control is, the nearest first.
 #[derive(Clone)]
-pub struct Route(Arc<Mutex<Vec<Ipv4Addr>>>);
+pub struct Route {
+    near: Arc<Mutex<Vec<Ipv4Addr>>>,
+    /// A machine that was left because it had no majority's word, and when.
+    left: Arc<Mutex<Option<(Ipv4Addr, Instant)>>>,
+}
 
 impl Route {
     pub fn new(settings: &Settings) -> Route {
-        let route = Route(Arc::default());
+        let route = Route { near: Arc::default(), left: Arc::default() };
         route.learn(settings, &settings.seeds.iter().map(|s| (*s.ip(), String::new())).collect::<Vec<_>>());
         route
     }
@@ -47,18 +53,25 @@
         all.sort();
         all.dedup_by_key(|c| c.2);
         if !all.is_empty() {
-            *lock(&self.0) = all.into_iter().map(|c| c.2).collect();
+            *lock(&self.near) = all.into_iter().map(|c| c.2).collect();
         }
     }
 
+    /// That machine is of no use now.
+    pub fn shun(&self, ip: Ipv4Addr) {
+        *lock(&self.left) = Some((ip, Instant::now()));
+    }
+
     /// Whether no machine of control is nearer, as far as zones are known.
     pub fn nearest(&self, ip: Ipv4Addr) -> bool {
-        lock(&self.0).first().is_none_or(|first| *first == ip)
+        lock(&self.near).first().is_none_or(|first| *first == ip)
     }
 
     fn get(&self, n: usize) -> Option<Ipv4Addr> {
-        let all = lock(&self.0);
-        all.get(n % all.len().max(1)).copied()
+        let all = lock(&self.near);
+        let left = lock(&self.left).filter(|left| left.1.elapsed() < SHUN && all.len() > 1);
+        let able: Vec<Ipv4Addr> = all.iter().copied().filter(|ip| left.is_none_or(|l| l.0 != *ip)).collect();
+        able.get(n % able.len().max(1)).copied()
     }
 }
 
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -16,7 +16,7 @@
 const BEAT: Ms = 300.0;
 /// Control without an answer for so long, or without a majority's word for so long, is left for another.
 const SILENT: Ms = 1100.0;
-const STALE: Ms = 2500.0;
+const STALE: Ms = 1300.0;
 /// Control that was not heard of for so long may have taken this machine off its list.
 const ALONE: Ms = 1500.0;
 /// A proxy that said nothing for so long is not ready, whatever it said last.
@@ -255,6 +255,7 @@
         if now - control.answered > SILENT || stale {
             log::info!("event=control_left stale={stale}");
             control.link.end();
+            self.route.shun(control.ip);
             return self.leave();
         }
         let Some(proxy) = &self.proxy else { return };
