--- a/crates/aspendrum-catalog/src/servers.rs
+++ b/crates/aspendrum-catalog/src/servers.rs
@@ -67,8 +67,9 @@
 const SAME_END_MS: f64 = 400.0;
 
 impl Roster {
-    /// Takes a whole list in that was asked for at `polled`. True: something in it is new.
-    pub fn take(&mut self, list: Vec<Server>, polled: f64) -> bool {
+    /// Takes a whole list in that the platform was asked for at `polled` and that is said now. True: something in
+    /// it is new.
+    pub fn take(&mut self, now: f64, list: Vec<Server>, polled: f64) -> bool {
         if self.polled.is_some_and(|last| last >= polled) {
             return false;
         }
@@ -76,9 +77,10 @@
         let mut next = BTreeMap::new();
         for mut server in list {
             let left = f64::from(std::mem::take(&mut server.warm_left_ms));
-            let mut end = if left > 0.0 { polled + left } else { 0.0 };
+            // Counted from when it was said, not from when the platform was asked.
+            let mut end = if left > 0.0 { now + left } else { 0.0 };
             if let Some((_, known)) = self.servers.get(&server.uid) {
-                let past = end == 0.0 && *known <= polled;
+                let past = end == 0.0 && *known <= now;
                 end = if (end - known).abs() < SAME_END_MS || past { *known } else { end };
             }
             next.insert(server.uid.clone(), (server, end));
--- a/crates/aspendrum-catalog/tests/config.rs
+++ b/crates/aspendrum-catalog/tests/config.rs
@@ -104,10 +104,22 @@
 #[test]
 fn a_roster_takes_newer_lists_only_and_cold_times_running_down_are_no_news() {
     let mut roster = Roster::default();
-    assert!(roster.take(vec![server("a", 3000)], 100.0));
-    assert!(!roster.take(vec![server("a", 2000)], 1100.0));
-    assert_eq!(roster.told(1600.0)[0].warm_left_ms, 1500);
-    assert!(!roster.take(vec![server("b", 0)], 900.0), "an older list");
-    assert!(!roster.take(vec![server("a", 0)], 4000.0), "its cold time has run out as it was told");
-    assert!(roster.take(vec![server("a", 3000)], 5000.0), "cold again");
+    assert!(roster.take(110.0, vec![server("a", 3000)], 100.0));
+    assert!(!roster.take(1110.0, vec![server("a", 2000)], 1100.0));
+    assert_eq!(roster.told(1610.0)[0].warm_left_ms, 1500);
+    assert!(!roster.take(1200.0, vec![server("b", 0)], 900.0), "an older list");
+    assert!(!roster.take(4010.0, vec![server("a", 0)], 4000.0), "its cold time has run out as it was told");
+    assert!(roster.take(5010.0, vec![server("a", 3000)], 5000.0), "cold again");
+}
+
+/// Danger: a list passed on through control and agent, each time with its age taken off the cold times, made
+/// servers warm a second too soon.
+#[test]
+fn a_cold_time_is_the_same_wherever_the_list_is_passed_on() {
+    let (mut control, mut agent) = (Roster::default(), Roster::default());
+    control.take(1000.0, vec![server("a", 3000)], 990.0);
+    // 700 ms later an agent's link comes up; its clock began elsewhere.
+    let (age, list) = (1700.0 - 990.0, control.told(1700.0));
+    agent.take(50.0, list, 50.0 - age);
+    assert_eq!(agent.told(50.0)[0].warm_left_ms, 2300);
 }
--- a/crates/aspendrum-core/src/api.rs
+++ b/crates/aspendrum-core/src/api.rs
@@ -85,6 +85,8 @@
     pub health: Health,
     pub cell: u16,
     pub zone: u8,
+    /// How many times dearer it is than a server at hand; 0: told by its zone.
+    pub far: f32,
     pub size: f32,
     pub kind: u8,
     /// 0: long ago.
--- a/crates/aspendrum-core/src/control.rs
+++ b/crates/aspendrum-core/src/control.rs
@@ -26,7 +26,6 @@
 const CREDIT_GAIN: f64 = 0.3;
 /// All credits shrink together: an overdriven fleet gives each server too few answers for its own to follow.
 const BASE_TIMES: f64 = 2.0;
-/// Quicker, and a jam soon counts as the normal time of an answer and the target never pushes it down.
 const BASE_GROWTH: f64 = 0.000_01;
 const TARGET_TOP: f64 = 0.33;
 const RTT_FADE: f64 = 0.000_3;
@@ -63,7 +62,6 @@
 const COLD_FAIR: f64 = 1.0;
 /// Under what an idle warm server's fading answer time comes to, in any zone.
 const COLD_TURN: f64 = 0.1;
-/// Multiples of it, taken to their fraction, lie evenly apart however many there are.
 const GOLDEN: f64 = 0.618_033_988_75;
 const CARRIED_TIME: Ms = 5000.0;
 const BUSY_GAIN: f64 = 0.02;
@@ -496,7 +494,8 @@
 
     /// Seen from here, a server that holds a query for long is as slow as that query says.
     fn cost(&self, s: &Server) -> f64 {
-        let zone = if s.zone == self.fig.zone { 1.0 } else { 1.0 + CROSS_WEIGHT * self.fig.cross };
+        let by_zone = if s.zone == self.fig.zone { 1.0 } else { 1.0 + CROSS_WEIGHT * self.fig.cross };
+        let zone = if s.far > 0.0 { s.far } else { by_zone };
         // A cold server's turn comes so seldom to one of hundreds that it is taken as it comes.
         let turn = if self.fig.crowd > 1.0 && self.cold(s.started) { COLD_TURN } else { 1.0 };
         s.rtt.max(s.silent(self.now)) * (1.0 + f64::from(s.out)) * zone * (1.0 + s.busy * s.busy) * turn
@@ -775,6 +774,7 @@
             let s = &mut self.servers[at];
             s.health = m.health;
             (s.cell, s.zone, s.size, s.pool) = (m.cell, m.zone, f64::from(m.size), m.pool);
+            s.far = m.far.into();
         }
         self.dispatch();
     }
--- a/crates/aspendrum-core/src/state.rs
+++ b/crates/aspendrum-core/src/state.rs
@@ -78,6 +78,7 @@
     pub standing: Standing,
     pub cell: u16,
     pub zone: u8,
+    pub far: f64,
     pub size: f64,
     pub started: Ms,
     pub credits: f64,
--- a/crates/aspendrum-core/tests/decisions.rs
+++ b/crates/aspendrum-core/tests/decisions.rs
@@ -19,7 +19,7 @@
 }
 
 fn member(server: ServerId, health: Health, cell: u16, started: Ms) -> Member {
-    Member { server, pool: 0, health, cell, zone: 0, size: 1.0, kind: 0, started }
+    Member { server, pool: 0, far: 0.0, health, cell, zone: 0, size: 1.0, kind: 0, started }
 }
 
 impl Rig {
--- a/crates/aspendrum-core/tests/keepers.rs
+++ b/crates/aspendrum-core/tests/keepers.rs
@@ -69,6 +69,7 @@
         let member = |server| Member {
             server,
             pool: 0,
+            far: 0.0,
             health: Health::Ready,
             cell: 0,
             zone: 0,
@@ -321,6 +322,7 @@
         let member = |server, health, started| Member {
             server,
             pool: 0,
+            far: 0.0,
             health,
             cell: 0,
             zone: 0,
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -32,8 +32,10 @@
 /// A proxy that hears nothing of control may be counted as gone by the others, who share out the whole. It
 /// spends so much of its even part: with a sixth of the proxies cut off that stays within what windows leave.
 const ALONE_SHARE: f64 = 0.4;
-/// In the module's figures of another region's price; see docs/system.md.
-const REGION_PRICE: f64 = 0.15;
+/// How many times dearer a server in another zone or region is than one at hand: bytes between regions cost
+/// eight times those between zones, and for a whole query about a fifth of what it earns.
+const FAR_ZONE: f32 = 1.3;
+const FAR_REGION: f32 = 7.0;
 
 /// What the module orders for a query.
 #[derive(Debug)]
@@ -423,8 +425,17 @@
             }
             Part::Servers { age, list } => {
                 let mut inner = lock(&self.inner);
-                let region = |zone: &str| self.settings.region_of(zone).unwrap_or(u8::MAX);
-                inner.stacks.list(now, f64::from(age), list, region);
+                let place = |zone: &str| {
+                    let region = self.settings.region_of(zone).unwrap_or(u8::MAX);
+                    let near = self.settings.region_of(&self.settings.zone) == Some(region);
+                    let far = if zone == self.settings.zone {
+                        1.0
+                    } else {
+                        [FAR_REGION, FAR_ZONE][usize::from(near)]
+                    };
+                    (region, far)
+                };
+                inner.stacks.list(now, f64::from(age), list, place);
                 inner.members = inner.stacks.beat(now);
                 self.members(&mut inner, now);
             }
@@ -590,7 +601,7 @@
         counter_wait: 600.0,
         counter_price: 0.0,
         probe_price: 0.0,
-        cross_zone_price: REGION_PRICE,
+        cross_zone_price: 0.0,
         units_top: 1.0,
         cost_after: false,
         meter: 0.0,
--- a/crates/aspendrum-lectern/src/lib.rs
+++ b/crates/aspendrum-lectern/src/lib.rs
@@ -29,6 +29,8 @@
 const SETTINGS_EVERY: Duration = Duration::from_millis(1000);
 /// Beats to the agent.
 const AGENT_EVERY: Duration = Duration::from_millis(250);
+/// The same while it is not ready: it may be for want of a licence.
+const AGENT_FIRST: Duration = Duration::from_millis(40);
 /// An agent that said nothing for so long is gone, and with it the word of control.
 const ALONE: Duration = Duration::from_millis(1200);
 const SWEEP_EVERY: Duration = Duration::from_millis(1000);
@@ -217,7 +219,7 @@
             let _ = shop.hands.run(Box::new(move || query::probe(&own, server)));
         }
         let turned = ready != shop.ready();
-        if turned || told.elapsed() >= AGENT_EVERY {
+        if turned || told.elapsed() >= if ready { AGENT_EVERY } else { AGENT_FIRST } {
             (told, ready) = (Instant::now(), shop.ready());
             let silent = shop.age().saturating_sub(shop.heard_at.load(Ordering::Acquire));
             shop.desk.alone(silent > ALONE.as_millis() as u64);
--- a/crates/aspendrum-lectern/src/stacks.rs
+++ b/crates/aspendrum-lectern/src/stacks.rs
@@ -46,6 +46,7 @@
     pub server: Server,
     pub pool: u16,
     pub region: u8,
+    far: f32,
     cold_until: Ms,
     /// Turns left while it is cold, as of when.
     turns: f64,
@@ -122,8 +123,9 @@
         self.books.values()
     }
 
-    /// The platform's list, whole. `age`: how old it is. `region`: the number of a zone's region.
-    pub fn list(&mut self, now: Ms, age: Ms, list: Vec<Server>, region: impl Fn(&str) -> u8) {
+    /// The platform's list, whole. `age`: how old it is. `place`: the number of a zone's
+    /// region, and how much dearer a server there is than one at hand.
+    pub fn list(&mut self, now: Ms, age: Ms, list: Vec<Server>, place: impl Fn(&str) -> (u8, f32)) {
         let mut named = HashSet::new();
         for server in list {
             let pool = self.pool(&server.service);
@@ -138,11 +140,12 @@
                 0 => 0.0,
                 left => now + f64::from(left),
             };
-            let region = region(&server.zone);
+            let (region, far) = place(&server.zone);
             let fresh = Book {
                 server: server.clone(),
                 pool,
                 region,
+                far,
                 cold_until,
                 turns: 0.0,
                 turns_at: now,
@@ -246,9 +249,9 @@
             return None;
         }
         book.shown = wanted;
-        let (server, pool, zone) = (id, book.pool, book.region);
+        let (server, pool, zone, far) = (id, book.pool, book.region, book.far);
         let size = f32::from(book.server.slots.max(1));
-        Some(Member { server, pool, health: wanted, cell: 0, zone, size, kind: 0, started: 0.0 })
+        Some(Member { server, pool, health: wanted, cell: 0, zone, far, size, kind: 0, started: 0.0 })
     }
 
     /// A forward goes there. None: it must not, whatever the module knew.
--- a/crates/aspendrum-lectern/tests/stacks.rs
+++ b/crates/aspendrum-lectern/tests/stacks.rs
@@ -53,7 +53,7 @@
     for (n, (stacks, told)) in fleet.iter_mut().enumerate() {
         let me = n as u16;
         stacks.fronts((0..of).filter(|p| *p == me || p % of < known).map(proxy).collect());
-        stacks.list(0.0, 0.0, vec![server("i-1", "poa-a", 60_000)], |_| 0);
+        stacks.list(0.0, 0.0, vec![server("i-1", "poa-a", 60_000)], |_| (0, 1.0));
         told.hear(stacks.beat(0.0));
     }
     for now in (0..20_000).step_by(10).map(f64::from) {
@@ -90,11 +90,11 @@
 #[test]
 fn a_server_that_drains_or_is_gone_gets_nothing_new() {
     let (mut stacks, mut told) = (stacks(0, 1), Told::default());
-    stacks.list(0.0, 0.0, vec![server("i-1", "poa-a", 0), server("i-2", "poa-a", 0)], |_| 0);
+    stacks.list(0.0, 0.0, vec![server("i-1", "poa-a", 0), server("i-2", "poa-a", 0)], |_| (0, 1.0));
     told.hear(stacks.beat(0.0));
     assert_eq!(told.ready(), 2);
     let id = *told.0.keys().next().unwrap();
-    stacks.list(100.0, 0.0, vec![Server { draining: true, ..server("i-1", "poa-a", 0) }], |_| 0);
+    stacks.list(100.0, 0.0, vec![Server { draining: true, ..server("i-1", "poa-a", 0) }], |_| (0, 1.0));
     // Asked for before the module heard of it.
     let (may, change) = stacks.leave_for(101.0, id);
     assert!(!may);
@@ -108,7 +108,7 @@
 fn a_zone_taken_back_is_cold_until_a_list_read_since_says_otherwise() {
     let (mut stacks, mut told) = (stacks(0, 20), Told::default());
     let zone = || vec![server("i-1", "poa-a", 0), server("i-2", "cwb-a", 0)];
-    stacks.list(0.0, 0.0, zone(), |_| 0);
+    stacks.list(0.0, 0.0, zone(), |_| (0, 1.0));
     stacks.evacuate(10.0, &["poa-a".into()]);
     told.hear(stacks.beat(20.0));
     assert_eq!(told.ready(), 1);
@@ -116,10 +116,10 @@
     told.hear(stacks.beat(5001.0));
     assert_eq!(told.ready(), 1, "no turn yet");
     // Read 700 ms ago, and the list lags.
-    stacks.list(5200.0, 700.0, zone(), |_| 0);
+    stacks.list(5200.0, 700.0, zone(), |_| (0, 1.0));
     told.hear(stacks.beat(5201.0));
     assert_eq!(told.ready(), 1);
-    stacks.list(6100.0, 100.0, zone(), |_| 0);
+    stacks.list(6100.0, 100.0, zone(), |_| (0, 1.0));
     told.hear(stacks.beat(6101.0));
     assert_eq!(told.ready(), 2);
 }
@@ -127,7 +127,7 @@
 #[test]
 fn a_server_that_says_it_is_cold_is_taken_at_its_word() {
     let (mut stacks, mut told) = (stacks(0, 20), Told::default());
-    stacks.list(0.0, 0.0, vec![server("i-1", "poa-a", 0)], |_| 0);
+    stacks.list(0.0, 0.0, vec![server("i-1", "poa-a", 0)], |_| (0, 1.0));
     told.hear(stacks.beat(1.0));
     let id = *told.0.keys().next().unwrap();
     stacks.said_cold(2.0, id, 2000.0);
--- a/crates/aspendrum-page/src/control.rs
+++ b/crates/aspendrum-page/src/control.rs
@@ -14,8 +14,8 @@
 use std::time::{Duration, Instant};
 
 const STACK: usize = 96 << 10;
-const DIAL_WAIT: Duration = Duration::from_millis(600);
-const PAUSE: Duration = Duration::from_millis(100);
+const DIAL_WAIT: Duration = Duration::from_millis(350);
+const PAUSE: Duration = Duration::from_millis(60);
 /// Bytes that control does not acknowledge for so long mean that it is gone.
 const SILENCE: Duration = Duration::from_millis(1200);
 const ROOM: usize = 64;
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -14,6 +14,8 @@
 
 /// Between two beats to control: an agent that is heard of less often counts as gone.
 const BEAT: Ms = 300.0;
+/// The same before control's first word on what a majority holds: a proxy waits for it.
+const FIRST: Ms = 60.0;
 /// Control without an answer for so long, or without a majority's word for so long, is left for another.
 const SILENT: Ms = 1100.0;
 const STALE: Ms = 1300.0;
@@ -94,7 +96,8 @@
 
     pub fn run(mut self, notes: &Inbox<Note>) {
         loop {
-            let due = self.begun + Duration::from_secs_f64((self.beat_at.max(0.0) + BEAT) / 1000.0);
+            let every = if self.as_of.is_some() { BEAT } else { FIRST };
+            let due = self.begun + Duration::from_secs_f64((self.beat_at.max(0.0) + every) / 1000.0);
             match notes.next(Some(due)) {
                 Ok(note) => self.hear(note),
                 Err(_) => self.beat(),
@@ -169,7 +172,7 @@
             (Part::Config { version: new, .. }, Some(Part::Config { version: old, .. })) => new > old,
             (Part::Evacuated { number: new, .. }, Some(Part::Evacuated { number: old, .. })) => new > old,
             (Part::Servers { age, list }, _) => {
-                self.roster.take(list.clone(), now - f64::from(*age));
+                self.roster.take(now, list.clone(), now - f64::from(*age));
                 true
             }
             (Part::Control(control), held) => {
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -23,6 +23,8 @@
 const BEAT: Duration = Duration::from_millis(50);
 /// Between two looks at what a majority holds: agents' licences and late news rest on it.
 const READ_EVERY: Ms = 400.0;
+/// The same before the first: all wait for it after a loss of power.
+const READ_FIRST: Ms = 100.0;
 const HERE_EVERY: Ms = 500.0;
 /// Control that said nothing for so long does not count as there.
 const SILENT: Ms = 1600.0;
@@ -285,7 +287,7 @@
     fn servers(&mut self, list: Vec<Server>, polled: Ms, own: bool) {
         self.polled = Some(self.polled.unwrap_or(f64::NEG_INFINITY).max(polled));
         let now = self.now();
-        if self.roster.take(list, polled) {
+        if self.roster.take(now, list, polled) {
             if own {
                 let (age, list) = ((now - polled).max(0.0) as u32, self.roster.told(now));
                 self.say_all(&Between::Servers { age, list });
@@ -425,7 +427,8 @@
         let now = self.now();
         let acts = self.register.beat(now);
         self.act(acts);
-        if now - self.read_at >= READ_EVERY {
+        let every = if self.register.as_of().is_some() { READ_EVERY } else { READ_FIRST };
+        if now - self.read_at >= every {
             self.read_at = now;
             let first = self.register.as_of().is_none();
             let acts = self.register.order(now, Order::Read, None);
--- a/crates/aspendrum-vault/src/links.rs
+++ b/crates/aspendrum-vault/src/links.rs
@@ -18,8 +18,8 @@
 
 const STACK: usize = 96 << 10;
 /// Between two tries to reach a machine.
-const REDIAL: Duration = Duration::from_millis(250);
-const DIAL_WAIT: Duration = Duration::from_millis(700);
+const REDIAL: Duration = Duration::from_millis(100);
+const DIAL_WAIT: Duration = Duration::from_millis(400);
 /// Words that a link holds for a peer that does not read.
 const ROOM: usize = 256;
 
--- a/crates/aspendrum-wirehost/src/frame.rs
+++ b/crates/aspendrum-wirehost/src/frame.rs
@@ -202,6 +202,7 @@
     Ok(Member {
         server: f.u32(0),
         pool: 0,
+        far: 0.0,
         health,
         cell: f.u16(5),
         zone: f.u8(7),
--- a/crates/aspendrum/src/discovery.rs
+++ b/crates/aspendrum/src/discovery.rs
@@ -69,6 +69,7 @@
     let member = Member {
         server: server_id(text("host")?),
         pool: 0,
+        far: 0.0,
         health,
         cell: number("block").unwrap_or(0.0) as u16,
         zone: place(&names.zones, text("site").unwrap_or("")),
