--- a/crates/aspendrum-accession/src/holdings.rs
+++ b/crates/aspendrum-accession/src/holdings.rs
@@ -10,7 +10,7 @@
 /// An order of the operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
-    /// A configuration that was found valid.
+    /// A configuration that was found valid; its text, packed.
     Config { version: u32, text: Vec<u8> },
     /// Begin or end of a zone's evacuation.
     Evacuation { zone: String, on: bool },
--- a/crates/aspendrum-catalog/src/lib.rs
+++ b/crates/aspendrum-catalog/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod config;
 pub mod hash;
 pub mod news;
+pub mod packed;
 pub mod servers;
 pub mod settings;
--- a/crates/aspendrum-catalog/src/news.rs
+++ b/crates/aspendrum-catalog/src/news.rs
@@ -17,7 +17,7 @@
 /// Part of what is decided, each whole and newer than the one before.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Part {
-    /// A configuration, as the operator sent it.
+    /// A configuration, packed.
     Config {
         version: u32,
         text: Vec<u8>,
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -6,6 +6,7 @@
 use aspendrum_catalog::config::{Config, Route, Tenant};
 use aspendrum_catalog::hash::digest;
 use aspendrum_catalog::news::{Front, Part};
+use aspendrum_catalog::packed::unpack;
 use aspendrum_catalog::settings::Settings;
 use aspendrum_core::api::*;
 use aspendrum_core::control::Control;
@@ -412,7 +413,7 @@
     pub fn apply(&self, part: Part) {
         let now = self.now();
         match part {
-            Part::Config { version, text } => match Config::read(&text) {
+            Part::Config { version, text } => match Config::read(&unpack(&text).unwrap_or_default()) {
                 Ok(config) => self.configure(config),
                 // Control checked it by the same reader.
                 Err(fault) => log::error!("event=config_unreadable version={version:08x} why=\"{fault}\""),
--- a/crates/aspendrum-lectern/src/stacks.rs
+++ b/crates/aspendrum-lectern/src/stacks.rs
@@ -12,6 +12,10 @@
 /// Of what a cold server bears by the rules, what all proxies together send: their views differ for a moment
 /// when one comes or goes.
 const COLD_SAFE: f64 = 0.8;
+/// Servers of a service and a zone to which a proxy goes first, and how many times dearer the others count: each
+/// server more is a connection more, and one seldom used is closed before it is used again.
+const CHOSEN: usize = 6;
+const UNCHOSEN: f32 = 1.5;
 /// Of the further tries that the rules leave to all proxies, what they make.
 const TRIES_SAFE: f64 = 0.7;
 
@@ -126,6 +130,7 @@
     /// The platform's list, whole. `age`: how old it is. `place`: the number of a zone's
     /// region, and how much dearer a server there is than one at hand.
     pub fn list(&mut self, now: Ms, age: Ms, list: Vec<Server>, place: impl Fn(&str) -> (u8, f32)) {
+        let chosen = self.choose(&list);
         let mut named = HashSet::new();
         for server in list {
             let pool = self.pool(&server.service);
@@ -141,6 +146,7 @@
                 left => now + f64::from(left),
             };
             let (region, far) = place(&server.zone);
+            let far = far * if chosen.contains(&server.uid) { 1.0 } else { UNCHOSEN };
             let fresh = Book {
                 server: server.clone(),
                 pool,
@@ -164,6 +170,23 @@
         }
     }
 
+    /// Of each service's servers in a zone, those that this proxy keeps connections to first: a few, told by key,
+    /// so that all are chosen by about as many proxies.
+    fn choose(&self, list: &[Server]) -> HashSet<String> {
+        let mut places: HashMap<(&str, &str), Vec<(u64, &str)>> = HashMap::new();
+        let own = u64::from(u32::from(self.me));
+        for s in list.iter().filter(|s| !s.draining) {
+            let rank = rank(own, digest(s.uid.as_bytes()));
+            places.entry((&s.service, &s.zone)).or_default().push((rank, &s.uid));
+        }
+        let mut chosen = HashSet::new();
+        for servers in places.values_mut() {
+            servers.sort_unstable();
+            chosen.extend(servers.iter().take(CHOSEN).map(|s| s.1.to_string()));
+        }
+        chosen
+    }
+
     /// The zones that are to get nothing. Those taken back may have turned cold meanwhile.
     pub fn evacuate(&mut self, now: Ms, zones: &[String]) {
         let next: HashSet<String> = zones.iter().cloned().collect();
--- a/crates/aspendrum-lectern/tests/exchanges.rs
+++ b/crates/aspendrum-lectern/tests/exchanges.rs
@@ -2,6 +2,7 @@
 //! went over each wire is compared with an approved transcript.
 
 use aspendrum_catalog::news::{Front, Part};
+use aspendrum_catalog::packed::pack;
 use aspendrum_catalog::servers::Server;
 use aspendrum_catalog::settings::Settings;
 use aspendrum_folio::message::{request, Bounds, Parsed, Request};
@@ -65,7 +66,7 @@
         });
     }
     let front = Front { addr: "127.0.0.1:1".parse().unwrap(), zone: "poa-a".into(), ready: true };
-    shop.desk.apply(Part::Config { version: 1, text: CONFIG.into() });
+    shop.desk.apply(Part::Config { version: 1, text: pack(CONFIG.as_bytes()) });
     shop.desk.apply(Part::Servers { age: 0, list });
     shop.desk.apply(Part::Fronts(vec![front]));
     let own = shop.clone();
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -147,11 +147,12 @@
 
     fn said(&mut self, said: Down) {
         let now = self.now();
+        // Any word is a sign of life: beats' answers wait behind long news.
+        if let Some(control) = &mut self.control {
+            control.answered = now;
+        }
         match said {
             Down::Beat { stamp, age, .. } => {
-                if let Some(control) = &mut self.control {
-                    control.answered = now;
-                }
                 // Counted from when this was asked: the answer cannot be older than that, however late it
                 // comes.
                 let then = age.map(|age| stamp as Ms - f64::from(age));
--- a/crates/aspendrum-vault/src/calls.rs
+++ b/crates/aspendrum-vault/src/calls.rs
@@ -4,6 +4,7 @@
 use crate::finding::Directory;
 use aspendrum_accession::{Order, Outcome};
 use aspendrum_catalog::config::Config;
+use aspendrum_catalog::packed::{pack, unpack};
 use aspendrum_folio::mail::Post;
 use aspendrum_folio::matcher::{argument, find, Found, Node};
 use aspendrum_folio::message::Request;
@@ -55,7 +56,7 @@
         match find(tree, &request.method, &request.path) {
             Found::Call(Call::Set, ..) => match Config::read(&request.body) {
                 Ok(config) => {
-                    let (version, text) = (config.version, request.body.clone());
+                    let (version, text) = (config.version, pack(&request.body));
                     log::info!("event=order call=set version={version:08x}");
                     self.order(Order::Config { version, text }, |_| Reply::plain(200))
                 }
@@ -66,7 +67,7 @@
             },
             Found::Call(Call::Show, ..) => self.order(Order::Read, |held| match held.config.version {
                 0 => Reply::plain(503),
-                _ => Reply::json(held.config.text.clone()),
+                _ => unpack(&held.config.text).map_or_else(|| Reply::plain(500), Reply::json),
             }),
             Found::Call(call @ (Call::Begin | Call::Finish), zone, _) => {
                 let zone = zone[0].to_string();
