--- a/crates/aspendrum-core/src/control/keepers.rs
+++ b/crates/aspendrum-core/src/control/keepers.rs
@@ -6,7 +6,11 @@
 //! sixth in beyond the quota. A customer led at one limiter of its set meets the counter as that of a small
 //! fleet does.
 
-use super::*;
+use super::counting::{ID_BITS, KEPT_FOR, PROBE_EVERY, SPARSE_PART};
+use super::GOLDEN;
+use crate::api::*;
+use crate::state::*;
+use crate::word::Word;
 use crate::word::{Stamp, Whose};
 use aspendrum_shared::{Gift, Purse, Terms, UNIT};
 
--- a/crates/aspendrum-page/src/control.rs
+++ b/crates/aspendrum-page/src/control.rs
@@ -1,6 +1,6 @@
 //! The held connection to control: to a machine nearby, and to the next one when that falls silent.
 
-use crate::desk::Note;
+use crate::notes::Note;
 use aspendrum_catalog::hash::{digest, rank};
 use aspendrum_catalog::news::Down;
 use aspendrum_catalog::settings::Settings;
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -2,6 +2,7 @@
 //! to it that the proxy has them.
 
 use crate::control::Route;
+use crate::notes::Note;
 use aspendrum_catalog::news::{Down, Part, Up, KINDS};
 use aspendrum_catalog::servers::Roster;
 use aspendrum_catalog::settings::Settings;
@@ -24,16 +25,6 @@
 /// A proxy that said nothing for so long is not ready, whatever it said last.
 const PROXY_SILENT: Ms = 900.0;
 
-pub enum Note {
-    Control { id: u64, ip: Ipv4Addr, link: Link },
-    Said { id: u64, said: Down },
-    ControlLost { id: u64 },
-    Proxy { id: u64, link: Link },
-    ProxySaid { id: u64, said: Up },
-    ProxyLost { id: u64 },
-    Settings(Box<Settings>),
-}
-
 struct Control {
     id: u64,
     ip: Ipv4Addr,
--- a/crates/aspendrum-page/src/main.rs
+++ b/crates/aspendrum-page/src/main.rs
@@ -3,6 +3,7 @@
 
 mod control;
 mod desk;
+mod notes;
 mod proxy;
 
 use aspendrum_catalog::settings::{Settings, VARIABLE};
@@ -11,7 +12,8 @@
 use aspendrum_folio::mail;
 use bpaf::Bpaf;
 use crossbeam_channel::bounded;
-use desk::{Desk, Note};
+use desk::Desk;
+use notes::Note;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/aspendrum-page/src/proxy.rs
+++ b/crates/aspendrum-page/src/proxy.rs
@@ -1,6 +1,6 @@
 //! The loopback connection to the proxy on this machine. It dials; there is one at a time.
 
-use crate::desk::Note;
+use crate::notes::Note;
 use aspendrum_catalog::news::Up;
 use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::hands::spawn;
--- a/crates/aspendrum-vault/src/calls.rs
+++ b/crates/aspendrum-vault/src/calls.rs
@@ -1,7 +1,7 @@
 //! The calls that operators and clients make: orders, reading the configuration, and look-ups.
 
-use crate::desk::Note;
 use crate::finding::Directory;
+use crate::notes::Note;
 use aspendrum_accession::{Order, Outcome};
 use aspendrum_catalog::config::Config;
 use aspendrum_catalog::packed::{pack, unpack};
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -3,6 +3,7 @@
 
 use crate::finding::{self, Directory};
 use crate::links;
+use crate::notes::Note;
 use crate::store::Store;
 use crate::words::Between;
 use aspendrum_accession::{Act, Order, Outcome, Place, Register, Said};
@@ -37,17 +38,6 @@
 /// Of the platform's calls a second, what is taken at the most.
 const RATE_SHARE: f64 = 0.5;
 
-pub enum Note {
-    Heard { from: Place, said: Between },
-    Reached { place: Place, link: Option<Link> },
-    Agent { id: u64, link: Link },
-    AgentSaid { id: u64, said: Up },
-    AgentGone { id: u64 },
-    Order { order: Order, answer: Sender<Outcome> },
-    Polled { asked: Instant, list: Result<Vec<Server>, String> },
-    Settings(Box<Settings>),
-}
-
 /// An agent and its proxy, by their link.
 struct Seat {
     link: Link,
--- a/crates/aspendrum-vault/src/links.rs
+++ b/crates/aspendrum-vault/src/links.rs
@@ -1,6 +1,6 @@
 //! Held connections: out to each other machine of control, in from them and from agents.
 
-use crate::desk::Note;
+use crate::notes::Note;
 use crate::words::Between;
 use aspendrum_accession::Place;
 use aspendrum_catalog::news;
--- a/crates/aspendrum/src/clients.rs
+++ b/crates/aspendrum/src/clients.rs
@@ -1,14 +1,14 @@
 //! Connections of clients: taken in as long as there are any, read one query at a time, watched for the
 //! client's leaving while a query is in hand, and closed when they make room for others.
 
-use crate::desk::Note;
+use crate::client::{Client, BUSY, CLOSED, IDLE};
 use crate::hands::{lock, spawn};
 use crate::http::{self, Asked, Call, Parsed};
+use crate::notes::Note;
 use crate::pool::linger;
 use crate::query;
 use crate::ring::{waited, Ring};
 use crate::Shop;
-use aspendrum_core::api::Ms;
 use crossbeam_channel::{bounded, Receiver, Sender};
 use std::collections::{HashMap, HashSet};
 use std::io::{self, ErrorKind};
@@ -19,59 +19,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const IDLE: u8 = 0;
-const BUSY: u8 = 1;
-const CLOSED: u8 = 2;
-
-/// One client connection. Whoever closes it must find it idle, and shuts only the side that is read: a query
-/// that had come by then is still read, and gets the connection's last answer.
-pub struct Client {
-    stream: Arc<TcpStream>,
-    state: AtomicU8,
-    /// When it was taken in, and when it last showed a sign of life or had an answer, in milliseconds since
-    /// the limiter's start.
-    opened: u64,
-    used: AtomicU64,
-    /// It has asked a well-formed query. Until then it may be anybody: floods of such connections must not
-    /// push out those of the usual clients.
-    known: AtomicBool,
-    /// It went away while its query was in hand.
-    gone: AtomicBool,
-    out: Mutex<Ring>,
-}
-
-impl Client {
-    pub fn gone(&self) -> bool {
-        self.gone.load(Ordering::SeqCst)
-    }
-
-    fn turn(&self, from: u8, to: u8) -> bool {
-        self.state.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
-    }
-
-    /// Writes one whole answer, and says whether the connection goes on. That nobody reads it any more is no
-    /// failure of ours.
-    pub fn answer(
-        &self,
-        shop: &Shop,
-        status: u16,
-        advice: Ms,
-        close: bool,
-        kind: &[u8],
-        body: &[u8],
-    ) -> bool {
-        let mut ring = lock(&self.out);
-        // Draining began while the query was in hand: its client must not send another one here.
-        let close = close || shop.draining() || self.state.load(Ordering::Acquire) == CLOSED;
-        let fits = http::reply(&mut ring, status, advice, close, kind, body);
-        let written = fits && ring.drain(&mut &*self.stream).is_ok();
-        if !written {
-            tracing::debug!("an answer found no reader");
-        }
-        written && !close
-    }
-}
-
 /// Whether there is room for one more connection.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Room {
--- /dev/null
+++ b/crates/aspendrum/src/clock.rs
@@ -0,0 +1,40 @@
+//! Milliseconds, and a clock that never steps.
+
+use aspendrum_core::api::Ms;
+use aspendrum_core::settings::MS;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Milliseconds as the standard library has them; what is below nothing counts as nothing.
+pub fn ms(ms: Ms) -> Duration {
+    Duration::try_from_secs_f64(ms.max(0.0) / MS).unwrap_or(Duration::ZERO)
+}
+/// A duration in milliseconds, as the module has it.
+pub fn as_ms(duration: Duration) -> Ms {
+    duration.as_secs_f64() * MS
+}
+
+/// Unix time in milliseconds, as every machine reads it, but one that never steps.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Ms,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, as_ms);
+        Clock { start: Instant::now(), unix }
+    }
+
+    pub fn at(&self, when: Instant) -> Ms {
+        self.unix + as_ms(when.saturating_duration_since(self.start))
+    }
+
+    pub fn now(&self) -> Ms {
+        self.at(Instant::now())
+    }
+
+    pub fn instant(&self, at: Ms) -> Instant {
+        self.start + ms(at - self.unix)
+    }
+}
--- a/crates/aspendrum/src/config.rs
+++ b/crates/aspendrum/src/config.rs
@@ -1,8 +1,9 @@
 //! The one place where the limiter's configuration is read, checked and given defaults. Messages name the
 //! faulty key. The module's settings go through the reader that the simulator's adapter uses too.
 
-use crate::discovery::{Names, Roster};
-use aspendrum_core::api::{Ms, Settings};
+use crate::clock::ms;
+use crate::roster::{Names, Roster};
+use aspendrum_core::api::Settings;
 use aspendrum_core::settings::{self, MS};
 use serde_json::Value;
 use std::collections::HashMap;
@@ -158,13 +159,3 @@
     let s = value.map_or(Some(default), Value::as_f64).filter(|s| *s > 0.0 && *s < 1e6);
     s.map(|s| ms(s * MS)).ok_or(format!("setting Limits.{key} is absurd: {value:?}"))
 }
-
-/// A duration in milliseconds, as the module has it.
-pub fn as_ms(duration: Duration) -> Ms {
-    duration.as_secs_f64() * MS
-}
-
-/// Milliseconds as the standard library has them; what is below nothing counts as nothing.
-pub fn ms(ms: Ms) -> Duration {
-    Duration::try_from_secs_f64(ms.max(0.0) / MS).unwrap_or(Duration::ZERO)
-}
--- a/crates/aspendrum/src/counter.rs
+++ b/crates/aspendrum/src/counter.rs
@@ -3,11 +3,11 @@
 //! its turn and thrown away. The desk writes calls itself where a connection stands: a thread between them
 //! cost a sixth of a limiter's time. Connecting, which can take long, is the opener's.
 
-use crate::config::as_ms;
-use crate::desk::{Door, Note};
+use crate::clock::as_ms;
 use crate::hands::{lock, spawn};
 use crate::limits::Limits;
 use crate::mail::{self, Post};
+use crate::notes::{Door, Note};
 use crate::resp::{self, Parsed, Reply};
 use crate::ring::Ring;
 use aspendrum_core::api::{Event, Ms, Outcome};
--- a/crates/aspendrum/src/desk.rs
+++ b/crates/aspendrum/src/desk.rs
@@ -2,128 +2,24 @@
 //! happened through one bounded channel; it hands each of the module's actions to its owner and never waits
 //! for anybody.
 
-use crate::config::{as_ms, ms};
 use crate::counter::Counter;
-use crate::discovery::Wish;
 use crate::mail::{Inbox, Nothing, Post};
+use crate::notes::{Note, Order, Wish};
 use crate::peers::Peers;
 use crate::pool::Line;
-use crate::query::{self, Order};
+use crate::query;
 use crate::Shop;
 use aspendrum_core::api::*;
 use aspendrum_core::control::Control;
 use crossbeam_channel::Sender;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 /// What the module itself has to say is logged under this name.
 const MODULE: &str = "aspendrum::module";
 
-/// What the desk is told.
-pub enum Note {
-    Query {
-        new: NewQuery,
-        orders: Post<Order>,
-        line: Arc<Line>,
-    },
-    /// The client went away while its query was in hand.
-    Left {
-        id: QueryId,
-    },
-    /// The forward that was out has ended.
-    Ended {
-        id: QueryId,
-        forward: u8,
-        server: ServerId,
-        outcome: Outcome,
-        rtt: Ms,
-        actual: u16,
-        load: Load,
-    },
-    /// The query got its answer without the desk; no order is read any more.
-    Quit {
-        id: QueryId,
-    },
-    /// What goes to the module as it is.
-    Told(Event<'static>),
-    Members {
-        list: ListKind,
-        version: u32,
-        entries: Vec<Member>,
-    },
-    Peer {
-        from: u16,
-        data: Vec<u8>,
-    },
-    /// A new configuration names another counter.
-    CounterMoved {
-        to: SocketAddr,
-    },
-    Stop,
-}
-
-/// Unix time in milliseconds, as every machine reads it, but one that never steps.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Ms,
-}
-
-impl Clock {
-    pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, as_ms);
-        Clock { start: Instant::now(), unix }
-    }
-
-    pub fn at(&self, when: Instant) -> Ms {
-        self.unix + as_ms(when.saturating_duration_since(self.start))
-    }
-
-    pub fn now(&self) -> Ms {
-        self.at(Instant::now())
-    }
-
-    pub fn instant(&self, at: Ms) -> Instant {
-        self.start + ms(at - self.unix)
-    }
-}
-
-/// How others reach the desk.
-pub struct Door {
-    notes: Post<Note>,
-    pub clock: Clock,
-    ids: AtomicU64,
-}
-
-impl Door {
-    pub fn new(notes: Post<Note>, clock: Clock) -> Door {
-        Door { notes, clock, ids: AtomicU64::new(1) }
-    }
-
-    pub fn next_id(&self) -> QueryId {
-        self.ids.fetch_add(1, Ordering::Relaxed)
-    }
-
-    /// For whoever must not wait for the desk, the desk itself among them.
-    pub fn offer(&self, note: Note) -> Result<(), Note> {
-        self.notes.offer(note)
-    }
-
-    /// Waits for room: the desk always drains its channel. False: there is no desk any more.
-    pub fn tell(&self, note: Note) -> bool {
-        self.notes.send(note, None)
-    }
-
-    /// The same, but not beyond that time.
-    pub fn tell_by(&self, until: Instant, note: Note) -> bool {
-        self.notes.send(note, Some(until))
-    }
-}
-
 /// A query in hand, as the desk sees it.
 struct Seat {
     orders: Post<Order>,
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -2,16 +2,20 @@
 //! Every decision is the module's (`aspendrum_core`); docs/architecture.md tells who owns what.
 
 pub mod backoff;
+pub mod client;
 pub mod clients;
+pub mod clock;
 pub mod config;
 pub mod counter;
 pub mod desk;
 pub mod discovery;
 pub mod http;
 pub mod limits;
+pub mod notes;
 pub mod peers;
 pub mod query;
 pub mod resp;
+pub mod roster;
 pub mod shutdown;
 
 use aspendrum_core::api::ListKind;
@@ -19,14 +23,16 @@
 pub use aspendrum_folio::{mail, pool, ring};
 use backoff::Backoff;
 use clients::Clients;
+use clock::Clock;
 use config::Config;
 use counter::Counter;
 use crossbeam_channel::{bounded, Sender};
-use desk::{Clock, Desk, Door, Note};
-use discovery::{Agent, Follower, Wish};
+use desk::Desk;
+use discovery::{Agent, Follower};
 use hands::{spawn, Hands};
 use http::Lanes;
 use limits::Limits;
+use notes::{Door, Note, Wish};
 use peers::Peers;
 use pool::Pool;
 use socket2::SockRef;
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -1,7 +1,8 @@
 //! All sizes, counts and times of the input and output in one place, filled at start and handed down.
 //! What is decided about queries is not here but in the module.
 
-use crate::config::{ms, Config};
+use crate::clock::ms;
+use crate::config::Config;
 use aspendrum_folio::pool::Lines;
 use std::time::Duration;
 
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -1,32 +1,17 @@
 //! The life of one query, from the moment it is read to its answer's last byte, and that of a probe. The
 //! desk chooses; this thread carries out and always gives exactly one answer, even if the desk says nothing.
 
-use crate::clients::Client;
-use crate::config::{as_ms, ms};
-use crate::desk::Note;
+use crate::client::Client;
+use crate::clock::{as_ms, ms};
 use crate::http::{self, Answer, Asked};
 use crate::mail;
+use crate::notes::{Note, Order};
 use crate::pool::Line;
 use crate::Shop;
 use aspendrum_core::api::*;
 use std::sync::Arc;
 use std::time::Instant;
 
-/// What the desk orders for a query.
-pub enum Order {
-    Forward {
-        forward: u8,
-        server: ServerId,
-        timeout: Ms,
-    },
-    Shed {
-        advice: Ms,
-    },
-    Drop,
-    /// The client is gone: there is nobody to answer.
-    Gone,
-}
-
 /// From here to the end it is one query's life. `at` is when its last byte was read. True: its connection
 /// goes on.
 pub fn serve(shop: &Shop, client: &Client, asked: &Asked, id: QueryId, at: Instant) -> bool {
--- a/crates/aspendrum/tests/suite/pieces.rs
+++ b/crates/aspendrum/tests/suite/pieces.rs
@@ -2,16 +2,17 @@
 
 use crate::helper::{counter as helper_counter, *};
 use aspendrum::backoff::Backoff;
+use aspendrum::clock::Clock;
 use aspendrum::config::Config;
 use aspendrum::counter::Counter;
-use aspendrum::desk::{Clock, Door, Note};
-use aspendrum::discovery::{Names, Roster};
 use aspendrum::http::{self, Lanes};
 use aspendrum::limits::Limits;
 use aspendrum::mail::{self, Inbox};
+use aspendrum::notes::{Door, Note};
 use aspendrum::pool::Line;
 use aspendrum::resp::{self, Parsed, Reply};
 use aspendrum::ring::Ring;
+use aspendrum::roster::{Names, Roster};
 use aspendrum_core::api::{Event, Health, LoadValue, Outcome};
 use serde_json::json;
 use std::io::{Read, Write};
