A proxy is ready once it was told of the others; parts are shared by all that are there

Cause, found by reading: after a start of all each proxy knew of nobody ready, and took the whole of every quota for its part until the list came; a vault that had just started told its agents of the few proxies it knew first. Change: parts by all proxies that are there, ready or not; readiness waits for the list; a vault gathers for half a second before it tells. Tests for look-ups, for who reads the list and for where an agent dials.

--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -93,6 +93,7 @@
     ledger: Ledger,
     /// Nothing is heard of control.
     alone: bool,
+    told_fronts: bool,
     seats: HashMap<QueryId, Seat>,
     next: QueryId,
     groups: Vec<Group>,
@@ -138,6 +139,7 @@
             calls: Calls::default(),
             ledger: Ledger::default(),
             alone: false,
+            told_fronts: false,
             seats: HashMap::new(),
             next: 1,
             groups: vec![group],
@@ -446,11 +448,17 @@
     }
 
     fn fronts(&self, now: Ms, fronts: &[Front]) {
-        let mut ready: Vec<Ipv4Addr> = fronts.iter().filter(|f| f.ready).map(|f| *f.addr.ip()).collect();
-        ready.sort_unstable();
-        ready.dedup();
+        let ips = |wanted: &dyn Fn(&Front) -> bool| {
+            let mut ips: Vec<Ipv4Addr> = fronts.iter().filter(|f| wanted(f)).map(|f| *f.addr.ip()).collect();
+            ips.sort_unstable();
+            ips.dedup();
+            ips
+        };
+        // Those that are about to be ready share too: after a start of all, nobody is ready yet.
+        let (all, ready) = (ips(&|_| true), ips(&|f| f.ready));
         let mut inner = lock(&self.inner);
-        if let Some(lost) = inner.calls.holders(ready.clone()) {
+        inner.told_fronts = true;
+        if let Some(lost) = inner.calls.holders(ready) {
             inner.ledger.changed(now);
             let Inner { ledger, calls, .. } = &mut *inner;
             ledger.keep(|name| calls.holder(name) == Some(self.me));
@@ -458,7 +466,7 @@
                 self.failed(&mut inner, now, call);
             }
         }
-        inner.stacks.fronts(ready);
+        inner.stacks.fronts(all);
     }
 
     fn configure(&self, config: Config) {
@@ -510,7 +518,9 @@
 
     /// All that is needed to take queries is there.
     pub fn knows(&self) -> bool {
-        self.view().is_some() && lock(&self.inner).stacks.books().next().is_some()
+        let inner = lock(&self.inner);
+        // Without the list of proxies each would take the whole of every quota for its part.
+        self.view().is_some() && inner.told_fronts && inner.stacks.books().next().is_some()
     }
 
     pub fn applied(&self) -> u32 {
--- a/crates/aspendrum-lectern/src/stacks.rs
+++ b/crates/aspendrum-lectern/src/stacks.rs
@@ -82,7 +82,7 @@
     evacuated: HashSet<String>,
     /// Zones taken back, and when: a list read before that does not know which of their servers are cold.
     back: HashMap<String, Ms>,
-    /// All proxies that are ready, and this one.
+    /// All proxies that are there, ready or about to be.
     fronts: Vec<Ipv4Addr>,
     me: Ipv4Addr,
     /// First and further tries of each pool in the last window: when, how many.
--- a/crates/aspendrum-lectern/tests/exchanges.rs
+++ b/crates/aspendrum-lectern/tests/exchanges.rs
@@ -68,7 +68,10 @@
     let front = Front { addr: "127.0.0.1:1".parse().unwrap(), zone: "poa-a".into(), ready: true };
     shop.desk.apply(Part::Config { version: 1, text: pack(CONFIG.as_bytes()) });
     shop.desk.apply(Part::Servers { age: 0, list });
+    // Danger: a proxy that knows of no other takes the whole of every quota for its part.
+    assert!(!shop.desk.knows());
     shop.desk.apply(Part::Fronts(vec![front]));
+    assert!(shop.desk.knows() || servers == 0);
     let own = shop.clone();
     thread::spawn(move || beat(&own));
     Stage { shop, seen, ran }
--- a/crates/aspendrum-page/src/control.rs
+++ b/crates/aspendrum-page/src/control.rs
@@ -105,3 +105,44 @@
     })?;
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SETTINGS: &str = r#"{"self":{"host-name":"e1","ip":"10.0.0.9","az":"a1","geo":"a"},"net":{"port-range":[7600,7615],
+        "seeds":["10.0.0.1:80","10.0.0.2:80"],"zones":{"a1":"a","a2":"a","b1":"b"}}}"#;
+
+    fn ip(n: u8) -> Ipv4Addr {
+        Ipv4Addr::new(10, 0, 0, n)
+    }
+
+    #[test]
+    fn the_nearest_machine_of_control_comes_first() {
+        let settings = Settings::read(SETTINGS.as_bytes()).unwrap();
+        let route = Route::new(&settings);
+        let known = [(ip(3), "b1"), (ip(2), "a2"), (ip(1), "a1"), (ip(4), "")];
+        route.learn(&settings, &known.map(|(ip, zone)| (ip, zone.to_string())));
+        assert_eq!(
+            (0..5).filter_map(|n| route.get(n)).collect::<Vec<_>>(),
+            [ip(1), ip(2), ip(4), ip(3), ip(1)]
+        );
+        assert!(route.nearest(ip(1)) && !route.nearest(ip(2)));
+        route.learn(&settings, &[]);
+        assert_eq!(route.get(0), Some(ip(1)), "an empty list says nothing");
+    }
+
+    /// Danger: the nearest machine is cut off from the rest of control; its agents left it as stale and dialled
+    /// it again, and applied a configuration 3.3 s late.
+    #[test]
+    fn a_machine_that_was_left_is_not_dialled_again_at_once() {
+        let settings = Settings::read(SETTINGS.as_bytes()).unwrap();
+        let route = Route::new(&settings);
+        route.learn(&settings, &[(ip(1), "a1".into()), (ip(2), "a2".into())]);
+        route.shun(ip(1));
+        assert_eq!([route.get(0), route.get(1)], [Some(ip(2)), Some(ip(2))]);
+        // Where there is no other it is better than none.
+        route.learn(&settings, &[(ip(1), "a1".into())]);
+        assert_eq!(route.get(0), Some(ip(1)));
+    }
+}
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -30,6 +30,8 @@
 /// Control that said nothing for so long does not count as there.
 const SILENT: Ms = 1600.0;
 const AGENT_SILENT: Ms = 1000.0;
+/// After its start it hears of the others' agents for so long before it tells its own of them.
+const GATHER: Ms = 500.0;
 /// A majority was read so lately that its news of proxies are the fleet's.
 const SURE: Ms = 1200.0;
 /// Of the time in which a draining server must be left, what passes between two looks at the list at most.
@@ -357,7 +359,7 @@
             wanted.push(Part::Servers { age: (now - polled).max(0.0) as u32, list: self.roster.told(now) });
         }
         // Without a majority it knows of its own agents only: what others were told of the rest stands.
-        let sure = self.register.as_of().is_some_and(|at| now - at <= SURE);
+        let sure = now >= GATHER && self.register.as_of().is_some_and(|at| now - at <= SURE);
         if sure && !self.fronts.is_empty() {
             wanted.push(Part::Fronts(self.fronts.clone()));
         }
--- a/crates/aspendrum-vault/src/finding.rs
+++ b/crates/aspendrum-vault/src/finding.rs
@@ -64,3 +64,51 @@
     let before = live.iter().filter(|p| rank(key, u64::from(**p)) > rank(key, u64::from(me))).count() as f64;
     age.is_none_or(|age| age >= every + before * step)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn front(n: u8, zone: &str, ready: bool) -> Front {
+        Front { addr: format!("10.0.0.{n}:80").parse().unwrap(), zone: zone.into(), ready }
+    }
+
+    fn told(fronts: &[Front], region: &str, zone: &str) -> Vec<u8> {
+        let regions = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+        let regions = regions.iter().map(|(z, r)| (z.to_string(), r.to_string())).collect();
+        let found = Directory::new(fronts, &regions).look_up(region, zone);
+        found.iter().map(|a| a.ip().octets()[3]).collect()
+    }
+
+    /// Danger: a client that is told of one proxy, or of its dead zone's alone, has nowhere to go when that fails.
+    #[test]
+    fn clients_are_sent_near_where_that_leaves_a_choice() {
+        let mut fronts =
+            vec![front(1, "a1", true), front(2, "a1", true), front(3, "a2", true), front(4, "b1", true)];
+        assert_eq!(told(&fronts, "a", "a1"), [1, 2]);
+        assert_eq!(told(&fronts, "b", "b1"), [1, 2, 3, 4], "one alone is no choice");
+        fronts[0].ready = false;
+        assert_eq!(told(&fronts, "a", "a1"), [2, 3]);
+        fronts[1].ready = false;
+        assert_eq!(told(&fronts, "a", "a1"), [3, 4]);
+        fronts.iter_mut().for_each(|f| f.ready = false);
+        assert!(told(&fronts, "a", "a1").is_empty());
+    }
+
+    /// Danger: all machines of control ask the platform, whose calls are counted and paid for; or none does.
+    #[test]
+    fn one_machine_reads_the_list_and_the_next_steps_in() {
+        let all: Vec<Place> = (1..=5).collect();
+        let others = |me| all.iter().copied().filter(|p| *p != me).collect::<Vec<_>>();
+        let at =
+            |age: Ms| all.iter().filter(|me| polls(**me, &others(**me), Some(age), 700.0, 600.0)).count();
+        assert_eq!([at(699.0), at(700.0), at(1299.0), at(1300.0), at(3100.0)], [0, 1, 1, 2, 5]);
+        let first = *all.iter().find(|me| polls(**me, &others(**me), Some(700.0), 700.0, 600.0)).unwrap();
+        let left: Vec<Place> = others(first);
+        let takes = |me: &&Place| {
+            let live: Vec<Place> = left.iter().copied().filter(|p| p != *me).collect();
+            polls(**me, &live, Some(700.0), 700.0, 600.0)
+        };
+        assert_eq!(left.iter().filter(takes).count(), 1, "the first one is gone");
+    }
+}
