--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -3,6 +3,7 @@
 
 use crate::finding::{self, Directory};
 use crate::links;
+use crate::notes::Note;
 use crate::store::Store;
 use crate::words::Between;
 use aspendrum_accession::{Act, Order, Outcome, Place, Register, Said};
@@ -29,6 +30,8 @@
 /// Control that said nothing for so long does not count as there.
 const SILENT: Ms = 1600.0;
 const AGENT_SILENT: Ms = 1000.0;
+/// After its start it hears of the others' agents for so long before it tells its own of them.
+const GATHER: Ms = 500.0;
 /// A majority was read so lately that its news of proxies are the fleet's.
 const SURE: Ms = 1200.0;
 /// Of the time in which a draining server must be left, what passes between two looks at the list at most.
@@ -37,17 +40,6 @@
 /// Of the platform's calls a second, what is taken at the most.
 const RATE_SHARE: f64 = 0.5;
 
-pub enum Note {
-    Heard { from: Place, said: Between },
-    Reached { place: Place, link: Option<Link> },
-    Agent { id: u64, link: Link },
-    AgentSaid { id: u64, said: Up },
-    AgentGone { id: u64 },
-    Order { order: Order, answer: Sender<Outcome> },
-    Polled { asked: Instant, list: Result<Vec<Server>, String> },
-    Settings(Box<Settings>),
-}
-
 /// An agent and its proxy, by their link.
 struct Seat {
     link: Link,
@@ -367,7 +359,7 @@
             wanted.push(Part::Servers { age: (now - polled).max(0.0) as u32, list: self.roster.told(now) });
         }
         // Without a majority it knows of its own agents only: what others were told of the rest stands.
-        let sure = self.register.as_of().is_some_and(|at| now - at <= SURE);
+        let sure = now >= GATHER && self.register.as_of().is_some_and(|at| now - at <= SURE);
         if sure && !self.fronts.is_empty() {
             wanted.push(Part::Fronts(self.fronts.clone()));
         }
