--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -30,8 +30,9 @@
 /// Control that said nothing for so long does not count as there.
 const SILENT: Ms = 1600.0;
 const AGENT_SILENT: Ms = 1000.0;
-/// After its start it hears of the others' agents for so long before it tells its own of them.
-const GATHER: Ms = 500.0;
+/// After its start it hears of the others' agents for so long before it tells its own of them: the others
+/// dial it anew within a hundred milliseconds.
+const GATHER: Ms = 150.0;
 /// A majority was read so lately that its news of proxies are the fleet's.
 const SURE: Ms = 1200.0;
 /// Of the time in which a draining server must be left, what passes between two looks at the list at most.
@@ -82,6 +83,7 @@
     next_ticket: u64,
     read_at: Ms,
     here_at: Ms,
+    gathered: bool,
 }
 
 impl Desk {
@@ -114,6 +116,7 @@
             next_ticket: 1,
             read_at: f64::NEG_INFINITY,
             here_at: f64::NEG_INFINITY,
+            gathered: false,
         }
     }
 
@@ -447,6 +450,10 @@
         if silent {
             self.own_fronts();
         }
+        if !self.gathered && now >= GATHER {
+            self.gathered = true;
+            self.tell_agents();
+        }
         self.poll(now);
     }
 
