--- a/crates/aspendrum-folio/src/daemon.rs
+++ b/crates/aspendrum-folio/src/daemon.rs
@@ -1,22 +1,78 @@
 //! What every program of the system does alike: its log, its signals, its settings file.
 
 use crate::hands::spawn;
+use bpaf::Bpaf;
+use crossbeam_channel::bounded;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
 use std::path::Path;
+use std::process::ExitCode;
 use std::thread::sleep;
 use std::time::{Duration, SystemTime};
 
+/// The command line of each program of the system.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Line {
+    /// Runs in the foreground until SIGTERM; SIGHUP reads the settings again
+    #[bpaf(command)]
+    Serve,
+    /// Reads and checks the settings, and says what is wrong with them
+    #[bpaf(command("check-settings"))]
+    CheckSettings,
+}
+
 /// What the platform or an operator wants.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Wanted {
+enum Wanted {
     End,
     Reload,
 }
 
+/// Does what the command line says. `check` names the host whose settings are well-formed.
+pub fn run(
+    program: &str,
+    about: &'static str,
+    check: fn() -> Result<String, String>,
+    serve: fn() -> Result<(), String>,
+) -> ExitCode {
+    let line = line().descr(about).run();
+    let done = log(LevelFilter::Info).and_then(|()| match line {
+        Line::Serve => serve(),
+        Line::CheckSettings => check().map(|host| println!("{host}: well-formed")),
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{program}: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns when the process is to end. `reload` is called when the settings may have changed: an error leaves
+/// everything as it was.
+pub fn until_told(file: String, mut reload: impl FnMut() -> Result<(), String>) -> Result<(), String> {
+    let (tell, wanted) = bounded(8);
+    let told = move |w| {
+        let _ = tell.try_send(w);
+    };
+    watch(file, SETTINGS_EVERY, told).map_err(|e| format!("signals: {e}"))?;
+    while let Ok(Wanted::Reload) = wanted.recv() {
+        if let Err(why) = reload() {
+            log::error!("event=settings_not_read why=\"{why}\"");
+        }
+    }
+    log::info!("event=told_to_end");
+    Ok(())
+}
+
+/// Between two looks at a file that may be replaced without any signal.
+const SETTINGS_EVERY: Duration = Duration::from_millis(1000);
+
 /// One line of key=value pairs for each event, to standard error.
-pub fn log(level: LevelFilter) -> Result<(), String> {
+fn log(level: LevelFilter) -> Result<(), String> {
     let mut config = ConfigBuilder::new();
     config.set_time_level(LevelFilter::Off).set_thread_level(LevelFilter::Off);
     config.set_target_level(LevelFilter::Off).set_location_level(LevelFilter::Off);
@@ -26,7 +82,7 @@
 
 /// The signals, asked for before anything else so that none comes too early, and a file that may be replaced
 /// without any: `told` hears of each.
-pub fn watch(
+fn watch(
     file: String,
     every: Duration,
     told: impl Fn(Wanted) + Send + Sync + Clone + 'static,
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -355,38 +355,16 @@
         seat.forwards += 1;
         let (may, change) = inner.stacks.leave_for(now, server);
         inner.members.extend(change);
-        if !may {
-            let (outcome, load) = (Outcome::Moot, Load::default());
-            let (rtt, over, used, actual) = (0.0, false, 0, 0);
-            inner.later.push(Event::ForwardEnded {
-                id,
-                forward,
-                server,
-                outcome,
-                rtt,
-                over,
-                used,
-                actual,
-                load,
-            });
-        } else if forward > 0 && !inner.stacks.further(now, pool) {
+        let spent = may && forward > 0 && !inner.stacks.further(now, pool);
+        if may && !spent {
+            return inner.say(id, Order::Forward { forward, server });
+        }
+        if spent {
             inner.say(id, Order::Spent);
-            let (outcome, load) = (Outcome::Moot, Load::default());
-            let (rtt, over, used, actual) = (0.0, true, 0, 0);
-            inner.later.push(Event::ForwardEnded {
-                id,
-                forward,
-                server,
-                outcome,
-                rtt,
-                over,
-                used,
-                actual,
-                load,
-            });
-        } else {
-            inner.say(id, Order::Forward { forward, server });
         }
+        // It never left; without the budget for it the query is over.
+        let (outcome, load, rtt, over, used, actual) = (Outcome::Moot, Load::default(), 0.0, spent, 0, 0);
+        inner.later.push(Event::ForwardEnded { id, forward, server, outcome, rtt, over, used, actual, load });
     }
 
     fn count(&self, inner: &mut Inner, now: Ms, name: u64, add: f32) {
--- a/crates/aspendrum-lectern/src/lib.rs
+++ b/crates/aspendrum-lectern/src/lib.rs
@@ -11,12 +11,11 @@
 
 use agent::Agent;
 use aspendrum_catalog::settings::{Settings, VARIABLE};
-use aspendrum_folio::daemon::{self, Wanted};
+use aspendrum_folio::daemon;
 use aspendrum_folio::hands::{spawn, Hands};
 use aspendrum_folio::message::Bounds;
 use aspendrum_folio::pool::{Lines, Pool};
 use aspendrum_folio::reception::{self, Reply, Terms};
-use crossbeam_channel::bounded;
 use desk::{Desk, BEAT_MS};
 use door::Clients;
 use std::net::{IpAddr, SocketAddrV4, TcpListener, UdpSocket};
@@ -26,7 +25,6 @@
 use std::time::{Duration, Instant};
 
 const STACK: usize = 128 << 10;
-const SETTINGS_EVERY: Duration = Duration::from_millis(1000);
 /// Beats to the agent.
 const AGENT_EVERY: Duration = Duration::from_millis(250);
 /// The same while it is not ready: it may be for want of a licence.
@@ -145,22 +143,9 @@
     spawn("door", STACK, move || open(&own, front)).map_err(failed("door"))?;
     log::info!("event=started host={} front={front}", settings.host);
 
-    let (tell, wanted) = bounded(8);
-    let file = std::env::var(VARIABLE).unwrap_or_default();
-    let told = move |w| {
-        let _ = tell.try_send(w);
-    };
-    daemon::watch(file, SETTINGS_EVERY, told).map_err(failed("signals"))?;
-    while let Ok(wanted) = wanted.recv() {
-        match wanted {
-            Wanted::End => break,
-            // Nothing in the settings that a proxy uses may change while it runs: seeds are its agent's.
-            Wanted::Reload => match Settings::load() {
-                Ok(settings) => log::info!("event=settings_read host={}", settings.host),
-                Err(why) => log::error!("event=settings_not_read why=\"{why}\""),
-            },
-        }
-    }
+    // Nothing in the settings that a proxy uses may change while it runs: seeds are its agent's.
+    let reload = || Settings::load().map(|s| log::info!("event=settings_read host={}", s.host));
+    daemon::until_told(std::env::var(VARIABLE).unwrap_or_default(), reload)?;
     drain(&shop, settings.grace_s);
     log::info!("event=ended");
     Ok(())
--- a/crates/aspendrum-lectern/src/query.rs
+++ b/crates/aspendrum-lectern/src/query.rs
@@ -61,7 +61,7 @@
         _ => None,
     };
     // A key may have been taken away unheard: the licence says that none was, up to now.
-    if view.config.tenants.is_some() && !shop.licensed() {
+    if tenant.is_some() && !shop.licensed() {
         return Answer { bytes: wire::own(503, asked.id, Some(AGAIN_MS), true), close: true };
     }
     let zones = view.route_zones[route] & tenant.map_or(u64::MAX, |n| view.tenant_zones[n]);
--- a/crates/aspendrum-lectern/tests/exchanges.rs
+++ b/crates/aspendrum-lectern/tests/exchanges.rs
@@ -36,10 +36,13 @@
 }
 
 fn stage(servers: usize, says: Says) -> Stage {
-    let settings = Settings::read(
-        br#"{"self":{"host-name":"e1","ip":"127.0.0.1","az":"poa-a","geo":"poa"},"net":{"binds":{"front":"127.0.0.1:1"},
-        "port-range":[7600,7615],"zones":{"poa-a":"poa"}},"terms":{"bounds":{"retry-slack":100}}}"#,
-    );
+    stage_of("\"retry-slack\":100", servers, says)
+}
+
+fn stage_of(bounds: &str, servers: usize, says: Says) -> Stage {
+    let settings = r#"{"self":{"host-name":"e1","ip":"127.0.0.1","az":"poa-a","geo":"poa"},"net":{"binds":{"front":"127.0.0.1:1"},
+        "port-range":[7600,7615],"zones":{"poa-a":"poa"}},"terms":{"bounds":{BOUNDS}}}"#;
+    let settings = Settings::read(settings.replace("BOUNDS", bounds).as_bytes());
     let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
     let shop = Arc::new(Shop::new(&settings.unwrap(), socket));
     let seen = Arc::new(Mutex::new(Vec::new()));
@@ -328,3 +331,28 @@
     let good = *good.lock().unwrap();
     assert!(good > 7000, "{good}");
 }
+
+/// Danger: a key is taken away while the proxy is cut off. It can know only by a licence, which is counted from
+/// when it asked, however late the answer came.
+#[test]
+fn without_a_licence_no_key_is_believed() {
+    let stage = stage_of(r#""revoked":true,"revoke-ms":60000"#, 1, |_| Some(GOOD));
+    let refused = |answer: &str| {
+        assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Connection: close\n"), "{answer}");
+        assert!(answer.contains("Retry-After: "), "{answer}");
+    };
+    refused(&stage.ask(READ));
+    stage.shop.licence(0, None);
+    refused(&stage.ask(READ));
+    // Control's word was as old as a licence lasts.
+    stage.shop.licence(0, Some(60_000));
+    refused(&stage.ask(READ));
+    assert!(stage.seen().is_empty());
+    // Without a key there is nothing to believe.
+    assert_eq!(stage.ask(&READ.replace("/read/", "/open/").replace("Credential: k1\n", "")), GOOD_TO_T1);
+    stage.shop.licence(0, Some(500));
+    assert_eq!(stage.ask(READ), GOOD_TO_T1);
+    // An older word does not shorten it.
+    stage.shop.licence(0, Some(59_000));
+    assert_eq!(stage.ask(READ), GOOD_TO_T1);
+}
--- a/crates/aspendrum-vault/src/main.rs
+++ b/crates/aspendrum-vault/src/main.rs
@@ -11,12 +11,11 @@
 
 use aspendrum_accession::Register;
 use aspendrum_catalog::settings::{Settings, VARIABLE};
-use aspendrum_folio::daemon::{self, Wanted};
+use aspendrum_folio::daemon;
 use aspendrum_folio::hands::spawn;
 use aspendrum_folio::mail;
 use aspendrum_folio::message::Bounds;
 use aspendrum_folio::reception::{self, Terms};
-use bpaf::Bpaf;
 use crossbeam_channel::bounded;
 use desk::Desk;
 use finding::Directory;
@@ -27,18 +26,6 @@
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
 
-/// Control of the system: takes orders, keeps them on disk, knows servers and proxies, answers look-ups
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
-enum Line {
-    /// Runs in the foreground until SIGTERM; SIGHUP reads the settings again
-    #[bpaf(command)]
-    Serve,
-    /// Reads and checks the settings, and says what is wrong with them
-    #[bpaf(command("check-settings"))]
-    CheckSettings,
-}
-
 const STACK: usize = 128 << 10;
 /// Packing a configuration takes a few hundred KB of stack while it begins.
 const ORDERS_STACK: usize = 1 << 20;
@@ -46,20 +33,10 @@
 /// A configuration of thousands of routes takes a few megabytes.
 const ORDERS: Bounds = Bounds { head: 16 << 10, body: 16 << 20 };
 const LOOK_UPS: Bounds = Bounds { head: 16 << 10, body: 1 << 10 };
-const SETTINGS_EVERY: Duration = Duration::from_millis(1000);
 
 fn main() -> ExitCode {
-    let done = daemon::log(log::LevelFilter::Info).and_then(|()| match line().run() {
-        Line::Serve => serve(),
-        Line::CheckSettings => Settings::load().map(|s| println!("{}: well-formed", s.host)),
-    });
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("vault: {why}");
-            ExitCode::FAILURE
-        }
-    }
+    let about = "Control of the system: takes orders, keeps them on disk, knows servers and proxies, answers look-ups";
+    daemon::run("vault", about, || Settings::load().map(|s| s.host), serve)
 }
 
 fn serve() -> Result<(), String> {
@@ -132,24 +109,13 @@
         reception::open(dir, terms(STACK, LOOK_UPS), serve).map_err(failed("dir"))?;
     }
 
-    let (tell, wanted) = bounded(8);
-    let file = std::env::var(VARIABLE).unwrap_or_default();
-    let told = move |w| {
-        let _ = tell.try_send(w);
+    let reload = || {
+        let settings = Box::new(Settings::load()?);
+        notes.send(Note::Settings(settings), None);
+        Ok(())
     };
-    daemon::watch(file, SETTINGS_EVERY, told).map_err(failed("signals"))?;
-    while let Ok(wanted) = wanted.recv() {
-        match wanted {
-            // All that was acknowledged is on disks: nothing needs to be ended first.
-            Wanted::End => break,
-            Wanted::Reload => match Settings::load() {
-                Ok(settings) => drop(notes.send(Note::Settings(Box::new(settings)), None)),
-                Err(why) => log::error!("event=settings_not_read why=\"{why}\""),
-            },
-        }
-    }
-    log::info!("event=ended");
-    Ok(())
+    // All that was acknowledged is on disks: nothing needs to be ended first.
+    daemon::until_told(std::env::var(VARIABLE).unwrap_or_default(), reload)
 }
 
 /// Without its desk a process of control only refuses: better to end and be started again.
