--- a/crates/aspendrum-lectern/src/door.rs
+++ b/crates/aspendrum-lectern/src/door.rs
@@ -23,6 +23,8 @@
 /// For a client that does not read its answer.
 const WRITE_WAIT: Duration = Duration::from_secs(10);
 const BACKLOG: i32 = 1024;
+/// Connections that a proxy keeps open between queries without asking what for.
+const CROWD: usize = 600;
 
 /// A connection that can be told to end while it waits for a query.
 struct Client {
@@ -40,6 +42,11 @@
         lock(&self.open).len()
     }
 
+    /// So many that each answer is the last of its connection: threads and descriptors are for queries.
+    pub fn crowded(&self) -> bool {
+        self.count() > CROWD
+    }
+
     /// Ends those between queries: only the side that is read, so that a query which has come by now is still
     /// read and answered.
     pub fn close_idle(&self) {
--- a/crates/aspendrum-lectern/src/query.rs
+++ b/crates/aspendrum-lectern/src/query.rs
@@ -44,7 +44,7 @@
 }
 
 pub fn serve(shop: &Shop, request: &Request, at: Instant) -> Answer {
-    let close = request.close || shop.draining();
+    let close = request.close || shop.draining() || shop.clients.crowded();
     let own = |status, id: &str, again| Answer { bytes: wire::own(status, id, again, close), close };
     let Some(asked) = wire::asked(request) else { return own(400, "", None) };
     let Some(view) = shop.desk.view().filter(|_| request.path.starts_with('/')) else {
@@ -135,8 +135,9 @@
         if self.may_have_run && !self.repeatable {
             return self.give_up();
         }
-        let close = self.close;
-        Answer { bytes: wire::own(status, self.id, Some(again), close), close }
+        // It comes back on a new connection, and would leave this one open: a tenant far beyond its quota had
+        // 1,800 of them at each proxy.
+        Answer { bytes: wire::own(status, self.id, Some(again), true), close: true }
     }
 
     fn give_up(&self) -> Answer {
--- a/crates/aspendrum-lectern/tests/exchanges.rs
+++ b/crates/aspendrum-lectern/tests/exchanges.rs
@@ -287,6 +287,8 @@
         answer.starts_with("HTTP/1.1 503 Service Unavailable\n") && answer.contains("Retry-After: "),
         "{answer}"
     );
+    // Danger: a refused client comes again on a new connection and leaves this one open.
+    assert!(answer.contains("Connection: close\n"), "{answer}");
     assert!(begun.elapsed() < Duration::from_millis(800));
 }
 
