--- a/crates/aspendrum-vault/tests/processes.rs
+++ b/crates/aspendrum-vault/tests/processes.rs
@@ -1,5 +1,8 @@
 //! Control as processes on loopback, killed and robbed of disks: what was acknowledged is shown again.
 
+use aspendrum_catalog::news::{Down, Part, Up, Word};
+use aspendrum_catalog::packed::unpack;
+use aspendrum_folio::frames;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -162,3 +165,55 @@
     control.done(1, "POST", "/api/Cfg.Set", &config(5));
     control.shows(0, &config(5));
 }
+
+/// What control says to an agent, until a word that ends it.
+fn told(link: &mut TcpStream, ends: impl Fn(&Down) -> bool) -> Vec<Down> {
+    let mut all = Vec::new();
+    loop {
+        let down: Down = frames::read(link).unwrap();
+        let over = ends(&down);
+        all.push(down);
+        if over {
+            return all;
+        }
+    }
+}
+
+fn version(down: &Down) -> Option<u32> {
+    match down {
+        Down::News { part: Part::Config { version, .. }, .. } => Some(*version),
+        _ => None,
+    }
+}
+
+/// Danger: a version that is told twice, out of order, before a majority holds it, or after a newer one.
+#[test]
+fn an_agent_is_told_each_settled_version_once_and_in_order() {
+    let control = Control::start(3);
+    control.done(0, "POST", "/api/Cfg.Set", &config(4));
+    let mut link = TcpStream::connect((control.ip(1), control.ports[0])).unwrap();
+    link.set_read_timeout(Some(LIMIT)).unwrap();
+    let say = |mut link: &TcpStream, up: Up| link.write_all(&frames::frame(&Word::<()>::Up(up))).unwrap();
+    let front = "10.0.0.9:80".parse().unwrap();
+    say(&link, Up::Hello { host: "e1".into(), front, zone: "a".into() });
+    let mut all = told(&mut link, |d| version(d) == Some(4));
+    let Some(Down::News { part: Part::Config { text, .. }, .. }) = all.last() else { panic!("{all:?}") };
+    assert_eq!(unpack(text).unwrap(), config(4).into_bytes());
+    // An older one is acknowledged and is no news; what a beat brings back tells how old control's word is.
+    control.done(2, "POST", "/api/Cfg.Set", &config(3));
+    control.done(0, "POST", "/api/Cfg.Set", &config(6));
+    all.extend(told(&mut link, |d| version(d) == Some(6)));
+    say(&link, Up::Beat { stamp: 42, ready: true, applied: 6 });
+    let is_answer = |d: &Down| matches!(d, Down::Beat { stamp: 42, age: Some(age), .. } if *age < 5000);
+    all.extend(told(&mut link, is_answer));
+    assert_eq!(all.iter().filter_map(version).collect::<Vec<_>>(), [4, 6]);
+    // It is ready now, and hears of itself among the proxies.
+    let ready = |d: &Down| matches!(d, Down::News { part: Part::Fronts(f), .. } if f.iter().any(|f| f.ready));
+    all.extend(told(&mut link, ready));
+    let numbers = all.iter().filter_map(|d| match d {
+        Down::News { number, .. } => Some(*number),
+        Down::Beat { .. } => None,
+    });
+    let numbers: Vec<u64> = numbers.collect();
+    assert_eq!(numbers, (1..=numbers.len() as u64).collect::<Vec<_>>());
+}
