--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -258,14 +258,15 @@
             self.members(&mut inner, now);
         }
         for call in inner.calls.late(now) {
-            self.failed(&mut inner, now, call);
+            self.counted(&mut inner, now, call, Outcome::TimedOut, 0.0);
         }
         self.turn(&mut inner, now, &Event::Timer { token: 0 });
         std::mem::take(&mut inner.probes)
     }
 
-    fn failed(&self, inner: &mut Inner, now: Ms, call: Call) {
-        let (name, outcome, total, rtt) = (call.name, Outcome::TimedOut, 0.0, now - call.sent);
+    /// A call to a counter has ended.
+    fn counted(&self, inner: &mut Inner, now: Ms, call: Call, outcome: Outcome, total: f32) {
+        let (name, rtt) = (call.name, now - call.sent);
         self.turn(inner, now, &Event::Counted { name, outcome, total, rtt });
     }
 
@@ -279,49 +280,40 @@
                 Some(total.map_or(Word::Fenced { call }, |total| Word::Total { call, total }))
             }
             Word::Total { call, total } if total.is_finite() => {
-                if let Some(call) = inner.calls.answered(now, from, call) {
-                    let (name, rtt) = (call.name, now - call.sent);
-                    self.turn(&mut inner, now, &Event::Counted { name, outcome: Outcome::Ok, total, rtt });
-                }
+                let call = inner.calls.answered(now, from, call)?;
+                self.counted(&mut inner, now, call, Outcome::Ok, total);
                 None
             }
             Word::Fenced { call } => {
-                if let Some(call) = inner.calls.answered(now, from, call) {
-                    let (name, outcome, total, rtt) =
-                        (call.name, Outcome::ConnectFailed, 0.0, now - call.sent);
-                    self.turn(&mut inner, now, &Event::Counted { name, outcome, total, rtt });
-                }
+                let call = inner.calls.answered(now, from, call)?;
+                self.counted(&mut inner, now, call, Outcome::ConnectFailed, 0.0);
                 None
             }
             _ => None,
         }
     }
 
-    fn turn(&self, inner: &mut Inner, now: Ms, event: &Event) {
+    /// Tells the module, and carries out what it says.
+    fn handle(&self, inner: &mut Inner, now: Ms, event: &Event) {
         let mut acts = std::mem::take(&mut inner.acts);
         inner.control.handle(now, event, &mut acts);
         self.act(inner, now, &mut acts);
         inner.acts = acts;
+    }
+
+    fn turn(&self, inner: &mut Inner, now: Ms, event: &Event) {
+        self.handle(inner, now, event);
         // What an act led to comes once its event is through.
         while let Some(event) = inner.later.pop() {
-            let mut acts = std::mem::take(&mut inner.acts);
-            inner.control.handle(now, &event, &mut acts);
-            self.act(inner, now, &mut acts);
-            inner.acts = acts;
-        }
-        if !inner.members.is_empty() {
-            self.members(inner, now);
+            self.handle(inner, now, &event);
         }
+        self.members(inner, now);
     }
 
     fn members(&self, inner: &mut Inner, now: Ms) {
         while !inner.members.is_empty() {
             let entries = std::mem::take(&mut inner.members);
-            let event = Event::Members { list: ListKind::Delta, version: 0, entries: &entries };
-            let mut acts = std::mem::take(&mut inner.acts);
-            inner.control.handle(now, &event, &mut acts);
-            self.act(inner, now, &mut acts);
-            inner.acts = acts;
+            self.handle(inner, now, &Event::Members { list: ListKind::Delta, version: 0, entries: &entries });
         }
     }
 
@@ -441,7 +433,7 @@
             let Inner { ledger, calls, .. } = &mut *inner;
             ledger.keep(|name| calls.holder(name) == Some(self.me));
             for call in lost {
-                self.failed(&mut inner, now, call);
+                self.counted(&mut inner, now, call, Outcome::TimedOut, 0.0);
             }
         }
         inner.stacks.fronts(all);
--- a/crates/aspendrum-lectern/src/query.rs
+++ b/crates/aspendrum-lectern/src/query.rs
@@ -40,7 +40,6 @@
     may_have_run: bool,
     /// A server's own failure, to be passed on if nothing better comes.
     failure: Option<Response>,
-    offered: bool,
 }
 
 pub fn serve(shop: &Shop, request: &Request, at: Instant) -> Answer {
@@ -79,7 +78,6 @@
         close,
         may_have_run: false,
         failure: None,
-        offered: false,
     };
     query.run(&view, route, pool, tenant, zones)
 }
@@ -197,7 +195,6 @@
         if !conn.outward.put(&wire::forward(self.request, &uid, self.tenant, budget)) {
             return (Outcome::Moot, None);
         }
-        self.offered = true;
         if let Err(outcome) = conn.send() {
             return (outcome, None);
         }
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -211,8 +211,8 @@
             Ipv4Addr::from(place)
         );
         let others = self.peers.iter().map(|(p, peer)| (*p, peer.zone.clone())).collect();
-        let voters = Box::new(self.register.kept().held.clone());
-        let voters = Box::new(aspendrum_accession::Holdings { voters: voters.voters, ..Default::default() });
+        let voters = self.register.kept().held.voters.clone();
+        let voters = Box::new(aspendrum_accession::Holdings { voters, ..Default::default() });
         let peer = self.peers.entry(place).or_default();
         peer.link = link;
         let zone = self.settings.zone.clone();
