--- a/crates/aspendrum-catalog/src/settings.rs
+++ b/crates/aspendrum-catalog/src/settings.rs
@@ -38,6 +38,8 @@
     };
     Vec<SocketAddrV4>, "addresses with ports",
         |v| v.as_array()?.iter().map(|a| a.as_str()?.parse().ok()).collect();
+    BTreeMap<SocketAddrV4, SocketAddrV4>, "addresses by addresses",
+        |v| v.as_object()?.iter().map(|(k, t)| Some((k.parse().ok()?, t.as_str()?.parse().ok()?))).collect();
     BTreeSet<String>, "a list of texts",
         |v| v.as_array()?.iter().map(|t| t.as_str().map(str::to_string)).collect();
     BTreeMap<String, String>, "texts by name",
@@ -150,6 +152,8 @@
         ports: (u16, u16) = "net.port-range", required(), |p| p.0 > 0 && p.1 >= p.0 + 3;
         /// `ctl` addresses of a few machines.
         seeds: Vec<SocketAddrV4> = "net.seeds", Some(Vec::new()), any;
+        /// Where another address is to be dialled than a peer's or a server's own: a forwarded port, or the rig's links.
+        ways: BTreeMap<SocketAddrV4, SocketAddrV4> = "net.ways", Some(BTreeMap::new()), any;
         /// The region of each zone.
         zones: BTreeMap<String, String> = "net.zones", required(), |z: &BTreeMap<_, _>| !z.is_empty();
         cloud: Option<SocketAddrV4> = "plat.cloud-api.addr", Some(None), any;
@@ -195,9 +199,19 @@
         self.ports.0 + 1
     }
 
-    /// The loopback port on which an agent awaits its proxy.
-    pub fn agent_port(&self) -> u16 {
-        self.ports.0 + 2
+    /// Where an agent awaits the proxy of its machine: on loopback, unless there is another way there.
+    pub fn agent_at(&self) -> SocketAddrV4 {
+        self.way(SocketAddrV4::new(Ipv4Addr::LOCALHOST, self.ports.0 + 2))
+    }
+
+    /// Where to dial for that address.
+    pub fn way(&self, to: SocketAddrV4) -> SocketAddrV4 {
+        self.ways.get(&to).copied().unwrap_or(to)
+    }
+
+    /// Where to dial another machine's control.
+    pub fn control_at(&self, ip: Ipv4Addr) -> SocketAddrV4 {
+        self.way(SocketAddrV4::new(ip, self.control_port()))
     }
 
     /// A region's number, the same at every limiter.
--- a/crates/aspendrum-catalog/tests/config.rs
+++ b/crates/aspendrum-catalog/tests/config.rs
@@ -65,7 +65,10 @@
 #[test]
 fn settings_are_read_with_defaults_and_unknown_fields_ignored() {
     let s = Settings::read(SETTINGS.as_bytes()).unwrap();
-    assert_eq!((s.count_port(), s.agent_port(), s.region_of("cwb-a")), (7601, 7602, Some(0)));
+    assert_eq!(
+        (s.count_port(), s.agent_at().to_string().as_str(), s.region_of("cwb-a")),
+        (7601, "127.0.0.1:7602", Some(0))
+    );
     assert!(s.revoked && s.ctl.is_none() && s.datadir.is_none());
     assert_eq!(s.drain_ms, 3000.0);
 }
--- a/crates/aspendrum-judge/src/lib.rs
+++ b/crates/aspendrum-judge/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod quota;
 pub mod record;
 pub mod rules;
+pub mod system;
 pub mod verdict;
 
 pub use record::Record;
--- a/crates/aspendrum-lectern/src/agent.rs
+++ b/crates/aspendrum-lectern/src/agent.rs
@@ -6,7 +6,7 @@
 use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::hands::{lock, spawn};
 use std::io::BufReader;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
@@ -32,7 +32,7 @@
 
 /// Keeps the link for as long as the process runs.
 pub fn hold(shop: &Arc<Shop>, settings: &Settings, front: SocketAddrV4) -> std::io::Result<()> {
-    let (shop, at) = (shop.clone(), SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.agent_port()));
+    let (shop, at) = (shop.clone(), settings.agent_at());
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
     spawn("agent", STACK, move || loop {
         if let Ok(stream) = Link::dial(at, SILENCE) {
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -225,7 +225,8 @@
 
     /// Where a server is and what it is called.
     pub fn server(&self, id: ServerId) -> Option<(SocketAddrV4, String)> {
-        lock(&self.inner).stacks.book(id).map(|b| (b.addr(), b.server.uid.clone()))
+        let inner = lock(&self.inner);
+        inner.stacks.book(id).map(|b| (self.settings.way(b.addr()), b.server.uid.clone()))
     }
 
     /// A server's address, name and the path of its health check.
@@ -233,7 +234,7 @@
         let (addr, uid, service) = {
             let inner = lock(&self.inner);
             let book = inner.stacks.book(id)?;
-            (book.addr(), book.server.uid.clone(), book.server.service.clone())
+            (self.settings.way(book.addr()), book.server.uid.clone(), book.server.service.clone())
         };
         let check = self.view()?.config.service(&service)?.check.clone();
         Some((addr, uid, check))
@@ -377,7 +378,7 @@
     pub fn send(&self, to: Ipv4Addr, word: &Word) {
         let mut space = [0; 32];
         if let Ok(bytes) = postcard::to_slice(word, &mut space) {
-            let _ = self.socket.send_to(bytes, SocketAddrV4::new(to, self.count_port));
+            let _ = self.socket.send_to(bytes, self.settings.way(SocketAddrV4::new(to, self.count_port)));
         }
     }
 
--- a/crates/aspendrum-links/src/mesh.rs
+++ b/crates/aspendrum-links/src/mesh.rs
@@ -30,12 +30,20 @@
 impl Mesh {
     /// Sockets for `n` limiters at that loopback address.
     pub async fn bind(at: IpAddr, n: usize) -> io::Result<Mesh> {
+        Mesh::among(&vec![at; n]).await
+    }
+
+    /// Sockets for members that each have an IP number of their own: whoever hears one sees it there.
+    pub async fn among(members: &[IpAddr]) -> io::Result<Mesh> {
+        let n = members.len();
         let (mut sockets, mut to_all) = (Vec::with_capacity(n * n), Vec::with_capacity(n));
-        for _ in 0..n * n {
-            sockets.push(Arc::new(UdpSocket::bind((at, 0)).await?));
-        }
         for _ in 0..n {
-            to_all.push(Arc::new(UdpSocket::bind((at, 0)).await?));
+            for at in members {
+                sockets.push(Arc::new(UdpSocket::bind((*at, 0)).await?));
+            }
+        }
+        for at in members {
+            to_all.push(Arc::new(UdpSocket::bind((*at, 0)).await?));
         }
         let links = (0..n * n).map(|_| Link::whole()).collect();
         Ok(Mesh { n, sockets, links, to_all, tasks: JoinSet::new() })
--- a/crates/aspendrum-page/src/control.rs
+++ b/crates/aspendrum-page/src/control.rs
@@ -8,7 +8,7 @@
 use aspendrum_folio::hands::{lock, spawn};
 use aspendrum_folio::mail::Post;
 use std::io::BufReader;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::Ipv4Addr;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -76,8 +76,8 @@
 }
 
 /// Keeps one link for as long as the process runs; the desk ends one that is of no use.
-pub fn hold(route: &Route, port: u16, notes: &Arc<Post<Note>>) -> std::io::Result<()> {
-    let (route, notes) = (route.clone(), notes.clone());
+pub fn hold(route: &Route, settings: &Settings, notes: &Arc<Post<Note>>) -> std::io::Result<()> {
+    let (route, settings, notes) = (route.clone(), settings.clone(), notes.clone());
     spawn("control", STACK, move || {
         let (mut n, mut id) = (0, 0);
         loop {
@@ -86,7 +86,7 @@
                 continue;
             };
             n += 1;
-            if let Ok(stream) = Link::dial(SocketAddrV4::new(ip, port), DIAL_WAIT) {
+            if let Ok(stream) = Link::dial(settings.control_at(ip), DIAL_WAIT) {
                 if let Ok(link) = Link::over(stream.clone(), SILENCE, ROOM) {
                     id += 1;
                     let since = Instant::now();
--- a/crates/aspendrum-page/src/main.rs
+++ b/crates/aspendrum-page/src/main.rs
@@ -37,8 +37,8 @@
     };
     let notes = Arc::new(mail::with(NOTES, start).map_err(failed("desk"))?);
     let route = control::Route::new(&settings);
-    control::hold(&route, settings.control_port(), &notes).map_err(failed("control"))?;
-    proxy::listen(settings.agent_port(), &notes).map_err(failed("agent port"))?;
+    control::hold(&route, &settings, &notes).map_err(failed("control"))?;
+    proxy::listen(settings.agent_at(), &notes).map_err(failed("agent port"))?;
     let desk = Desk::new(settings.clone(), route);
     give.send(desk).map_err(|e| e.to_string())?;
     log::info!("event=started host={}", settings.host);
--- a/crates/aspendrum-page/src/proxy.rs
+++ b/crates/aspendrum-page/src/proxy.rs
@@ -6,7 +6,7 @@
 use aspendrum_folio::hands::spawn;
 use aspendrum_folio::mail::Post;
 use std::io::BufReader;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::net::{SocketAddrV4, TcpListener};
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
@@ -15,8 +15,8 @@
 const SILENCE: Duration = Duration::from_secs(5);
 const ROOM: usize = 64;
 
-pub fn listen(port: u16, notes: &Arc<Post<Note>>) -> std::io::Result<()> {
-    let listener = TcpListener::bind(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))?;
+pub fn listen(at: SocketAddrV4, notes: &Arc<Post<Note>>) -> std::io::Result<()> {
+    let listener = TcpListener::bind(at)?;
     let notes = notes.clone();
     spawn("proxy", STACK, move || {
         let mut id = 0;
--- a/crates/aspendrum-rig/src/lib.rs
+++ b/crates/aspendrum-rig/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod run;
 pub mod scenario;
 pub mod sweep;
+pub mod system;
 pub mod timeline;
--- a/crates/aspendrum-rig/src/main.rs
+++ b/crates/aspendrum-rig/src/main.rs
@@ -2,7 +2,7 @@
 
 use aspendrum_rig::process::Start;
 use aspendrum_rig::scenario::Scenario;
-use aspendrum_rig::{bench, library, pass_through, report, run, sweep};
+use aspendrum_rig::{bench, library, pass_through, report, run, sweep, system};
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -50,6 +50,14 @@
     },
     /// The library's scenarios
     List,
+    /// Plays one scenario of the whole system: control, proxies, agents; ends with 1 if anything was broken
+    System {
+        /// A name of the system's library (`list` for a line each), or a file
+        scenario: String,
+        /// Where settings, logs and disks go
+        #[arg(long, default_value = "found/system")]
+        out: PathBuf,
+    },
     /// The baseline that lets all in: forwards every query, counts nothing
     #[command(hide = true)]
     PassThrough {
@@ -85,6 +93,11 @@
             print!("{}", library::list());
             Ok(true)
         }
+        Command::System { scenario, .. } if scenario == "list" => {
+            print!("{}", system::library::list());
+            Ok(true)
+        }
+        Command::System { scenario, out } => whole(&scenario, &out),
         Command::PassThrough { config } => pass_through::serve(&config).map(|()| true),
         Command::Bench { seconds, rate } => bench::play(line.limiter, seconds, rate).map(|text| {
             print!("{text}");
@@ -120,3 +133,13 @@
     eprintln!("tables, charts and the report are in {}", folder.display());
     Ok(outcome.good(&scenario))
 }
+
+fn whole(name: &str, out: &std::path::Path) -> Result<bool, String> {
+    let scenario = system::library::scenario(name)?;
+    let folder = out.join(&scenario.name);
+    // Disks of an earlier run would make this one no first start.
+    let _ = std::fs::remove_dir_all(&folder);
+    let outcome = system::play::play(&scenario, &folder, &|text| eprintln!("{text}"))?;
+    print!("{}", system::report::table(&scenario, &outcome));
+    Ok(outcome.broken(&scenario).is_empty())
+}
--- a/crates/aspendrum-rig/src/process.rs
+++ b/crates/aspendrum-rig/src/process.rs
@@ -10,11 +10,21 @@
 use std::process::{ExitStatus, Stdio};
 use tokio::process::{Child, Command};
 
-/// How a limiter is started: a program and its arguments, to which the configuration's path is added.
+/// How a process is told where its configuration is.
+#[derive(Clone, Copy, Debug)]
+pub enum Told {
+    /// Behind its arguments.
+    Argument,
+    /// By the variable that the programs of the system read.
+    Variable,
+}
+
+/// How a process is started.
 #[derive(Clone, Debug)]
 pub struct Start {
     pub program: PathBuf,
     pub arguments: Vec<String>,
+    pub told: Told,
 }
 
 impl Start {
@@ -29,7 +39,7 @@
 
     /// The baseline, by the rig's program.
     pub fn pass_through(program: PathBuf) -> Start {
-        Start { program, arguments: vec!["pass-through".into()] }
+        Start { program, arguments: vec!["pass-through".into()], told: Told::Argument }
     }
 
     /// `aspendrum serve` from that file, or from the one beside this program. Where none is there it is
@@ -37,33 +47,43 @@
     pub fn limiter(program: Option<PathBuf>) -> Result<Start, String> {
         let arguments = ["--log", "json", "serve"].map(String::from).to_vec();
         if let Some(program) = program {
-            return Ok(Start { program, arguments });
+            return Ok(Start { program, arguments, told: Told::Argument });
         }
-        let own = std::env::current_exe().map_err(|e| format!("this program's own place: {e}"))?;
-        // Tests stand a folder deeper.
-        let folder = own.ancestors().skip(1).find(|f| !f.ends_with("deps")).unwrap_or(Path::new("."));
-        let program = folder.join("aspendrum");
+        let program = beside("aspendrum")?;
         if !program.exists() {
-            build(folder)?;
+            build(&["aspendrum"]).map_err(|e| format!("{e}; name a limiter with --limiter"))?;
         }
-        Ok(Start { program, arguments })
+        Ok(Start { program, arguments, told: Told::Argument })
+    }
+
+    /// A program of the system, as this checkout has it (see [`build`]).
+    pub fn system(name: &str) -> Result<Start, String> {
+        Ok(Start { program: beside(name)?, arguments: vec!["serve".into()], told: Told::Variable })
     }
 }
 
-/// The limiter in this program's own profile.
-fn build(folder: &Path) -> Result<(), String> {
-    eprintln!("the limiter is not built yet: building it");
+/// Where a program of this checkout stands that was built in this program's own profile.
+fn beside(name: &str) -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|e| format!("this program's own place: {e}"))?;
+    // Tests stand a folder deeper.
+    let folder = own.ancestors().skip(1).find(|f| !f.ends_with("deps")).unwrap_or(Path::new("."));
+    Ok(folder.join(name))
+}
+
+/// Builds those programs in this program's own profile; the packages are named as they are.
+pub fn build(packages: &[&str]) -> Result<(), String> {
     let cargo = std::env::var_os("CARGO").unwrap_or("cargo".into());
     let mut command = std::process::Command::new(cargo);
-    command.args(["build", "--locked", "--package", "aspendrum", "--bin", "aspendrum"]);
-    if folder.ends_with("release") {
+    command.args(["build", "--locked", "--quiet", "--bins"]);
+    command.args(packages.iter().flat_map(|p| ["--package", p]));
+    if beside("cargo")?.parent().is_some_and(|folder| folder.ends_with("release")) {
         command.arg("--release");
     }
     command.current_dir(env!("CARGO_MANIFEST_DIR"));
     match command.status() {
         Ok(status) if status.success() => Ok(()),
-        Ok(status) => Err(format!("the limiter could not be built: {status}; name one with --limiter")),
-        Err(e) => Err(format!("cargo could not be started: {e}; name a limiter with --limiter")),
+        Ok(status) => Err(format!("{packages:?} could not be built: {status}")),
+        Err(e) => Err(format!("cargo could not be started: {e}")),
     }
 }
 
@@ -77,7 +97,11 @@
     pub fn start(how: &Start, config: &Path, log: &Path) -> io::Result<Process> {
         let log = File::options().create(true).append(true).open(log)?;
         let mut command = Command::new(&how.program);
-        command.args(&how.arguments).arg("--config").arg(config);
+        command.args(&how.arguments);
+        match how.told {
+            Told::Argument => command.arg("--config").arg(config),
+            Told::Variable => command.env("ASPENDRUM_SETTINGS", config),
+        };
         command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).kill_on_drop(true);
         let rig = nix::unistd::getpid();
         let end_with_rig = move || {
--- a/crates/aspendrum-rig/src/run.rs
+++ b/crates/aspendrum-rig/src/run.rs
@@ -219,6 +219,7 @@
     Instant::from_std(clock.begun() + Duration::from_secs_f64(at.max(0.0) / 1000.0))
 }
 
+#[expect(clippy::disallowed_methods, reason = "discovery tells moments so")]
 fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
--- /dev/null
+++ b/crates/aspendrum-rig/src/system/clients.rs
@@ -0,0 +1,240 @@
+//! Clients and the operator, as `PROTOCOL` words them: look-ups that are held, tries by chance among the answers,
+//! further tries only where they may be made.
+
+use super::fleet::{region, zone, Fleet};
+use aspendrum_judge::record::Ms;
+use aspendrum_judge::system::{End, Try};
+use aspendrum_standins::http::{self, Message};
+use aspendrum_standins::lock;
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+const CONNECT: Duration = Duration::from_millis(1000);
+/// A query's whole time, and what the client waits beyond it.
+const DEADLINE: Duration = Duration::from_millis(2000);
+const PATIENCE: Duration = Duration::from_millis(700);
+const TRIES: usize = 3;
+/// A look-up or an order is answered by then, or asked of the next machine.
+const CALL: Duration = Duration::from_millis(1000);
+/// An operator gives up in the end.
+const ORDER: Duration = Duration::from_secs(20);
+const FURTHER: Duration = Duration::from_millis(60);
+
+/// Something that a client wants done.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish {
+    pub route: usize,
+    pub once: bool,
+    pub tenant: usize,
+    pub zone: usize,
+    /// On a connection that is kept for the next, as half of the clients do.
+    pub kept: bool,
+}
+
+pub struct Crowd {
+    fleet: Arc<Fleet>,
+    ids: AtomicU64,
+    /// By zone: what a look-up said, and until when that is held.
+    lists: Mutex<HashMap<usize, (Instant, Vec<SocketAddr>)>>,
+    idle: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
+    tries: Mutex<Vec<Try>>,
+}
+
+/// Keys of the tenants, by their number.
+pub const KEYS: [&str; 2] = ["ann-key", "bob-key"];
+pub const PATHS: [&str; 2] = ["/quote/", "/send/"];
+
+impl Crowd {
+    pub fn new(fleet: Arc<Fleet>) -> Crowd {
+        let ids = AtomicU64::new(1);
+        Crowd { fleet, ids, lists: Mutex::default(), idle: Mutex::default(), tries: Mutex::default() }
+    }
+
+    pub fn tries(&self) -> Vec<Try> {
+        lock(&self.tries).clone()
+    }
+
+    fn now(&self) -> Ms {
+        self.fleet.clock.now()
+    }
+
+    /// One wish, with all its tries.
+    pub async fn want(&self, wish: Wish) {
+        let until = Instant::now() + DEADLINE;
+        let (mut first, mut failed) = (None, Vec::new());
+        for _ in 0..TRIES {
+            let id = self.ids.fetch_add(1, Ordering::Relaxed);
+            let number = *first.get_or_insert(id);
+            let sent = self.now();
+            let fronts = self.fronts(wish.zone, until).await;
+            let well: Vec<SocketAddr> = fronts.iter().copied().filter(|f| !failed.contains(f)).collect();
+            let chosen = well.choose(&mut rand::rng()).or(fronts.choose(&mut rand::rng())).copied();
+            let Some((at, front)) = chosen.and_then(|at| Some((at, self.fleet.edge_at(at)?))) else {
+                self.note(Try {
+                    id,
+                    wish: number,
+                    front: usize::MAX,
+                    end: End::Unreached,
+                    ..blank(wish, sent)
+                });
+                sleep(FURTHER).await;
+                continue;
+            };
+            let sent = self.now();
+            let (end, again) = match timeout_at(until + PATIENCE, self.exchange(at, id, wish, until)).await {
+                Ok(came) => came,
+                Err(_) => (End::Silent, None),
+            };
+            self.note(Try { id, wish: number, front, ended: self.now(), end, ..blank(wish, sent) });
+            let may = match end {
+                End::Answered | End::Said(400 | 401 | 404 | 413 | 431) => false,
+                End::Promise(_) | End::Unreached => true,
+                _ => !wish.once,
+            };
+            let left = until.saturating_duration_since(Instant::now());
+            if !may || left.is_zero() {
+                return;
+            }
+            if !matches!(end, End::Promise(429)) {
+                failed.push(at);
+            }
+            sleep(again.unwrap_or(FURTHER).min(left / 3)).await;
+        }
+    }
+
+    fn note(&self, t: Try) {
+        let ended = t.ended.max(t.sent);
+        lock(&self.tries).push(Try { ended, ..t });
+    }
+
+    /// What look-ups say, held as long as they say; an old answer where none can be had.
+    async fn fronts(&self, of: usize, until: Instant) -> Vec<SocketAddr> {
+        let held = lock(&self.lists).get(&of).cloned();
+        if let Some((_, fronts)) = held.as_ref().filter(|h| h.0 > Instant::now()) {
+            return fronts.clone();
+        }
+        let path = format!("/api/lookup?name=a.example&geo={}&az={}", region(of), zone(of));
+        let cores = self.fleet.scenario.cores;
+        let first = rand::rng().random_range(0..cores);
+        for n in (0..cores.min(3)).map(|n| (first + n) % cores) {
+            let asked = timeout_at(until, call(self.fleet.dir(n), "GET", &path, ""));
+            let Ok(Some((200, body))) = asked.await else { continue };
+            let Some((fronts, ttl)) = answer(&body) else { continue };
+            lock(&self.lists).insert(of, (Instant::now() + ttl, fronts.clone()));
+            return fronts;
+        }
+        held.map_or(Vec::new(), |h| h.1)
+    }
+
+    async fn exchange(&self, at: SocketAddr, id: u64, wish: Wish, until: Instant) -> (End, Option<Duration>) {
+        let kept = if wish.kept { self.kept(at) } else { None };
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => match timeout(CONNECT, TcpStream::connect(at)).await {
+                Ok(Ok(stream)) => stream,
+                _ => return (End::Unreached, None),
+            },
+        };
+        let _ = stream.set_nodelay(true);
+        let (method, body) = if wish.once { ("POST", "pay") } else { ("GET", "") };
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        let text = format!(
+            "{method} {}x HTTP/1.1\r\nHost: a.example\r\nTry-Id: {id:016x}\r\nBudget-Ms: {left}\r\n\
+             Credential: {}\r\nContent-Length: {}\r\n\r\n{body}",
+            PATHS[wish.route],
+            KEYS[wish.tenant],
+            body.len()
+        );
+        let mut rest = Vec::new();
+        let answer = match stream.write_all(text.as_bytes()).await {
+            Ok(()) => http::next(&mut stream, &mut rest, false).await,
+            Err(e) => Err(e),
+        };
+        let Ok(Some(answer)) = answer else { return (End::Lost, None) };
+        if wish.kept && !answer.closes() && rest.is_empty() {
+            lock(&self.idle).entry(at).or_default().push(stream);
+        }
+        let again = answer.header("Retry-After").and_then(|t| t.parse::<f64>().ok());
+        (end(&answer, id), again.map(|s| Duration::from_secs_f64(s.clamp(0.0, 60.0))))
+    }
+
+    /// A connection that stands idle, and that the proxy has not closed as far as can be seen.
+    fn kept(&self, at: SocketAddr) -> Option<TcpStream> {
+        let mut idle = lock(&self.idle);
+        let streams = idle.get_mut(&at)?;
+        loop {
+            let stream = streams.pop()?;
+            let nothing = stream.try_read(&mut [0; 1]);
+            if nothing.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock) {
+                return Some(stream);
+            }
+        }
+    }
+}
+
+fn blank(wish: Wish, sent: Ms) -> Try {
+    let (route, tenant) = (wish.route, wish.tenant);
+    Try { id: 0, wish: 0, route, tenant, front: 0, sent, ended: sent, end: End::Lost }
+}
+
+fn end(answer: &Message, id: u64) -> End {
+    let own = answer.header("Seal").is_some() && answer.body == format!("{id:016x}").as_bytes();
+    match answer.status() {
+        200 if own => End::Answered,
+        200 => End::Foreign,
+        status @ (408 | 421 | 429 | 503) => End::Promise(status),
+        status => End::Said(status),
+    }
+}
+
+fn answer(body: &[u8]) -> Option<(Vec<SocketAddr>, Duration)> {
+    let told: serde_json::Value = serde_json::from_slice(body).ok()?;
+    let fronts = told["ips"].as_array()?.iter().map(|a| a.as_str()?.parse().ok()).collect::<Option<_>>()?;
+    Some((fronts, Duration::from_secs_f64(told["ttl-s"].as_f64()?.clamp(0.0, 60.0))))
+}
+
+/// One call on a connection of its own: the status and the body. `None`: nothing came in time.
+pub async fn call(at: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Vec<u8>)> {
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let exchange = async {
+        let mut stream = TcpStream::connect(at).await.ok()?;
+        stream.write_all(text.as_bytes()).await.ok()?;
+        let answer = http::next(&mut stream, &mut Vec::new(), false).await.ok()??;
+        Some((answer.status(), answer.body))
+    };
+    timeout(CALL, exchange).await.ok()?
+}
+
+/// Sends an order to the machines of control, from `first` on, until it is taken or refused; what came of it.
+pub async fn order(
+    fleet: &Fleet,
+    first: usize,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Option<(u16, Vec<u8>)> {
+    let (begun, mut pause) = (Instant::now(), Duration::from_millis(20));
+    let mut n = first;
+    while begun.elapsed() < ORDER {
+        match call(fleet.ctl(n % fleet.scenario.cores), method, path, body).await {
+            Some((status, body)) if status < 500 && status != 429 && status != 408 => {
+                return Some((status, body))
+            }
+            _ => {}
+        }
+        sleep(pause).await;
+        (n, pause) = (n + 1, (pause * 2).min(Duration::from_millis(500)));
+    }
+    None
+}
--- /dev/null
+++ b/crates/aspendrum-rig/src/system/fleet.rs
@@ -0,0 +1,356 @@
+//! The machines of a run, each at a loopback address of its own, and the links between them.
+
+use super::scenario::{Scenario, Who};
+use crate::process::{build, Process, Start};
+use aspendrum_links::{Fault, Link, Mesh, Relay};
+use aspendrum_standins::cloud::Cloud;
+use aspendrum_standins::origin::{Figures, Origin, Record};
+use aspendrum_standins::Clock;
+use nix::sys::signal::Signal;
+use serde_json::{json, Map, Value};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, OnceLock};
+
+const PORTS: [u16; 2] = [7600, 7615];
+const CTL: u16 = 8200;
+const DIR: u16 = 8201;
+const FRONT: u16 = 8202;
+const READYZ: u16 = 8203;
+/// Held as long as a run goes on, so that no other run takes the same addresses.
+const CLAIM: u16 = 9;
+/// Seeds, as the platform names them.
+const SEEDS: usize = 3;
+
+/// The programs of the system, built once in this process' life.
+pub fn programs() -> Result<[Start; 3], String> {
+    static BUILT: OnceLock<Result<(), String>> = OnceLock::new();
+    BUILT.get_or_init(|| build(&["aspendrum-lectern", "aspendrum-page", "aspendrum-vault"])).clone()?;
+    Ok([Start::system("lectern")?, Start::system("page")?, Start::system("vault")?])
+}
+
+/// One process: what it is, where its settings and its log are, and its life.
+pub struct Slot {
+    start: Start,
+    settings: PathBuf,
+    log: PathBuf,
+    disk: Option<PathBuf>,
+    pub process: Option<Process>,
+}
+
+impl Slot {
+    pub fn up(&mut self) -> io::Result<()> {
+        if self.process.is_none() {
+            self.process = Some(Process::start(&self.start, &self.settings, &self.log)?);
+        }
+        Ok(())
+    }
+
+    pub async fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            process.kill().await;
+        }
+    }
+
+    pub fn wipe(&self) -> io::Result<()> {
+        self.disk.as_ref().map_or(Ok(()), std::fs::remove_dir_all)
+    }
+
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        self.process.as_ref().map_or(Ok(()), |p| p.signal(signal))
+    }
+
+    /// What it logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+pub struct Fleet {
+    pub scenario: Scenario,
+    pub clock: Clock,
+    pub cores: Vec<tokio::sync::Mutex<Slot>>,
+    /// By machine: the proxy and its agent.
+    pub lecterns: Vec<tokio::sync::Mutex<Slot>>,
+    pub pages: Vec<tokio::sync::Mutex<Slot>>,
+    pub origins: Vec<Arc<Origin>>,
+    pub record: Arc<Record>,
+    net: u8,
+    /// By dialler (cores, then edges), then core.
+    controls: Vec<Vec<Relay>>,
+    /// By edge, then server.
+    servers: Vec<Vec<Relay>>,
+    counts: Mesh,
+    _cloud: Arc<Cloud>,
+    _claim: TcpListener,
+}
+
+pub fn zone(n: usize) -> String {
+    format!("zone-{n}")
+}
+
+/// Two zones each are a region.
+pub fn region(n: usize) -> String {
+    format!("region-{}", n / 2)
+}
+
+pub const SERVICES: [&str; 2] = ["quotes", "payouts"];
+
+impl Fleet {
+    /// Everything stands and is linked; no process of the system has been started yet.
+    pub async fn prepare(scenario: &Scenario, folder: &Path) -> Result<Fleet, String> {
+        let failed = |e: io::Error| format!("the fleet: {e}");
+        let [lectern, page, vault] = programs()?;
+        std::fs::create_dir_all(folder).map_err(failed)?;
+        let (net, claim) = claim().map_err(failed)?;
+        let clock = Clock::start();
+        let record = Record::new(clock);
+        let s = scenario;
+        let mut origins = Vec::new();
+        for n in 0..s.origins() {
+            let figures = Figures {
+                service: SERVICES[n / (s.zones * s.servers)].into(),
+                zone: zone(n % s.zones),
+                slots: 4,
+                queue: 8,
+                work_ms: 25.0,
+            };
+            let at = IpAddr::V4(ip(net, 200, 0));
+            origins.push(Origin::start(at, n, figures, record.clone()).await.map_err(failed)?);
+        }
+        let cloud = Cloud::start(IpAddr::V4(ip(net, 200, 0)), origins.clone(), 40.0, clock);
+        let cloud = cloud.await.map_err(failed)?;
+        let cores: Vec<Ipv4Addr> = (0..s.cores).map(|n| ip(net, 100, n)).collect();
+        let edges: Vec<Ipv4Addr> = (0..s.edges).map(|n| ip(net, 101, n)).collect();
+        let mut controls = Vec::new();
+        for _ in 0..s.cores + s.edges {
+            let mut row = Vec::new();
+            for core in &cores {
+                row.push(relay(IpAddr::V4(*core), SocketAddr::from((*core, PORTS[0]))).await?);
+            }
+            controls.push(row);
+        }
+        let mut servers = Vec::new();
+        for _ in 0..s.edges {
+            let mut row = Vec::new();
+            for origin in &origins {
+                row.push(relay(origin.addr().ip(), origin.addr()).await?);
+            }
+            servers.push(row);
+        }
+        let members: Vec<IpAddr> = edges.iter().map(|e| IpAddr::V4(*e)).collect();
+        let mut counts = Mesh::among(&members).await.map_err(failed)?;
+        let listens: Vec<SocketAddr> = members.iter().map(|e| SocketAddr::from((*e, PORTS[0] + 1))).collect();
+        counts.carry(&listens);
+        let slot = |start: &Start, name: String, disk: Option<PathBuf>| {
+            let (settings, log) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
+            tokio::sync::Mutex::new(Slot { start: start.clone(), settings, log, disk, process: None })
+        };
+        let fleet = Fleet {
+            scenario: s.clone(),
+            clock,
+            cores: (0..s.cores)
+                .map(|n| slot(&vault, format!("core-{n}"), Some(folder.join(format!("disk-{n}")))))
+                .collect(),
+            lecterns: (0..s.edges).map(|n| slot(&lectern, format!("lectern-{n}"), None)).collect(),
+            pages: (0..s.edges).map(|n| slot(&page, format!("page-{n}"), None)).collect(),
+            origins,
+            record,
+            net,
+            controls,
+            servers,
+            counts,
+            _cloud: cloud,
+            _claim: claim,
+        };
+        let seeds: Vec<usize> = (0..s.cores.min(SEEDS)).collect();
+        fleet.settings(true, &seeds).await.map_err(failed)?;
+        Ok(fleet)
+    }
+
+    pub fn core(&self, n: usize) -> Ipv4Addr {
+        ip(self.net, 100, n)
+    }
+
+    pub fn ctl(&self, n: usize) -> SocketAddr {
+        (self.core(n), CTL).into()
+    }
+
+    pub fn dir(&self, n: usize) -> SocketAddr {
+        (self.core(n), DIR).into()
+    }
+
+    pub fn front(&self, n: usize) -> SocketAddr {
+        (ip(self.net, 101, n), FRONT).into()
+    }
+
+    /// Which proxy an address belongs to.
+    pub fn edge_at(&self, addr: SocketAddr) -> Option<usize> {
+        (0..self.scenario.edges).find(|n| self.front(*n) == addr)
+    }
+
+    /// Writes every process' settings file.
+    pub async fn settings(&self, init: bool, seeds: &[usize]) -> io::Result<()> {
+        for n in 0..self.scenario.cores {
+            let slot = self.cores[n].lock().await;
+            std::fs::write(&slot.settings, self.core_settings(n, init, seeds, &slot).to_string())?;
+        }
+        for n in 0..self.scenario.edges {
+            let text = self.edge_settings(n, seeds).to_string();
+            std::fs::write(&self.lecterns[n].lock().await.settings, &text)?;
+            std::fs::write(&self.pages[n].lock().await.settings, &text)?;
+        }
+        Ok(())
+    }
+
+    fn core_settings(&self, n: usize, init: bool, seeds: &[usize], slot: &Slot) -> Value {
+        let ways = (0..self.scenario.cores).filter(|to| *to != n);
+        let ways = ways.map(|to| way((self.core(to), PORTS[0]).into(), self.controls[n][to].addr()));
+        let binds = json!({"ctl": self.ctl(n), "dir": self.dir(n)});
+        let own = json!({"host-name": format!("core-{n}"), "ip": self.core(n), "quorum": true, "init": init,
+            "datadir": slot.disk});
+        self.common(self.scenario.zone(n), own, binds, ways.collect(), seeds)
+    }
+
+    fn edge_settings(&self, n: usize, seeds: &[usize]) -> Value {
+        let s = &self.scenario;
+        let dialler = s.cores + n;
+        let mut ways: Map<String, Value> = (0..s.cores)
+            .map(|to| way((self.core(to), PORTS[0]).into(), self.controls[dialler][to].addr()))
+            .collect();
+        let peers = self.counts.peers(n).unwrap_or_default();
+        let count = |to| SocketAddr::from((ip(self.net, 101, to), PORTS[0] + 1));
+        ways.extend(peers.into_iter().enumerate().map(|(to, at)| way(count(to), at)));
+        ways.extend(self.origins.iter().enumerate().map(|(to, o)| way(o.addr(), self.servers[n][to].addr())));
+        // All machines of a run are one: each agent has an address of its own there.
+        ways.extend([way(
+            (Ipv4Addr::LOCALHOST, PORTS[0] + 2).into(),
+            (ip(self.net, 102, n), PORTS[0] + 2).into(),
+        )]);
+        let own = json!({"host-name": format!("edge-{n}"), "ip": ip(self.net, 101, n),
+            "caps": {"nofile": 1024, "mem-mb": 256}});
+        let binds =
+            json!({"front": self.front(n), "readyz": SocketAddr::from((ip(self.net, 101, n), READYZ))});
+        self.common(s.zone(n), own, binds, ways, seeds)
+    }
+
+    fn common(
+        &self,
+        own_zone: usize,
+        own: Value,
+        binds: Value,
+        ways: Map<String, Value>,
+        seeds: &[usize],
+    ) -> Value {
+        let (s, t) = (&self.scenario, &self.scenario.terms);
+        let zones: Map<String, Value> = (0..s.zones).map(|z| (zone(z), region(z).into())).collect();
+        let seeds: Vec<SocketAddr> = seeds.iter().map(|n| self.ctl(*n)).collect();
+        let mut own = own;
+        own["az"] = zone(own_zone).into();
+        own["geo"] = region(own_zone).into();
+        json!({
+            "self": own,
+            "net": {"binds": binds, "port-range": PORTS, "seeds": seeds, "zones": zones, "ways": ways},
+            "plat": {"cloud-api": {"addr": self._cloud.addr(), "rate-s": 40.0, "lag-ms": 0}},
+            "terms": {"bounds": {
+                "apply-ms": t.apply, "revoked": t.revoked, "revoke-ms": t.revoke, "evac-ms": t.evac,
+                "drain-ms": t.drain, "grace-s": t.grace_s, "retry-slack": 200, "quota-win-s": 5,
+                "quota-excess": 0.1, "quota-slack": 20, "ttl_max_s": 1,
+            }},
+        })
+    }
+
+    /// The processes that someone stands for.
+    pub fn slots(&self, who: Who) -> Vec<&tokio::sync::Mutex<Slot>> {
+        match who {
+            Who::Core(n) => vec![&self.cores[n]],
+            Who::Edge(n) => vec![&self.lecterns[n], &self.pages[n]],
+            Who::Lectern(n) => vec![&self.lecterns[n]],
+            Who::Page(n) => vec![&self.pages[n]],
+            Who::Origin(_) => Vec::new(),
+        }
+    }
+
+    pub async fn start(&self) -> Result<(), String> {
+        for slot in self.cores.iter().chain(&self.lecterns).chain(&self.pages) {
+            slot.lock().await.up().map_err(|e| format!("start: {e}"))?;
+        }
+        Ok(())
+    }
+
+    /// The directions of all links from the one to the other.
+    fn links(&self, from: Who, to: Who) -> Vec<&Arc<Link>> {
+        let dialler = |who| match who {
+            Who::Core(n) => Some(n),
+            Who::Edge(n) | Who::Page(n) => Some(self.scenario.cores + n),
+            _ => None,
+        };
+        let mut all: Vec<&Arc<Link>> = Vec::new();
+        if let (Some(d), Who::Core(to)) = (dialler(from), to) {
+            all.push(&self.controls[d][to].there);
+        }
+        if let (Who::Core(from), Some(d)) = (from, dialler(to)) {
+            all.push(&self.controls[d][from].back);
+        }
+        match (from, to) {
+            (Who::Edge(a) | Who::Lectern(a), Who::Edge(b) | Who::Lectern(b)) => {
+                all.push(self.counts.link(a, b))
+            }
+            (Who::Edge(a) | Who::Lectern(a), Who::Origin(b)) => all.push(&self.servers[a][b].there),
+            (Who::Origin(a), Who::Edge(b) | Who::Lectern(b)) => all.push(&self.servers[b][a].back),
+            _ => {}
+        }
+        all
+    }
+
+    /// Everyone that has links: machines and servers.
+    pub fn everyone(&self) -> Vec<Who> {
+        let s = &self.scenario;
+        let cores = (0..s.cores).map(Who::Core);
+        cores.chain((0..s.edges).map(Who::Edge)).chain((0..s.origins()).map(Who::Origin)).collect()
+    }
+
+    /// Cuts what the ones say to the others, and back unless `one_way`; [`Fleet::heal`] with the same number.
+    pub fn cut(&self, of: &[Who], from: &[Who], one_way: bool, number: u32) {
+        self.each_link(of, from, one_way, |link| link.put(number, Fault::CUT));
+    }
+
+    pub fn heal(&self, of: &[Who], from: &[Who], one_way: bool, number: u32) {
+        self.each_link(of, from, one_way, |link| link.heal(number));
+    }
+
+    fn each_link(&self, of: &[Who], from: &[Who], one_way: bool, what: impl Fn(&Link)) {
+        for a in of {
+            for b in from.iter().filter(|b| !of.contains(b)) {
+                let back = if one_way { Vec::new() } else { self.links(*b, *a) };
+                self.links(*a, *b).into_iter().chain(back).for_each(|link| what(link));
+            }
+        }
+    }
+}
+
+fn way(to: SocketAddr, by: SocketAddr) -> (String, Value) {
+    (to.to_string(), by.to_string().into())
+}
+
+async fn relay(at: IpAddr, to: SocketAddr) -> Result<Relay, String> {
+    Relay::start(at, to).await.map_err(|e| format!("a link: {e}"))
+}
+
+fn ip(net: u8, kind: u8, n: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, kind, net, n as u8 + 1)
+}
+
+/// A part of the loopback addresses that no other run has.
+fn claim() -> io::Result<(u8, TcpListener)> {
+    static NEXT: AtomicU8 = AtomicU8::new(0);
+    for _ in 0..=u8::MAX {
+        let net = NEXT.fetch_add(1, Ordering::Relaxed);
+        if let Ok(claim) = TcpListener::bind((ip(net, 200, 0), CLAIM)) {
+            return Ok((net, claim));
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
--- /dev/null
+++ b/crates/aspendrum-rig/src/system/mod.rs
@@ -0,0 +1,9 @@
+//! The whole system as processes on loopback: machines of control, proxies and their agents, links between all of
+//! them that can be cut, stand-ins for servers, platform, operator and clients, and a judge of what those saw.
+
+pub mod clients;
+pub mod fleet;
+pub mod library;
+pub mod play;
+pub mod report;
+pub mod scenario;
--- /dev/null
+++ b/crates/aspendrum-rig/src/system/report.rs
@@ -0,0 +1,34 @@
+//! What a run of the system came to, as a table.
+
+use super::play::Outcome;
+use super::scenario::Scenario;
+use std::fmt::Write;
+
+pub fn table(s: &Scenario, o: &Outcome) -> String {
+    let v = &o.verdict;
+    let mut out = format!("{}: {}\n\n", s.name, s.about);
+    let mut line = |name: &str, value: String| {
+        // Writing to memory does not fail.
+        let _ = writeln!(out, "| {name:<44} | {value:>14} |");
+    };
+    line("machines of control, proxies, servers", format!("{}, {}, {}", s.cores, s.edges, s.origins()));
+    line("ready after all processes started, ms", format!("{:.0}", o.ready));
+    line("wishes, served", format!("{}, {:.3}", v.wishes, v.share()));
+    line("once-only wishes, served", format!("{}, {:.3}", v.once.0, v.share_once()));
+    line("wishes of the last two seconds, served", format!("{}, {}", o.last.0, o.last.1));
+    line("the second tenant's wishes, served", format!("{}, {}", o.second.0, o.second.1));
+    line("ran, and no client heard of it", v.unheard.to_string());
+    line("doubled", v.broke("TWICE").to_string());
+    line("refused, and ran", v.broke("REFUSED").to_string());
+    line("astray", (v.broke("CONFIG") + v.broke("ROUTE") + v.broke("EVAC")).to_string());
+    line("lost without any trouble", v.broke("LOST").to_string());
+    for (end, n) in &v.ends {
+        line(&format!("tries: {end:?}"), n.to_string());
+    }
+    let broken = o.broken(s);
+    for text in broken.iter().take(20) {
+        let _ = writeln!(out, "broken: {text}");
+    }
+    let _ = writeln!(out, "{}", if broken.is_empty() { "all bounds kept" } else { "bounds or rules broken" });
+    out
+}
--- /dev/null
+++ b/crates/aspendrum-rig/src/system/scenario.rs
@@ -0,0 +1,212 @@
+//! A scenario of the system: its size, its terms, what happens when, and what must hold in the end.
+
+use aspendrum_judge::record::Ms;
+use serde::Deserialize;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    pub about: String,
+    /// Of traffic.
+    pub seconds: f64,
+    /// Machines of control, and of proxies, spread over the zones in turn.
+    pub cores: usize,
+    pub edges: usize,
+    #[serde(default = "two")]
+    pub zones: usize,
+    /// Of each service in each zone.
+    #[serde(default = "two")]
+    pub servers: usize,
+    #[serde(default = "queries")]
+    pub queries_per_s: f64,
+    /// A tenant's quota; 0: none.
+    #[serde(default)]
+    pub quota_per_s: f64,
+    /// How often the first tenant asks for each time that another does.
+    #[serde(default = "one")]
+    pub hot: f64,
+    #[serde(default)]
+    pub seed: u64,
+    #[serde(default)]
+    pub terms: Terms,
+    #[serde(default)]
+    pub steps: Vec<Step>,
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn two() -> usize {
+    2
+}
+
+fn queries() -> f64 {
+    60.0
+}
+
+/// The platform's terms, in milliseconds where they do not say otherwise.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Terms {
+    pub contact: Ms,
+    pub apply: Ms,
+    pub revoked: bool,
+    pub revoke: Ms,
+    pub evac: Ms,
+    pub drain: Ms,
+    pub grace_s: f64,
+    pub loss: Ms,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms {
+            contact: 4000.0,
+            apply: 3000.0,
+            revoked: true,
+            revoke: 5000.0,
+            evac: 5000.0,
+            drain: 3000.0,
+            grace_s: 6.0,
+            loss: 200.0,
+        }
+    }
+}
+
+/// Something that happens. `for_s`: it is taken back after so long.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    pub at_s: f64,
+    pub what: What,
+    /// Machines or processes: `core 0`, `edge 1-3`, `lectern 2`, `page 2`; servers: `origin 0-3`.
+    #[serde(default)]
+    pub of: String,
+    /// The other side of a cut; left out, all others.
+    #[serde(default)]
+    pub from: String,
+    /// Only what `of` says is lost, not what it hears.
+    #[serde(default)]
+    pub one_way: bool,
+    pub for_s: Option<f64>,
+    /// Between one and the next, where several are named.
+    #[serde(default)]
+    pub gap_s: f64,
+    /// The zone of an evacuation.
+    #[serde(default)]
+    pub zone: String,
+    /// The share of requests that servers spoil.
+    #[serde(default)]
+    pub share: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// A new configuration, sent to `of` and whoever comes after it: the once-only route goes to the other
+    /// service.
+    Move,
+    /// A new configuration without the second tenant's key, or with it again.
+    TakeKey,
+    GiveKey,
+    /// The last configuration again, as an operator who heard no answer sends it.
+    Resend,
+    Evacuate,
+    /// SIGKILL; up again after `for_s`, at once without it.
+    Kill,
+    /// The same with an empty disk.
+    Wipe,
+    /// SIGTERM, and up again once it has ended.
+    Term,
+    Freeze,
+    Cut,
+    /// The settings name other seeds, and SIGHUP.
+    Seeds,
+    /// Servers: die (a new life after `for_s`), drain, answer 500, reset behind the work, hang, reset unread.
+    Die,
+    Drain,
+    Fail,
+    Reset,
+    Hang,
+    Deaf,
+}
+
+/// What must hold beside the rules.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Of all wishes, and of the once-only ones.
+    pub served: Option<f64>,
+    pub served_once: Option<f64>,
+    /// Of the second tenant's wishes, where the first asks for more than its plan.
+    pub served_second: Option<f64>,
+    /// Of the wishes of the last two seconds: the system is back.
+    pub served_last: Option<f64>,
+    /// Connections that a proxy closed with a request read, whatever went on.
+    pub lost: Option<usize>,
+}
+
+/// Who a step is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    Core(usize),
+    Edge(usize),
+    Lectern(usize),
+    Page(usize),
+    Origin(usize),
+}
+
+impl Scenario {
+    pub fn read(text: &str) -> Result<Scenario, String> {
+        let s: Scenario = toml::from_str(text).map_err(|e| e.to_string())?;
+        if s.cores == 0 || s.edges == 0 || s.zones == 0 || s.servers == 0 {
+            return Err(format!("{}: cores, edges, zones and servers must be 1 or more", s.name));
+        }
+        if s.cores > 100 || s.edges > 150 {
+            return Err(format!("{}: at most 100 cores and 150 edges", s.name));
+        }
+        for step in &s.steps {
+            s.who(&step.of)?;
+            s.who(&step.from)?;
+        }
+        Ok(s)
+    }
+
+    pub fn zone(&self, n: usize) -> usize {
+        n % self.zones
+    }
+
+    /// Both services together.
+    pub fn origins(&self) -> usize {
+        2 * self.zones * self.servers
+    }
+
+    /// `core 0`, `edge 1-3`, several after commas; empty: nobody.
+    pub fn who(&self, text: &str) -> Result<Vec<Who>, String> {
+        let mut all = Vec::new();
+        for part in text.split(',').map(str::trim).filter(|p| !p.is_empty()) {
+            let bad = || format!("{}: {part} names nobody here", self.name);
+            let (kind, which) = part.split_once(' ').ok_or_else(bad)?;
+            let (first, last) = which.split_once('-').unwrap_or((which, which));
+            let (first, last): (usize, usize) =
+                (first.parse().map_err(|_| bad())?, last.parse().map_err(|_| bad())?);
+            let (of, many): (fn(usize) -> Who, usize) = match kind {
+                "core" => (Who::Core, self.cores),
+                "edge" => (Who::Edge, self.edges),
+                "lectern" => (Who::Lectern, self.edges),
+                "page" => (Who::Page, self.edges),
+                "origin" => (Who::Origin, self.origins()),
+                _ => return Err(bad()),
+            };
+            if first > last || last >= many {
+                return Err(bad());
+            }
+            all.extend((first..=last).map(of));
+        }
+        Ok(all)
+    }
+}
--- a/crates/aspendrum-rig/tests/faults.rs
+++ b/crates/aspendrum-rig/tests/faults.rs
@@ -3,7 +3,7 @@
 
 use aspendrum_judge::record::Final;
 use aspendrum_rig::library;
-use aspendrum_rig::process::Start;
+use aspendrum_rig::process::{Start, Told};
 use aspendrum_rig::run::{self, Outcome};
 use aspendrum_rig::scenario::Scenario;
 use std::path::{Path, PathBuf};
@@ -235,13 +235,17 @@
 fn a_limiter_that_ends_unasked_fails_the_run() {
     let s = Scenario::read(&one_customer(2, 3.0, "", "")).unwrap();
     let folder = tempfile::tempdir().unwrap();
-    let nobody = Start { program: "/bin/false".into(), arguments: vec![] };
+    let nobody = Start { program: "/bin/false".into(), arguments: vec![], told: Told::Argument };
     let text = run::play(&s, &nobody, folder.path(), &|_| {}).err().unwrap();
     assert!(text.contains("ended at its start"), "{text}");
     // Ends by itself a second after its start, whatever it is asked.
     let serve = limiter();
     let script = format!("exec timeout -s KILL 1.5 {} serve \"$@\"", serve.program.display());
-    let short = Start { program: "/bin/sh".into(), arguments: vec!["-c".into(), script, "x".into()] };
+    let short = Start {
+        program: "/bin/sh".into(),
+        arguments: vec!["-c".into(), script, "x".into()],
+        told: Told::Argument,
+    };
     let o = run::play(&s, &short, folder.path(), &|_| {}).unwrap();
     assert!(o.failures.iter().any(|f| f.contains("ended unasked")), "{:?}", o.failures);
 }
--- /dev/null
+++ b/crates/aspendrum-rig/tests/system.rs
@@ -0,0 +1,59 @@
+//! The whole system as real processes, with the troubles of its deployments between them: no rule may break, and
+//! what the scenario says must be served is served.
+
+use aspendrum_rig::system::play::play;
+use aspendrum_rig::system::{library, report};
+use std::sync::Mutex;
+
+/// Three at a time: more would wait for each other's processors.
+static LANES: [Mutex<()>; 3] = [const { Mutex::new(()) }; 3];
+
+fn holds(name: &str) {
+    let lane = LANES.iter().find_map(|l| l.try_lock().ok());
+    let turn = name.len() % LANES.len();
+    let _lane = lane.unwrap_or_else(|| LANES[turn].lock().unwrap_or_else(|p| p.into_inner()));
+    let scenario = library::scenario(name).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let outcome = play(&scenario, folder.path(), &|_| {}).unwrap();
+    let broken = outcome.broken(&scenario);
+    assert!(broken.is_empty(), "{}", report::table(&scenario, &outcome));
+}
+
+macro_rules! plays {
+    ($($(#[$about:meta])* $test:ident = $name:literal;)*) => {
+        $($(#[$about])* #[test] fn $test() { holds($name); })*
+
+        #[test]
+        fn every_scenario_of_the_library_is_played() {
+            let played = [$($name),*];
+            let all: Vec<&str> = library::ALL.iter().map(|s| s.0).collect();
+            assert_eq!(all, played);
+        }
+    };
+}
+
+plays! {
+    nothing_is_lost_on_a_calm_day = "calm";
+    /// Danger: a process that acknowledges before its sync forgets the change here.
+    what_was_acknowledged_outlives_a_kill_of_all_control = "control-killed";
+    two_operators_on_two_sides_of_a_cut_agree_in_the_end = "two-operators";
+    a_machine_that_is_not_heard_harms_nobody = "one-way";
+    /// Danger: whoever wakes tells its agents what it knew before.
+    whoever_wakes_into_a_newer_world_does_not_go_back = "voted-and-froze";
+    a_second_disk_may_be_lost_once_the_first_is_healed = "disk-lost";
+    other_seeds_lead_to_the_same_system = "seeds-changed";
+    /// Danger: one of three goes on as if it were the majority.
+    a_zone_with_most_of_control_comes_back = "zone-gone";
+    /// Danger: proxies that hear nothing go on with a key that was taken away.
+    a_key_taken_away_binds_whoever_is_cut_off_or_frozen = "keys-taken";
+    /// Danger: each new holder of a counter grants the whole quota anew.
+    half_of_the_proxies_may_die_without_a_second_quota = "herd";
+    /// Danger: a query that was read ends with its connection.
+    proxies_that_end_in_turn_lose_nothing = "rolling-term";
+    the_others_lose_nothing_by_a_hot_tenant = "hot-tenant";
+    the_system_is_back_after_all_of_it_died = "everything-dark";
+    /// Danger: a new life at an old address runs what was meant for the old one.
+    servers_under_other_names_run_nothing_by_mistake = "new-lives";
+    /// Danger: once-only queries that ran without an answer run again, or are refused with a promise.
+    spoilt_answers_double_nothing = "spoilt";
+}
--- a/crates/aspendrum-standins/src/lib.rs
+++ b/crates/aspendrum-standins/src/lib.rs
@@ -1,9 +1,12 @@
-//! Stand-ins for what limiters talk to, written from the protocol: rate servers, the shared counter,
-//! discovery. Each can fail in its own ways and records what reached it; none knows of limiters' insides.
+//! Stand-ins for what limiters and the system talk to, written from the protocols: servers, the shared counter,
+//! discovery, the platform. Each can fail in its own ways and records what reached it; none knows of limiters' insides.
 
+pub mod cloud;
 pub mod counter;
 pub mod discovery;
+pub mod host;
 pub mod http;
+pub mod origin;
 pub mod server;
 
 use std::sync::{Mutex, MutexGuard};
--- /dev/null
+++ b/crates/aspendrum-standins/src/origin.rs
@@ -0,0 +1,234 @@
+//! Servers of the system, as `PROTOCOL` words them: a name for each life, slots and a short queue, health checks,
+//! and the ways they fail. What each ran is told by the try's id.
+
+use crate::host::Host;
+use crate::{http, lock, Clock};
+use aspendrum_judge::system::Run;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Semaphore};
+use tokio::time::sleep;
+
+/// What a server is like.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    pub service: String,
+    pub zone: String,
+    pub slots: usize,
+    /// Requests that may wait for a slot; more are turned away.
+    pub queue: usize,
+    pub work_ms: f64,
+}
+
+/// The ways of failing that can stand at the same time; shares are of requests, 0 to 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ails {
+    /// Answered with a 500 of its own behind the work.
+    pub failing: f64,
+    /// The connection is reset before the request counts as taken, and behind the work.
+    pub deaf: f64,
+    pub resetting: f64,
+    /// It works and never answers.
+    pub hanging: f64,
+    /// Work takes so many times as long; 0 stands for 1.
+    pub slow: f64,
+    /// It turns everything away and ends what it has.
+    pub draining: bool,
+}
+
+/// All servers' record of what ran.
+pub struct Record {
+    clock: Clock,
+    runs: Mutex<Vec<Run>>,
+}
+
+impl Record {
+    pub fn new(clock: Clock) -> Arc<Record> {
+        Arc::new(Record { clock, runs: Mutex::default() })
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.runs).clone()
+    }
+}
+
+pub struct Origin {
+    host: Host,
+    number: usize,
+    figures: Figures,
+    record: Arc<Record>,
+    state: Mutex<State>,
+    slots: Semaphore,
+    ails: watch::Sender<Ails>,
+}
+
+struct State {
+    life: u32,
+    up: bool,
+    in_hand: usize,
+    rng: SmallRng,
+}
+
+/// What came of a request.
+enum Came {
+    Answer(Vec<u8>),
+    Reset,
+    Nothing,
+}
+
+impl Origin {
+    /// Listens at that loopback address from now on.
+    pub async fn start(
+        at: IpAddr,
+        number: usize,
+        figures: Figures,
+        record: Arc<Record>,
+    ) -> io::Result<Arc<Origin>> {
+        let (host, listener) = Host::bind(at).await?;
+        let state =
+            State { life: 1, up: true, in_hand: 0, rng: SmallRng::seed_from_u64(number as u64 ^ 0x5eed) };
+        let slots = Semaphore::new(figures.slots);
+        let (state, ails) = (Mutex::new(state), watch::Sender::default());
+        let origin = Arc::new(Origin { host, number, figures, record, state, slots, ails });
+        origin.listen(listener);
+        Ok(origin)
+    }
+
+    fn listen(self: &Arc<Origin>, listener: TcpListener) {
+        let own = self.clone();
+        self.host.listen(listener, move |stream| own.clone().serve(stream));
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// The name of its present life.
+    pub fn uid(&self) -> String {
+        format!("i-{}-{}", self.number, lock(&self.state).life)
+    }
+
+    pub fn up(&self) -> bool {
+        lock(&self.state).up
+    }
+
+    pub fn ails(&self) -> Ails {
+        *self.ails.borrow()
+    }
+
+    pub fn ail(&self, how: impl FnOnce(&mut Ails)) {
+        self.ails.send_modify(how);
+    }
+
+    pub fn die(&self) {
+        if self.host.die() {
+            lock(&self.state).up = false;
+        }
+    }
+
+    /// A new life at the same address.
+    pub async fn back(self: &Arc<Origin>) -> io::Result<()> {
+        let Some(listener) = self.host.back().await? else { return Ok(()) };
+        {
+            let mut state = lock(&self.state);
+            (state.life, state.up, state.in_hand) = (state.life + 1, true, 0);
+        }
+        self.host.begin();
+        self.listen(listener);
+        Ok(())
+    }
+
+    async fn serve(self: Arc<Origin>, mut stream: TcpStream) {
+        let mut rest = Vec::new();
+        while let Ok(Some(call)) = http::next(&mut stream, &mut rest, true).await {
+            let came = match call.line.1.as_str() {
+                "/healthz" => Came::Answer(self.health()),
+                _ => self.request(&call).await,
+            };
+            match came {
+                Came::Answer(bytes) => {
+                    if stream.write_all(&bytes).await.is_err() {
+                        break;
+                    }
+                }
+                Came::Reset => return,
+                Came::Nothing => std::future::pending().await,
+            }
+        }
+        let _ = socket2::SockRef::from(&stream).set_linger(None);
+    }
+
+    fn load(&self) -> String {
+        let (in_hand, slots) = (lock(&self.state).in_hand, self.figures.slots);
+        format!("{},{},{slots}", in_hand.min(slots), in_hand.saturating_sub(slots))
+    }
+
+    fn health(&self) -> Vec<u8> {
+        let status = if self.ails().draining { 503 } else { 200 };
+        http::answer(status, &[("Server-Id", &self.uid()), ("Server-Load", &self.load())], b"")
+    }
+
+    async fn request(&self, call: &http::Message) -> Came {
+        let not_run = |status| Came::Answer(http::answer(status, &[("Not-Run", "1")], b""));
+        let Some(id) = call.header("Try-Id").and_then(|t| u64::from_str_radix(t, 16).ok()) else {
+            return not_run(400);
+        };
+        if call.header("Want-Server").is_some_and(|wanted| wanted != self.uid()) {
+            return not_run(421);
+        }
+        let (ails, chance) = (self.ails(), lock(&self.state).rng.random::<f64>());
+        if chance < ails.deaf {
+            return Came::Reset;
+        }
+        let full = lock(&self.state).in_hand >= self.figures.slots + self.figures.queue;
+        if full || ails.draining {
+            return not_run(503);
+        }
+        let chance = chance - ails.deaf;
+        lock(&self.state).in_hand += 1;
+        let leave = Leave(self);
+        let Ok(slot) = self.slots.acquire().await else { return Came::Reset };
+        let run = Run {
+            id,
+            uid: self.uid(),
+            service: self.figures.service.clone(),
+            zone: self.figures.zone.clone(),
+            tenant: call.header("Tenant").map(str::to_string),
+            at: self.record.clock.now(),
+        };
+        lock(&self.record.runs).push(run);
+        let spread = lock(&self.state).rng.random_range(0.5..1.5);
+        sleep(Duration::from_secs_f64(self.figures.work_ms * spread * ails.slow.max(1.0) / 1000.0)).await;
+        drop((slot, leave));
+        let (failing, resetting) = (ails.failing, ails.failing + ails.resetting);
+        if chance >= resetting && chance < resetting + ails.hanging {
+            return Came::Nothing;
+        }
+        if chance >= failing && chance < resetting {
+            return Came::Reset;
+        }
+        let (text, load) = (format!("{id:016x}"), self.load());
+        let headers = [("Try-Id", text.as_str()), ("Seal", "1"), ("Server-Load", &load)];
+        let status = if chance < failing { 500 } else { 200 };
+        Came::Answer(http::answer(status, &headers, text.as_bytes()))
+    }
+}
+
+struct Leave<'a>(&'a Origin);
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        let mut state = lock(&self.0.state);
+        state.in_hand = state.in_hand.saturating_sub(1);
+    }
+}
--- a/crates/aspendrum-standins/src/server.rs
+++ b/crates/aspendrum-standins/src/server.rs
@@ -1,5 +1,6 @@
 //! Rate servers: some cores, a queue, a cold start, load reports, and the ways they fail.
 
+use crate::host::Host;
 use crate::{http, lock, Clock};
 use aspendrum_judge::record::{Fate, Forward, Life, Ms, Repeats};
 use rand::rngs::SmallRng;
@@ -13,7 +14,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
-use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// What a server is like.
@@ -82,13 +82,11 @@
 
 pub struct Server {
     number: usize,
-    addr: SocketAddr,
+    host: Host,
     figures: Figures,
     shared: Arc<Shared>,
     state: Mutex<State>,
     cores: Semaphore,
-    /// Up or not, by the number of its life: odd numbers are lives.
-    life: watch::Sender<u64>,
     ails: watch::Sender<Ails>,
 }
 
@@ -113,8 +111,7 @@
         seed: u64,
         shared: Arc<Shared>,
     ) -> io::Result<Arc<Server>> {
-        let listener = TcpListener::bind((at, 0)).await?;
-        let addr = listener.local_addr()?;
+        let (host, listener) = Host::bind(at).await?;
         let rng = SmallRng::seed_from_u64(seed ^ (number as u64) << 32);
         let state = State {
             up: 0.0,
@@ -128,20 +125,19 @@
         };
         let server = Arc::new(Server {
             number,
-            addr,
+            host,
             cores: Semaphore::new(figures.cores),
             figures,
             shared,
             state: Mutex::new(state),
-            life: watch::Sender::new(1),
             ails: watch::Sender::default(),
         });
-        tokio::spawn(server.clone().listen(listener, 1));
+        server.listen(listener);
         Ok(server)
     }
 
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.host.addr()
     }
 
     pub fn shared(&self) -> &Arc<Shared> {
@@ -158,19 +154,12 @@
 
     /// The process dies: its connections are reset and new ones refused.
     pub fn die(&self) {
-        self.life.send_if_modified(|n| {
-            let up = *n % 2 == 1;
-            *n += u64::from(up);
-            up
-        });
+        self.host.die();
     }
 
     /// Starts again at the same address, cold. Milliseconds of the run at which it did; `None`: it is up.
     pub async fn back(self: &Arc<Server>) -> io::Result<Option<Ms>> {
-        if *self.life.borrow() % 2 == 1 {
-            return Ok(None);
-        }
-        let listener = TcpListener::bind(self.addr).await?;
+        let Some(listener) = self.host.back().await? else { return Ok(None) };
         let now = self.shared.clock.now();
         {
             let mut state = lock(&self.state);
@@ -178,49 +167,26 @@
             state.lately.clear();
             state.lives.push(Life { server: self.number, from: now, cold: true, fell: None });
         }
-        self.life.send_modify(|n| *n += 1);
-        let life = *self.life.borrow();
-        tokio::spawn(self.clone().listen(listener, life));
+        self.host.begin();
+        self.listen(listener);
         Ok(Some(now))
     }
 
-    async fn listen(self: Arc<Server>, listener: TcpListener, life: u64) {
-        let mut lives = self.life.subscribe();
-        let mut tasks = JoinSet::new();
-        loop {
-            let ended = lives.wait_for(|n| *n != life);
-            tokio::select! {
-                _ = ended => return,
-                taken = listener.accept() => {
-                    if let Ok((stream, _)) = taken {
-                        let _ = stream.set_nodelay(true);
-                        // Whatever still stands when the process dies is reset.
-                        let _ = stream.set_zero_linger();
-                        tasks.spawn(self.clone().connection(stream, life));
-                    }
-                    while tasks.try_join_next().is_some() {}
-                }
-            }
-        }
+    fn listen(self: &Arc<Server>, listener: TcpListener) {
+        let own = self.clone();
+        self.host.listen(listener, move |stream| own.clone().connection(stream));
     }
 
-    async fn connection(self: Arc<Server>, mut stream: TcpStream, life: u64) {
+    async fn connection(self: Arc<Server>, mut stream: TcpStream) {
         let held = {
             let mut state = lock(&self.state);
             state.connections += 1;
             state.connections
         };
-        let mut lives = self.life.subscribe();
-        let crowded = held > self.figures.connections;
-        let ended = tokio::select! {
-            _ = lives.wait_for(|n| *n != life) => false,
-            () = self.serve(&mut stream, crowded) => true,
-        };
-        if ended {
-            // An end in good order, unless `serve` left the reset in force.
-            let mut state = lock(&self.state);
-            state.connections = state.connections.saturating_sub(1);
-        }
+        self.serve(&mut stream, held > self.figures.connections).await;
+        // An end in good order, unless `serve` left the reset in force.
+        let mut state = lock(&self.state);
+        state.connections = state.connections.saturating_sub(1);
     }
 
     async fn serve(&self, stream: &mut TcpStream, crowded: bool) {
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -197,7 +197,8 @@
                 continue;
             }
             let silence = Duration::from_millis(SILENT as u64);
-            if let Err(e) = links::hold(place, self.settings.control_port(), silence, &self.notes) {
+            let at = self.settings.control_at(Ipv4Addr::from(place));
+            if let Err(e) = links::hold(place, at, silence, &self.notes) {
                 log::error!("event=link_not_started why=\"{e}\"");
             }
         }
--- a/crates/aspendrum-vault/src/links.rs
+++ b/crates/aspendrum-vault/src/links.rs
@@ -8,7 +8,7 @@
 use aspendrum_folio::hands::spawn;
 use aspendrum_folio::mail::Post;
 use std::io::Read;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::sleep;
@@ -24,10 +24,14 @@
 const ROOM: usize = 256;
 
 /// Keeps a link to that machine for as long as the process runs. The desk is told of each new one.
-pub fn hold(to: Place, port: u16, silence: Duration, notes: &Arc<Post<Note>>) -> std::io::Result<()> {
+pub fn hold(
+    to: Place,
+    addr: SocketAddrV4,
+    silence: Duration,
+    notes: &Arc<Post<Note>>,
+) -> std::io::Result<()> {
     let notes = notes.clone();
     spawn("hold", STACK, move || loop {
-        let addr = SocketAddrV4::new(Ipv4Addr::from(to), port);
         if let Ok(stream) = Link::dial(addr, DIAL_WAIT) {
             if let Ok(link) = Link::over(stream.clone(), silence, ROOM) {
                 notes.send(Note::Reached { place: to, link: Some(link) }, None);
--- a/crates/aspendrum/src/clock.rs
+++ b/crates/aspendrum/src/clock.rs
@@ -21,6 +21,10 @@
 }
 
 impl Clock {
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "the deployments in service tell moments so; read once, never after"
+    )]
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, as_ms);
         Clock { start: Instant::now(), unix }
