--- a/crates/aspendrum-rig/src/system/clients.rs
+++ b/crates/aspendrum-rig/src/system/clients.rs
@@ -37,6 +37,8 @@
     pub zone: usize,
     /// On a connection that is kept for the next, as half of the clients do.
     pub kept: bool,
+    /// Of a client that holds an old answer and goes to any proxy, whatever look-ups say now.
+    pub stubborn: bool,
 }
 
 pub struct Crowd {
@@ -74,7 +76,10 @@
             let id = self.ids.fetch_add(1, Ordering::Relaxed);
             let number = *first.get_or_insert(id);
             let sent = self.now();
-            let fronts = self.fronts(wish.zone, until).await;
+            let fronts = match wish.stubborn && first == Some(id) {
+                true => (0..self.fleet.scenario.edges).map(|n| self.fleet.front(n)).collect(),
+                false => self.fronts(wish.zone, until).await,
+            };
             let well: Vec<SocketAddr> = fronts.iter().copied().filter(|f| !failed.contains(f)).collect();
             let chosen = well.choose(&mut rand::rng()).or(fronts.choose(&mut rand::rng())).copied();
             let Some((at, front)) = chosen.and_then(|at| Some((at, self.fleet.edge_at(at)?))) else {
--- a/crates/aspendrum-rig/src/system/play.rs
+++ b/crates/aspendrum-rig/src/system/play.rs
@@ -22,6 +22,8 @@
 const LOOK: Duration = Duration::from_millis(30);
 /// A process that got SIGTERM has ended by then: the platform would kill it.
 const ENDED: Duration = Duration::from_secs(10);
+/// Of all wishes, those of clients that hold an old answer.
+const STUBBORN: f64 = 0.15;
 /// The last part of the traffic, in which the system is to be back.
 const LAST: Ms = 2000.0;
 
@@ -116,7 +118,8 @@
         sleep_until(start + Duration::from_secs_f64(f64::from(n) * gap)).await;
         let (route, tenant) = (usize::from(rng.random::<f64>() < 0.4), rng.random::<f64>() * (1.0 + s.hot));
         let (tenant, zone) = (usize::from(tenant >= s.hot), rng.random_range(0..s.zones));
-        let wish = Wish { route, once: route == 1, tenant, zone, kept: rng.random() };
+        let (kept, stubborn) = (rng.random(), rng.random::<f64>() < STUBBORN);
+        let wish = Wish { route, once: route == 1, tenant, zone, kept, stubborn };
         let crowd = crowd.clone();
         wishes.spawn(async move { crowd.want(wish).await });
         while wishes.try_join_next().is_some() {}
@@ -125,10 +128,7 @@
     while wishes.join_next().await.is_some() {}
     while steps.join_next().await.is_some() {}
     let read_back = order(&fleet, 0, "GET", "/api/Cfg.Show", "").await;
-    let read_back = read_back.and_then(|(_, body)| {
-        let held: Value = serde_json::from_slice(&body).ok()?;
-        u32::from_str_radix(held["gen"].as_str()?, 16).ok()
-    });
+    let read_back = read_back.and_then(|(_, body)| version(&body));
     let mut book = std::mem::take(&mut *lock(&run.book));
     end(&fleet, &mut book.failures).await;
     let (t, terms) = (s.terms, s.quota_per_s);
@@ -158,6 +158,12 @@
     Ok(Outcome { record, verdict, last, second, failures, ready: from - begun })
 }
 
+/// Of a configuration that was read back.
+fn version(body: &[u8]) -> Option<u32> {
+    let held: Value = serde_json::from_slice(body).ok()?;
+    u32::from_str_radix(held["gen"].as_str()?, 16).ok()
+}
+
 async fn ready(fleet: &Fleet, n: usize) -> Result<(), String> {
     let begun = Instant::now();
     let mut at = fleet.front(n);
@@ -266,6 +272,15 @@
                     self.send(first, v.number, &configuration(&self.fleet.scenario, &v)).await;
                 }
             }
+            What::Show => {
+                let newest =
+                    lock(&self.book).versions.iter().filter(|v| v.acked.is_some()).map(|v| v.number).max();
+                let shown = call(self.fleet.ctl(first), "GET", "/api/Cfg.Show", "").await;
+                let shown = shown.filter(|s| s.0 == 200).and_then(|s| version(&s.1));
+                if shown.is_some() && shown < newest {
+                    self.note(&format!("core {first} shows {shown:?}, {newest:?} was acknowledged before"));
+                }
+            }
             What::Evacuate => self.evacuate(first, &step.zone, lasts).await,
             What::Kill | What::Wipe => {
                 self.trouble(of, over + self.fleet.scenario.terms.contact);
--- a/crates/aspendrum-rig/src/system/scenario.rs
+++ b/crates/aspendrum-rig/src/system/scenario.rs
@@ -115,6 +115,8 @@
     GiveKey,
     /// The last configuration again, as an operator who heard no answer sends it.
     Resend,
+    /// The operator reads back from `of` alone: nothing, or nothing older than what was acknowledged.
+    Show,
     Evacuate,
     /// SIGKILL; up again after `for_s`, at once without it.
     Kill,
