--- a/crates/aspendrum-catalog/src/news.rs
+++ b/crates/aspendrum-catalog/src/news.rs
@@ -14,6 +14,20 @@
     pub ready: bool,
 }
 
+/// How far orders have come: the version of the configuration, and the number of the last evacuation order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    pub config: u32,
+    pub evacuation: u64,
+}
+
+impl Mark {
+    /// Nothing in the other is newer.
+    pub fn covers(&self, other: &Mark) -> bool {
+        self.config >= other.config && self.evacuation >= other.evacuation
+    }
+}
+
 /// Part of what is decided, each whole and newer than the one before.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Part {
@@ -59,11 +73,12 @@
         number: u64,
         part: Part,
     },
-    /// Answers a beat. `age`: that long ago a majority of control's disks held no configuration above the one
-    /// that was said last; none if that was never so.
+    /// Answers a beat. `age`: that long ago a majority of control's disks held nothing above `of`; none if that
+    /// was never so.
     Beat {
         stamp: u64,
         age: Option<u32>,
+        of: Mark,
         /// Control is heard of; an agent says no while it has no answer of any machine of control.
         heard: bool,
     },
--- a/crates/aspendrum-catalog/src/settings.rs
+++ b/crates/aspendrum-catalog/src/settings.rs
@@ -149,7 +149,7 @@
         ctl: Option<SocketAddrV4> = "net.binds.ctl", Some(None), any;
         dir: Option<SocketAddrV4> = "net.binds.dir", Some(None), any;
         /// The first and the last port for words between limiters; alike on all machines.
-        ports: (u16, u16) = "net.port-range", required(), |p| p.0 > 0 && p.1 >= p.0 + 3;
+        ports: (u16, u16) = "net.port-range", required(), |p| p.0 > 0 && p.1 >= p.0 + 4;
         /// `ctl` addresses of a few machines.
         seeds: Vec<SocketAddrV4> = "net.seeds", Some(Vec::new()), any;
         /// Where another address is to be dialled than a peer's or a server's own: a forwarded port, or the rig's links.
@@ -204,6 +204,11 @@
         self.way(SocketAddrV4::new(Ipv4Addr::LOCALHOST, self.ports.0 + 2))
     }
 
+    /// The port on which agents exchange words with each other, and the one where they hand out snapshots.
+    pub fn lend_ports(&self) -> [u16; 2] {
+        [self.ports.0 + 3, self.ports.0 + 4]
+    }
+
     /// Where to dial for that address.
     pub fn way(&self, to: SocketAddrV4) -> SocketAddrV4 {
         self.ways.get(&to).copied().unwrap_or(to)
--- a/crates/aspendrum-lectern/src/agent.rs
+++ b/crates/aspendrum-lectern/src/agent.rs
@@ -47,7 +47,7 @@
                             shop.desk.apply(part);
                             link.say(&Up::Applied { number });
                         }
-                        Down::Beat { stamp, age, heard } => {
+                        Down::Beat { stamp, age, heard, .. } => {
                             shop.licence(stamp, age);
                             shop.heard(heard);
                         }
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -2,12 +2,14 @@
 //! to it that the proxy has them.
 
 use crate::control::Route;
+use crate::lend::Lender;
 use crate::notes::Note;
-use aspendrum_catalog::news::{Down, Part, Up, KINDS};
+use aspendrum_catalog::news::{Down, Mark, Part, Up, KINDS};
 use aspendrum_catalog::servers::Roster;
 use aspendrum_catalog::settings::Settings;
-use aspendrum_folio::frames::Link;
+use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::mail::Inbox;
+use aspendrum_loan::{Act, Circle};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
@@ -31,6 +33,8 @@
     link: Link,
     since: Ms,
     answered: Ms,
+    /// As of when a majority held nothing newer, by this machine's own word.
+    as_of: Option<Ms>,
     /// The front that it was told of.
     told: Option<SocketAddrV4>,
 }
@@ -55,18 +59,22 @@
     /// What is decided, as far as this agent knows: the newest of each kind but the list of servers.
     held: [Option<Part>; KINDS],
     roster: Roster,
-    /// A majority of control's disks held nothing newer then.
+    /// A majority of control's disks held nothing above what is held here then, by whoever's word.
     as_of: Option<Ms>,
     /// The number of the last news of the present link, and the proxy's number for it.
     last: u64,
     /// When control last answered on a link that is gone.
     lost: Ms,
     beat_at: Ms,
+    circle: Circle,
+    lender: Lender,
 }
 
 impl Desk {
-    pub fn new(settings: Settings, route: Route) -> Desk {
+    pub fn new(settings: Settings, route: Route, lender: Lender) -> Desk {
         Desk {
+            circle: Circle::new(settings.ip, fastrand::u64(..)),
+            lender,
             settings,
             route,
             begun: Instant::now(),
@@ -101,7 +109,8 @@
         match note {
             Note::Control { id, ip, link } => {
                 log::info!("event=control_reached ip={ip}");
-                self.control = Some(Control { id, ip, link, since: now, answered: now, told: None });
+                let as_of = None;
+                self.control = Some(Control { id, ip, link, since: now, answered: now, as_of, told: None });
                 self.last = 0;
                 self.beat();
             }
@@ -128,6 +137,22 @@
                     self.beat();
                 }
             }
+            Note::Neighbour { from, word } => {
+                let acts = self.circle.hear(now, from, word, self.mark(), self.as_of);
+                self.act(acts);
+            }
+            Note::Borrower(answer) => {
+                let parts = (0..KINDS).filter_map(|kind| self.told(kind));
+                let news = (1..).zip(parts).map(|(number, part)| frames::frame(&Down::News { number, part }));
+                let _ = answer.try_send(news.flatten().collect());
+            }
+            Note::Lent(part) => {
+                // Orders are numbered; what else a neighbour knows counts only for whoever hears nothing better.
+                let ordered = matches!(part, Part::Config { .. } | Part::Evacuated { .. });
+                if ordered || (self.alone(now) && !matches!(part, Part::Control(_))) {
+                    self.take(part);
+                }
+            }
             Note::Settings(settings) => {
                 let seeds: Vec<_> = settings.seeds.iter().map(|s| (*s.ip(), String::new())).collect();
                 self.settings = *settings;
@@ -143,11 +168,21 @@
             control.answered = now;
         }
         match said {
-            Down::Beat { stamp, age, .. } => {
+            Down::Beat { stamp, age, of, .. } => {
                 // Counted from when this was asked: the answer cannot be older than that, however late it
                 // comes.
                 let then = age.map(|age| stamp as Ms - f64::from(age));
-                self.as_of = self.as_of.into_iter().chain(then).reduce(f64::max);
+                let held = self.mark();
+                let Some(control) = &mut self.control else { return };
+                if held.covers(&of) {
+                    control.as_of = control.as_of.into_iter().chain(then).reduce(f64::max);
+                    self.as_of = self.as_of.into_iter().chain(then).reduce(f64::max);
+                } else if age.is_some() {
+                    // News come before the beats that rest on them: one was missed, and a new link begins with
+                    // a snapshot.
+                    log::warn!("event=behind decided={:08x} held={:08x}", of.config, held.config);
+                    control.link.end();
+                }
             }
             Down::News { number, part } => {
                 self.last = number;
@@ -156,6 +191,37 @@
         }
     }
 
+    /// How far what is held here has come.
+    fn mark(&self) -> Mark {
+        let mut mark = Mark::default();
+        for part in self.held.iter().flatten() {
+            match part {
+                Part::Config { version, .. } => mark.config = *version,
+                Part::Evacuated { number, .. } => mark.evacuation = *number,
+                _ => {}
+            }
+        }
+        mark
+    }
+
+    /// No majority's word has come for too long.
+    fn alone(&self, now: Ms) -> bool {
+        self.as_of.is_none_or(|at| now - at > STALE)
+    }
+
+    fn act(&mut self, acts: Vec<Act>) {
+        for act in acts {
+            match act {
+                Act::Say { to, word } => self.lender.say(to, &word),
+                Act::AsOf(at) => self.as_of = Some(self.as_of.map_or(at, |held| held.max(at))),
+                Act::Fetch(from) => {
+                    log::info!("event=snapshot_asked of={from}");
+                    self.lender.fetch(from);
+                }
+            }
+        }
+    }
+
     /// Takes what is newer than what is held.
     fn take(&mut self, part: Part) {
         let now = self.now();
@@ -167,6 +233,12 @@
                 self.roster.take(now, list.clone(), now - f64::from(*age));
                 true
             }
+            (Part::Fronts(fronts), _) => {
+                let others: Vec<Ipv4Addr> =
+                    fronts.iter().map(|f| *f.addr.ip()).filter(|ip| *ip != self.settings.ip).collect();
+                self.circle.meet(&others);
+                true
+            }
             (Part::Control(control), held) => {
                 let first = held.is_none();
                 self.route.learn(&self.settings, control);
@@ -190,13 +262,18 @@
         self.feed(kind);
     }
 
-    /// Tells the proxy one kind of what is held.
-    fn feed(&mut self, kind: usize) {
-        let now = self.now();
-        let Some(mut part) = self.held[kind].clone() else { return };
+    /// One kind of what is held, as it is to be told now.
+    fn told(&self, kind: usize) -> Option<Part> {
+        let (now, mut part) = (self.now(), self.held[kind].clone()?);
         if let (Part::Servers { age, list }, Some(polled)) = (&mut part, self.roster.polled) {
             (*age, *list) = ((now - polled).max(0.0) as u32, self.roster.told(now));
         }
+        Some(part)
+    }
+
+    /// Tells the proxy one kind of what is held.
+    fn feed(&mut self, kind: usize) {
+        let Some(part) = self.told(kind) else { return };
         if let Some(proxy) = self.proxy.as_mut().filter(|p| p.front.is_some()) {
             proxy.said += 1;
             proxy.link.say(&Down::News { number: proxy.said, part });
@@ -207,7 +284,7 @@
         let now = self.now();
         let age = self.as_of.map(|at| (now - at).max(0.0).ceil() as u32);
         let heard = self.control.as_ref().map_or(self.lost, |c| c.answered);
-        let heard = now - heard <= ALONE;
+        let (heard, of) = (now - heard <= ALONE, self.mark());
         let Some(proxy) = self.proxy.as_mut().filter(|p| p.id == id) else { return };
         proxy.heard = now;
         match said {
@@ -217,7 +294,7 @@
                 self.beat();
             }
             Up::Beat { stamp, ready, applied } => {
-                proxy.link.say(&Down::Beat { stamp, age, heard });
+                proxy.link.say(&Down::Beat { stamp, age, of, heard });
                 let turned = proxy.ready != ready;
                 (proxy.ready, proxy.applied) = (ready, applied);
                 if turned {
@@ -244,9 +321,11 @@
     fn beat(&mut self) {
         let now = self.now();
         self.beat_at = now;
-        let (zone, as_of) = (self.settings.zone.clone(), self.as_of.unwrap_or(0.0));
+        let due = self.circle.beat(now, self.alone(now));
+        self.act(due);
+        let zone = self.settings.zone.clone();
         let Some(control) = &mut self.control else { return };
-        let stale = now - control.since > STALE && now - as_of > STALE;
+        let stale = now - control.since > STALE && now - control.as_of.unwrap_or(0.0) > STALE;
         if now - control.answered > SILENT || stale {
             log::info!("event=control_left stale={stale}");
             control.link.end();
--- a/crates/aspendrum-page/src/main.rs
+++ b/crates/aspendrum-page/src/main.rs
@@ -3,6 +3,7 @@
 
 mod control;
 mod desk;
+mod lend;
 mod notes;
 mod proxy;
 
@@ -39,7 +40,8 @@
     let route = control::Route::new(&settings);
     control::hold(&route, &settings, &notes).map_err(failed("control"))?;
     proxy::listen(settings.agent_at(), &notes).map_err(failed("agent port"))?;
-    let desk = Desk::new(settings.clone(), route);
+    let lender = lend::Lender::open(&settings, &notes).map_err(failed("lending ports"))?;
+    let desk = Desk::new(settings.clone(), route, lender);
     give.send(desk).map_err(|e| e.to_string())?;
     log::info!("event=started host={}", settings.host);
 
--- a/crates/aspendrum-page/src/notes.rs
+++ b/crates/aspendrum-page/src/notes.rs
@@ -1,16 +1,44 @@
 //! What the desk is told.
 
-use aspendrum_catalog::news::{Down, Up};
+use aspendrum_catalog::news::{Down, Part, Up};
 use aspendrum_catalog::settings::Settings;
 use aspendrum_folio::frames::Link;
+use aspendrum_loan::Word;
+use crossbeam_channel::Sender;
 use std::net::Ipv4Addr;
 
 pub enum Note {
-    Control { id: u64, ip: Ipv4Addr, link: Link },
-    Said { id: u64, said: Down },
-    ControlLost { id: u64 },
-    Proxy { id: u64, link: Link },
-    ProxySaid { id: u64, said: Up },
-    ProxyLost { id: u64 },
+    Control {
+        id: u64,
+        ip: Ipv4Addr,
+        link: Link,
+    },
+    Said {
+        id: u64,
+        said: Down,
+    },
+    ControlLost {
+        id: u64,
+    },
+    Proxy {
+        id: u64,
+        link: Link,
+    },
+    ProxySaid {
+        id: u64,
+        said: Up,
+    },
+    ProxyLost {
+        id: u64,
+    },
+    /// A datagram of another agent.
+    Neighbour {
+        from: Ipv4Addr,
+        word: Word,
+    },
+    /// Another agent wants a snapshot, as frames.
+    Borrower(Sender<Vec<u8>>),
+    /// Part of a neighbour's snapshot.
+    Lent(Part),
     Settings(Box<Settings>),
 }
--- a/crates/aspendrum-rig/src/system/fleet.rs
+++ b/crates/aspendrum-rig/src/system/fleet.rs
@@ -15,6 +15,10 @@
 use std::sync::{Arc, OnceLock};
 
 const PORTS: [u16; 2] = [7600, 7615];
+/// Within these, as the programs use them.
+const COUNTS: u16 = PORTS[0] + 1;
+const WORDS: u16 = PORTS[0] + 3;
+const SNAPSHOTS: u16 = PORTS[0] + 4;
 const CTL: u16 = 8200;
 const DIR: u16 = 8201;
 const FRONT: u16 = 8202;
@@ -82,7 +86,11 @@
     controls: Vec<Vec<Relay>>,
     /// By edge, then server.
     servers: Vec<Vec<Relay>>,
+    /// Datagrams between proxies, and between agents.
     counts: Mesh,
+    words: Mesh,
+    /// By edge, then edge: snapshots between agents.
+    loans: Vec<Vec<Relay>>,
     _cloud: Arc<Cloud>,
     _claim: TcpListener,
 }
@@ -141,9 +149,16 @@
             servers.push(row);
         }
         let members: Vec<IpAddr> = edges.iter().map(|e| IpAddr::V4(*e)).collect();
-        let mut counts = Mesh::among(&members).await.map_err(failed)?;
-        let listens: Vec<SocketAddr> = members.iter().map(|e| SocketAddr::from((*e, PORTS[0] + 1))).collect();
-        counts.carry(&listens);
+        let counts = mesh(&members, COUNTS).await.map_err(failed)?;
+        let words = mesh(&members, WORDS).await.map_err(failed)?;
+        let mut loans = Vec::new();
+        for _ in 0..s.edges {
+            let mut row = Vec::new();
+            for edge in &members {
+                row.push(relay(*edge, SocketAddr::from((*edge, SNAPSHOTS))).await?);
+            }
+            loans.push(row);
+        }
         let slot = |start: &Start, name: String, disk: Option<PathBuf>| {
             let (settings, log) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
             tokio::sync::Mutex::new(Slot { start: start.clone(), settings, log, disk, process: None })
@@ -162,6 +177,8 @@
             controls,
             servers,
             counts,
+            words,
+            loans,
             _cloud: cloud,
             _claim: claim,
         };
@@ -220,9 +237,13 @@
         let mut ways: Map<String, Value> = (0..s.cores)
             .map(|to| way((self.core(to), PORTS[0]).into(), self.controls[dialler][to].addr()))
             .collect();
-        let peers = self.counts.peers(n).unwrap_or_default();
-        let count = |to| SocketAddr::from((ip(self.net, 101, to), PORTS[0] + 1));
-        ways.extend(peers.into_iter().enumerate().map(|(to, at)| way(count(to), at)));
+        for (mesh, port) in [(&self.counts, COUNTS), (&self.words, WORDS)] {
+            let peers = mesh.peers(n).unwrap_or_default();
+            let at = |to| SocketAddr::from((ip(self.net, 101, to), port));
+            ways.extend(peers.into_iter().enumerate().map(|(to, by)| way(at(to), by)));
+        }
+        let at = |to| SocketAddr::from((ip(self.net, 101, to), SNAPSHOTS));
+        ways.extend((0..s.edges).map(|to| way(at(to), self.loans[n][to].addr())));
         ways.extend(self.origins.iter().enumerate().map(|(to, o)| way(o.addr(), self.servers[n][to].addr())));
         // All machines of a run are one: each agent has an address of its own there.
         ways.extend([way(
@@ -294,6 +315,9 @@
         if let (Who::Core(from), Some(d)) = (from, dialler(to)) {
             all.push(&self.controls[d][from].back);
         }
+        if let (Who::Edge(a) | Who::Page(a), Who::Edge(b) | Who::Page(b)) = (from, to) {
+            all.extend([self.words.link(a, b), &self.loans[a][b].there, &self.loans[b][a].back]);
+        }
         match (from, to) {
             (Who::Edge(a) | Who::Lectern(a), Who::Edge(b) | Who::Lectern(b)) => {
                 all.push(self.counts.link(a, b))
@@ -335,6 +359,13 @@
     (to.to_string(), by.to_string().into())
 }
 
+async fn mesh(members: &[IpAddr], port: u16) -> io::Result<Mesh> {
+    let mut mesh = Mesh::among(members).await?;
+    let listens: Vec<SocketAddr> = members.iter().map(|ip| SocketAddr::from((*ip, port))).collect();
+    mesh.carry(&listens);
+    Ok(mesh)
+}
+
 async fn relay(at: IpAddr, to: SocketAddr) -> Result<Relay, String> {
     Relay::start(at, to).await.map_err(|e| format!("a link: {e}"))
 }
--- a/crates/aspendrum-rig/src/system/library.rs
+++ b/crates/aspendrum-rig/src/system/library.rs
@@ -27,6 +27,7 @@
     "everything-dark",
     "new-lives",
     "spoilt",
+    "cut-from-control",
 );
 
 /// A scenario, by its name or from a file.
--- a/crates/aspendrum-rig/src/system/play.rs
+++ b/crates/aspendrum-rig/src/system/play.rs
@@ -54,9 +54,12 @@
         let share = |part: (usize, usize)| part.1 as f64 / part.0.max(1) as f64;
         least("the share served in the end", share(self.last), b.served_last);
         least("the share of the second tenant", share(self.second), b.served_second);
-        let lost = v.count(End::Lost);
-        let over = b.lost.filter(|most| lost > *most);
-        all.extend(over.map(|most| format!("{lost} connections were lost, and {most} may be")));
+        let mut most = |name: &str, n: usize, most: Option<usize>| {
+            let over = most.filter(|most| n > *most);
+            all.extend(over.map(|most| format!("{n} {name}, and {most} may be")));
+        };
+        most("connections were lost", v.count(End::Lost), b.lost);
+        most("tries were refused with 503", v.count(End::Promise(503)), b.unready);
         all
     }
 }
--- a/crates/aspendrum-rig/src/system/scenario.rs
+++ b/crates/aspendrum-rig/src/system/scenario.rs
@@ -148,6 +148,8 @@
     pub served_second: Option<f64>,
     /// Of the wishes of the last two seconds: the system is back.
     pub served_last: Option<f64>,
+    /// Tries that a proxy refused with 503, for want of a licence or a server.
+    pub unready: Option<usize>,
     /// Connections that a proxy closed with a request read, whatever went on.
     pub lost: Option<usize>,
 }
--- a/crates/aspendrum-rig/tests/system.rs
+++ b/crates/aspendrum-rig/tests/system.rs
@@ -56,4 +56,6 @@
     servers_under_other_names_run_nothing_by_mistake = "new-lives";
     /// Danger: once-only queries that ran without an answer run again, or are refused with a promise.
     spoilt_answers_double_nothing = "spoilt";
+    /// Danger: licences end where control is out of reach, though neighbours hear it.
+    agents_lend_each_other_a_majoritys_word = "cut-from-control";
 }
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -6,8 +6,8 @@
 use crate::notes::Note;
 use crate::store::Store;
 use crate::words::Between;
-use aspendrum_accession::{Act, Order, Outcome, Place, Register, Said};
-use aspendrum_catalog::news::{Down, Front, Part, Up, KINDS};
+use aspendrum_accession::{Act, Holdings, Order, Outcome, Place, Register, Said};
+use aspendrum_catalog::news::{Down, Front, Mark, Part, Up, KINDS};
 use aspendrum_catalog::servers::{Roster, Server};
 use aspendrum_catalog::settings::Settings;
 use aspendrum_folio::frames::Link;
@@ -213,7 +213,7 @@
         );
         let others = self.peers.iter().map(|(p, peer)| (*p, peer.zone.clone())).collect();
         let voters = self.register.kept().held.voters.clone();
-        let voters = Box::new(aspendrum_accession::Holdings { voters, ..Default::default() });
+        let voters = Box::new(Holdings { voters, ..Default::default() });
         let peer = self.peers.entry(place).or_default();
         peer.link = link;
         let zone = self.settings.zone.clone();
@@ -293,8 +293,8 @@
     }
 
     fn agent(&mut self, id: u64, said: Up) {
-        let age = self.register.as_of().map(|at| (self.now() - at).max(0.0) as u32);
-        let now = self.now();
+        let age = self.register.as_of().map(|at| (self.now() - at).max(0.0).ceil() as u32);
+        let (now, of) = (self.now(), mark(self.register.settled()));
         let Some(seat) = self.seats.get_mut(&id) else { return };
         seat.heard = now;
         match said {
@@ -305,7 +305,7 @@
                 self.tell_agents();
             }
             Up::Beat { stamp, ready, .. } => {
-                seat.link.say(&Down::Beat { stamp, age, heard: true });
+                seat.link.say(&Down::Beat { stamp, age, of, heard: true });
                 let front = seat.front.as_mut().filter(|f| f.ready != ready);
                 if let Some(front) = front {
                     front.ready = ready;
@@ -471,6 +471,10 @@
     }
 }
 
+fn mark(settled: &Holdings) -> Mark {
+    Mark { config: settled.config.version, evacuation: settled.evacuated().0 }
+}
+
 /// Whether an agent that was told the one need not be told the other.
 fn same(told: &Part, now: &Part) -> bool {
     match (told, now) {
--- a/crates/aspendrum-vault/tests/processes.rs
+++ b/crates/aspendrum-vault/tests/processes.rs
@@ -204,7 +204,7 @@
     control.done(0, "POST", "/api/Cfg.Set", &config(6));
     all.extend(told(&mut link, |d| version(d) == Some(6)));
     say(&link, Up::Beat { stamp: 42, ready: true, applied: 6 });
-    let is_answer = |d: &Down| matches!(d, Down::Beat { stamp: 42, age: Some(age), .. } if *age < 5000);
+    let is_answer = |d: &Down| matches!(d, Down::Beat { stamp: 42, age: Some(age), of, .. } if *age < 5000 && of.config == 6);
     all.extend(told(&mut link, is_answer));
     assert_eq!(all.iter().filter_map(version).collect::<Vec<_>>(), [4, 6]);
     // It is ready now, and hears of itself among the proxies.
