Applied is decided: proxies collate their tables with what was decided and hold once-only queries back

A licence rested on the order of pushes alone, and an agent kept the first of two texts under one number for ever.

Change: aspendrum-collation digests what is in force, out of the tables; control's word names what was decided; the proxy's verdict has an end of its own. Once-only queries leave under 'current' alone, by the route in force; repeatable ones flow. A vault tells its agents as soon as it has read a majority.

--- a/crates/aspendrum-catalog/src/config.rs
+++ b/crates/aspendrum-catalog/src/config.rs
@@ -189,6 +189,16 @@
         self.places.get(&host)?.iter().find(|p| path.starts_with(&p.0)).map(|p| p.1)
     }
 
+    /// Each host and prefix, and the number of the route there, in no order.
+    pub fn places(&self) -> impl Iterator<Item = (&str, &str, usize)> {
+        self.places.iter().flat_map(|(host, at)| at.iter().map(|p| (host.as_str(), p.0.as_str(), p.1)))
+    }
+
+    /// The keys by which that tenant is found, in no order.
+    pub fn keys_of(&self, tenant: usize) -> impl Iterator<Item = &String> {
+        self.keys.iter().filter(move |k| *k.1 == tenant).map(|k| k.0)
+    }
+
     /// The number of the tenant that holds a key.
     pub fn tenant(&self, key: &str) -> Option<usize> {
         self.keys.get(key).copied()
--- a/crates/aspendrum-catalog/src/news.rs
+++ b/crates/aspendrum-catalog/src/news.rs
@@ -21,6 +21,17 @@
     pub evacuation: u64,
 }
 
+/// The sections of a configuration and of what operators ordered besides, each with a digest of its own.
+pub const SECTIONS: usize = 4;
+
+/// What was decided, or what is in force: how far it has come, and a digest of each section's canonical form. Two
+/// texts under one number differ in these.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Edition {
+    pub mark: Mark,
+    pub digests: [u64; SECTIONS],
+}
+
 impl Mark {
     /// Nothing in the other is newer.
     pub fn covers(&self, other: &Mark) -> bool {
@@ -78,10 +89,14 @@
     Beat {
         stamp: u64,
         age: Option<u32>,
-        of: Mark,
+        of: Edition,
         /// Control is heard of; an agent says no while it has no answer of any machine of control.
         heard: bool,
+        /// Half of the agents or more have no majority's word either.
+        deserted: bool,
     },
+    /// Forget what was applied: all of it follows.
+    Anew,
 }
 
 /// What flows up: from a proxy to its agent, from an agent to control.
@@ -89,8 +104,8 @@
 pub enum Up {
     /// The first word: who speaks, and from where.
     Hello { host: String, front: SocketAddrV4, zone: String },
-    /// `stamp` comes back with the answer. `applied`: the version in force at the proxy, 0 for none.
-    Beat { stamp: u64, ready: bool, applied: u32 },
+    /// `stamp` comes back with the answer. `applied`: what is in force at the proxy, out of its tables.
+    Beat { stamp: u64, ready: bool, applied: Edition },
     /// All news up to that number are in force.
     Applied { number: u64 },
 }
--- a/crates/aspendrum-catalog/src/settings.rs
+++ b/crates/aspendrum-catalog/src/settings.rs
@@ -165,6 +165,8 @@
         drain_ms: f64 = "terms.bounds.drain-ms", Some(3000.0), positive;
         grace_s: f64 = "terms.bounds.grace-s", Some(5.0), positive;
         apply_ms: f64 = "terms.bounds.apply-ms", Some(3000.0), positive;
+        /// While the core is unsettled the bounds of configurations stretch by so much.
+        stretch_ms: f64 = "terms.bounds.stretch-ms", Some(0.0), not_negative;
         /// Keys that are taken away bind every limiter within `revoke_ms`, in touch or not.
         revoked: bool = "terms.bounds.revoked", Some(false), any;
         revoke_ms: f64 = "terms.bounds.revoke-ms", Some(5000.0), positive;
--- a/crates/aspendrum-lectern/src/agent.rs
+++ b/crates/aspendrum-lectern/src/agent.rs
@@ -1,7 +1,7 @@
 //! The loopback connection to the agent on this machine: news come in and are applied, beats go out.
 
 use crate::Shop;
-use aspendrum_catalog::news::{Down, Up};
+use aspendrum_catalog::news::{Down, Edition, Part, Up};
 use aspendrum_catalog::settings::Settings;
 use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::hands::{lock, spawn};
@@ -22,7 +22,7 @@
 
 impl Agent {
     /// A sign of life. The stamp comes back with the licence's age.
-    pub fn beat(&self, stamp: u64, ready: bool, applied: u32) {
+    pub fn beat(&self, stamp: u64, ready: bool, applied: Edition) {
         let link = lock(&self.0).clone();
         if let Some(link) = link {
             link.say(&Up::Beat { stamp, ready, applied });
@@ -44,11 +44,19 @@
                 while let Ok(said) = frames::read::<Down>(&mut from) {
                     match said {
                         Down::News { number, part } => {
+                            let orders = matches!(part, Part::Config { .. } | Part::Evacuated { .. });
                             shop.desk.apply(part);
+                            if orders {
+                                shop.collate();
+                            }
                             link.say(&Up::Applied { number });
                         }
-                        Down::Beat { stamp, age, heard, .. } => {
-                            shop.licence(stamp, age);
+                        Down::Anew => {
+                            shop.desk.forget();
+                            shop.collate();
+                        }
+                        Down::Beat { stamp, age, of, heard, deserted } => {
+                            shop.told(stamp, age, of, deserted);
                             shop.heard(heard);
                         }
                     }
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -5,9 +5,10 @@
 use crate::stacks::{Stacks, Terms, Warmth};
 use aspendrum_catalog::config::{Config, Route, Tenant};
 use aspendrum_catalog::hash::digest;
-use aspendrum_catalog::news::{Front, Part};
+use aspendrum_catalog::news::{Edition, Front, Part};
 use aspendrum_catalog::packed::unpack;
 use aspendrum_catalog::settings::Settings;
+use aspendrum_collation::edition;
 use aspendrum_core::api::*;
 use aspendrum_core::control::Control;
 use aspendrum_folio::hands::lock;
@@ -94,6 +95,8 @@
     /// Nothing is heard of control.
     alone: bool,
     told_fronts: bool,
+    /// The number of the last order about a zone.
+    emptied: u64,
     seats: HashMap<QueryId, Seat>,
     next: QueryId,
     groups: Vec<Group>,
@@ -140,6 +143,7 @@
             ledger: Ledger::default(),
             alone: false,
             told_fronts: false,
+            emptied: 0,
             seats: HashMap::new(),
             next: 1,
             groups: vec![group],
@@ -391,8 +395,9 @@
                 // Control checked it by the same reader.
                 Err(fault) => log::error!("event=config_unreadable version={version:08x} why=\"{fault}\""),
             },
-            Part::Evacuated { zones, .. } => {
+            Part::Evacuated { number, zones } => {
                 let mut inner = lock(&self.inner);
+                inner.emptied = number;
                 inner.stacks.evacuate(now, &zones);
                 inner.members = inner.stacks.beat(now);
                 self.members(&mut inner, now);
@@ -442,8 +447,12 @@
 
     fn configure(&self, config: Config) {
         let mut inner = lock(&self.inner);
-        let held = self.view();
-        if held.is_some_and(|v| v.config.version >= config.version) {
+        // The same number again counts where the tables are not what it says.
+        let differs = |held: &View| {
+            let of = |config: &Config| edition(Some(config), 0, &[]);
+            held.config.version == config.version && of(&held.config) != of(&config)
+        };
+        if self.view().is_some_and(|held| held.config.version >= config.version && !differs(&held)) {
             return;
         }
         for service in &config.services {
@@ -494,8 +503,19 @@
         self.view().is_some() && inner.told_fronts && inner.stacks.books().next().is_some()
     }
 
-    pub fn applied(&self) -> u32 {
-        self.view().map_or(0, |v| v.config.version)
+    /// What is in force, out of the tables that queries go by.
+    pub fn edition(&self) -> Edition {
+        let (number, zones) = {
+            let inner = lock(&self.inner);
+            (inner.emptied, inner.stacks.evacuated())
+        };
+        edition(self.view().as_ref().map(|v| &v.config), number, &zones)
+    }
+
+    /// Nothing is in force until it is told anew.
+    pub fn forget(&self) {
+        log::warn!("event=forgotten");
+        *lock(&self.view) = None;
     }
 }
 
--- a/crates/aspendrum-lectern/src/lib.rs
+++ b/crates/aspendrum-lectern/src/lib.rs
@@ -7,10 +7,13 @@
 pub mod door;
 pub mod query;
 pub mod stacks;
+pub mod standing;
 pub mod wire;
 
 use agent::Agent;
+use aspendrum_catalog::news::Edition;
 use aspendrum_catalog::settings::{Settings, VARIABLE};
+use aspendrum_collation::{Standing, Word};
 use aspendrum_folio::daemon;
 use aspendrum_folio::hands::{spawn, Hands};
 use aspendrum_folio::message::Bounds;
@@ -18,6 +21,7 @@
 use aspendrum_folio::reception::{self, Reply, Terms};
 use desk::{Desk, BEAT_MS};
 use door::Clients;
+use standing::Stand;
 use std::net::{IpAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -32,6 +36,8 @@
 /// An agent that said nothing for so long is gone, and with it the word of control.
 const ALONE: Duration = Duration::from_millis(1200);
 const SWEEP_EVERY: Duration = Duration::from_millis(1000);
+/// Between two collations of the tables: a table that changed under its proxy shows within that.
+const COLLATE_EVERY: Duration = Duration::from_millis(2000);
 /// A server that does not take a connection for so long is passed over.
 const CONNECT_WAIT: Duration = Duration::from_millis(400);
 /// Of the time in which a key that was taken away must be unknown everywhere, what a licence leaves for
@@ -50,6 +56,7 @@
     pub clients: Clients,
     pub agent: Agent,
     pub hands: Hands,
+    pub stand: Stand,
     pub connect_wait: Duration,
     begun: Instant,
     draining: AtomicBool,
@@ -70,6 +77,7 @@
             clients: Clients::default(),
             agent: Agent::default(),
             hands: Hands::new(STACK, Duration::from_secs(5)),
+            stand: Stand::new(settings.apply_ms, settings.stretch_ms),
             connect_wait: CONNECT_WAIT,
             begun: Instant::now(),
             draining: AtomicBool::new(false),
@@ -92,14 +100,27 @@
         self.revoke_ms.is_none() || self.age() < self.licensed.load(Ordering::Acquire)
     }
 
-    /// The agent's word: `age` milliseconds before it answered, a majority of control's disks held nothing
-    /// newer. Counted from when it was asked, so that a word which came late does not count for more.
-    pub fn licence(&self, stamp: u64, age: Option<u32>) {
-        let (Some(age), Some(revoke)) = (age, self.revoke_ms) else { return };
+    /// The agent's word: `age` milliseconds before it answered, a majority of control's disks held nothing above
+    /// `of`. Counted from when it was asked, so that a word which came late does not count for more.
+    pub fn told(&self, stamp: u64, age: Option<u32>, of: Edition, deserted: bool) {
+        let word = age.map(|age| Word { decided: of, as_of: stamp as f64 - f64::from(age) });
+        let standing = self.stand.told(self.age() as f64, word, deserted);
+        // Keys are licensed by what is in force here, not by what was sent.
+        let (Some(age), Some(revoke), Standing::Current) = (age, self.revoke_ms, standing) else { return };
         let end = stamp as f64 - f64::from(age) + revoke - LICENCE_MARGIN_MS;
         self.licensed.fetch_max(end.max(0.0) as u64, Ordering::AcqRel);
     }
 
+    /// Collates the tables that queries go by.
+    pub fn collate(&self) {
+        self.stand.applied(self.age() as f64, self.desk.edition());
+    }
+
+    /// Whether a once-only query may leave for a server now: only while what is in force is what was decided.
+    pub fn runs_once_only(&self) -> bool {
+        self.stand.runs_once_only(self.age() as f64)
+    }
+
     pub fn heard(&self, heard: bool) {
         if heard {
             self.heard_at.store(self.age(), Ordering::Release);
@@ -197,6 +218,7 @@
 pub fn beat(shop: &Arc<Shop>) {
     let every = Duration::from_secs_f64(BEAT_MS / 1000.0);
     let (mut told, mut swept, mut ready) = (Instant::now(), Instant::now(), false);
+    let mut collated = Instant::now();
     loop {
         sleep(every);
         for server in shop.desk.beat() {
@@ -208,7 +230,11 @@
             (told, ready) = (Instant::now(), shop.ready());
             let silent = shop.age().saturating_sub(shop.heard_at.load(Ordering::Acquire));
             shop.desk.alone(silent > ALONE.as_millis() as u64);
-            shop.agent.beat(shop.age(), ready, shop.desk.applied());
+            if collated.elapsed() >= COLLATE_EVERY {
+                collated = Instant::now();
+                shop.collate();
+            }
+            shop.agent.beat(shop.age(), ready, shop.stand.edition());
         }
         if swept.elapsed() >= SWEEP_EVERY {
             swept = Instant::now();
--- a/crates/aspendrum-lectern/src/query.rs
+++ b/crates/aspendrum-lectern/src/query.rs
@@ -34,6 +34,9 @@
     id: &'a str,
     repeatable: bool,
     tenant: Option<&'a str>,
+    host: &'a str,
+    /// The key that its tenant was found by.
+    key: Option<&'a str>,
     until: Instant,
     close: bool,
     /// A forward was written whole and is not known to have run nowhere.
@@ -63,6 +66,10 @@
     if tenant.is_some() && !shop.licensed() {
         return Answer { bytes: wire::own(503, asked.id, Some(AGAIN_MS), true), close: true };
     }
+    // It may be meant for elsewhere by now: another proxy knows. Repeatable ones flow on.
+    if !rule.repeatable && !shop.runs_once_only() {
+        return Answer { bytes: wire::own(503, asked.id, Some(AGAIN_MS), true), close: true };
+    }
     let zones = view.route_zones[route] & tenant.map_or(u64::MAX, |n| view.tenant_zones[n]);
     let service = rule.service(fastrand::f64());
     let Some(pool) = view.pools.get(service).copied() else { return own(404, asked.id, None) };
@@ -74,6 +81,8 @@
         id: asked.id,
         repeatable: rule.repeatable,
         tenant: tenant.and_then(|n| Some(view.config.tenants.as_ref()?[n].name.as_str())),
+        host: asked.host,
+        key: asked.key.filter(|_| tenant.is_some()),
         until,
         close,
         may_have_run: false,
@@ -92,6 +101,11 @@
             // A query that no server can take now is better asked of another proxy, while its aim can be met.
             let held = Instant::now() + Duration::from_secs_f64(goal * HELD_SHARE / 1000.0);
             match orders.next(Some(held.min(until + DESK_LATE))).ok() {
+                Some(Order::Forward { forward, server }) if !self.decided(view, route) => {
+                    self.moot(id, forward, server);
+                    self.shop.desk.quit(id);
+                    return if self.may_have_run { self.give_up() } else { self.refuse(503, AGAIN_MS) };
+                }
                 Some(Order::Forward { forward, server }) => {
                     if let Some(response) = self.carry(id, forward, server) {
                         return self.pass_on(&response);
@@ -114,13 +128,7 @@
                     self.shop.desk.quit(id);
                     // An order that came in the same moment is not carried out.
                     while let Ok(Order::Forward { forward, server }) = orders.next(Some(Instant::now())) {
-                        self.shop.desk.ended(
-                            id,
-                            forward,
-                            server,
-                            (Outcome::Moot, 0.0, Load::default()),
-                            true,
-                        );
+                        self.moot(id, forward, server);
                     }
                     return if self.may_have_run { self.give_up() } else { self.refuse(503, AGAIN_MS) };
                 }
@@ -128,6 +136,26 @@
         }
     }
 
+    /// That forward never left, and the query is over.
+    fn moot(&self, id: QueryId, forward: u8, server: ServerId) {
+        self.shop.desk.ended(id, forward, server, (Outcome::Moot, 0.0, Load::default()), true);
+    }
+
+    /// Whether a once-only query that has waited for a server may still go where it was bound for: what it was
+    /// found by is in force, and that is what was decided. What is at a server already goes on.
+    fn decided(&self, view: &View, route: usize) -> bool {
+        if self.repeatable {
+            return true;
+        }
+        let same = |now: &View| {
+            let found = now.config.route(self.host, &self.request.path);
+            let tenant = self.key.map(|key| now.config.tenant(key).is_some());
+            found.is_some_and(|n| now.config.routes[n] == view.config.routes[route]) && tenant != Some(false)
+        };
+        let now = self.shop.desk.view();
+        self.shop.runs_once_only() && now.is_some_and(|now| std::ptr::eq(&*now, view) || same(&now))
+    }
+
     /// A promise that nothing ran, kept only where that is so.
     fn refuse(&self, status: u16, again: Ms) -> Answer {
         if self.may_have_run && !self.repeatable {
--- a/crates/aspendrum-lectern/src/stacks.rs
+++ b/crates/aspendrum-lectern/src/stacks.rs
@@ -200,6 +200,11 @@
         self.evacuated = next;
     }
 
+    /// The zones that get nothing.
+    pub fn evacuated(&self) -> Vec<String> {
+        self.evacuated.iter().cloned().collect()
+    }
+
     pub fn fronts(&mut self, fronts: Vec<Ipv4Addr>) {
         self.fronts = fronts;
     }
--- a/crates/aspendrum-lectern/tests/exchanges.rs
+++ b/crates/aspendrum-lectern/tests/exchanges.rs
@@ -1,10 +1,11 @@
 //! Whole exchanges on loopback: a client, the proxy, and servers that do all that servers in trouble do. What
 //! went over each wire is compared with an approved transcript.
 
-use aspendrum_catalog::news::{Front, Part};
+use aspendrum_catalog::news::{Edition, Front, Mark, Part};
 use aspendrum_catalog::packed::pack;
 use aspendrum_catalog::servers::Server;
 use aspendrum_catalog::settings::Settings;
+use aspendrum_collation::Word;
 use aspendrum_folio::message::{request, Bounds, Parsed, Request};
 use aspendrum_folio::ring::Ring;
 use aspendrum_lectern::{beat, query, Shop};
@@ -41,7 +42,7 @@
 
 fn stage_of(bounds: &str, servers: usize, says: Says) -> Stage {
     let settings = r#"{"self":{"host-name":"e1","ip":"127.0.0.1","az":"poa-a","geo":"poa"},"net":{"binds":{"front":"127.0.0.1:1"},
-        "port-range":[7600,7615],"zones":{"poa-a":"poa"}},"terms":{"bounds":{BOUNDS}}}"#;
+        "port-range":[7600,7615],"zones":{"poa-a":"poa"}},"terms":{"bounds":{"apply-ms":600000,BOUNDS}}}"#;
     let settings = Settings::read(settings.replace("BOUNDS", bounds).as_bytes());
     let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
     let shop = Arc::new(Shop::new(&settings.unwrap(), socket));
@@ -75,6 +76,9 @@
     assert!(!shop.desk.knows());
     shop.desk.apply(Part::Fronts(vec![front]));
     assert!(shop.desk.knows() || servers == 0);
+    // As control would have it; no key is licensed by that where they bind.
+    shop.collate();
+    shop.stand.told(0.0, Some(Word { decided: shop.stand.edition(), as_of: 0.0 }), false);
     let own = shop.clone();
     thread::spawn(move || beat(&own));
     Stage { shop, seen, ran }
@@ -344,17 +348,92 @@
         assert!(answer.contains("Retry-After: "), "{answer}");
     };
     refused(&stage.ask(READ));
-    stage.shop.licence(0, None);
+    let told = |age| stage.shop.told(0, age, stage.shop.stand.edition(), false);
+    told(None);
     refused(&stage.ask(READ));
     // Control's word was as old as a licence lasts.
-    stage.shop.licence(0, Some(60_000));
+    told(Some(60_000));
     refused(&stage.ask(READ));
     assert!(stage.seen().is_empty());
     // Without a key there is nothing to believe.
     assert_eq!(stage.ask(&READ.replace("/read/", "/open/").replace("Credential: k1\n", "")), GOOD_TO_T1);
-    stage.shop.licence(0, Some(500));
+    // A younger one, of what is not in force here.
+    let other = Edition { digests: [1; 4], ..stage.shop.stand.edition() };
+    stage.shop.told(0, Some(700), other, false);
+    refused(&stage.ask(READ));
+    told(Some(500));
     assert_eq!(stage.ask(READ), GOOD_TO_T1);
     // An older word does not shorten it.
-    stage.shop.licence(0, Some(59_000));
+    told(Some(59_000));
     assert_eq!(stage.ask(READ), GOOD_TO_T1);
 }
+
+fn held_back(answer: &str) {
+    assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Connection: close\n"), "{answer}");
+    assert!(answer.contains("Retry-After: "), "{answer}");
+}
+
+/// Danger: a node that missed a change, or applied another text by its number, sends a transfer where it does not
+/// belong. What may be repeated flows on all the while.
+#[test]
+fn once_only_queries_wait_for_what_was_decided() {
+    let stage = stage(1, |_| Some(GOOD));
+    let held = stage.shop.stand.edition();
+    let word = |decided, as_of| stage.shop.stand.told(1.0, Some(Word { decided, as_of }), false);
+    let flows = |text: &str, good: &str| assert_eq!(stage.ask(text), good);
+    flows(SEND, GOOD_TO_T2);
+    // Something newer was decided; an evacuation counts as a configuration does.
+    for newer in [Mark { config: 2, ..held.mark }, Mark { evacuation: 1, ..held.mark }] {
+        word(Edition { mark: newer, ..held }, 0.0);
+        held_back(&stage.ask(SEND));
+        flows(READ, GOOD_TO_T1);
+    }
+    word(held, 0.0);
+    flows(SEND, GOOD_TO_T2);
+    // A table that changed under its proxy: the same number, another service behind the route.
+    let corrupt = CONFIG.replace(
+        r#""action":{"svc":"s1","limit-ms":2000,"tries":3}},
+{"name":"open""#,
+        r#""action":{"svc":"s1","limit-ms":1999,"tries":3}},
+{"name":"open""#,
+    );
+    assert_ne!(corrupt, CONFIG);
+    stage.shop.desk.apply(Part::Config { version: 1, text: pack(corrupt.as_bytes()) });
+    stage.shop.collate();
+    held_back(&stage.ask(SEND));
+    flows(READ, GOOD_TO_T1);
+    // Told again, the tables are built anew, though the number is the same.
+    stage.shop.desk.apply(Part::Config { version: 1, text: pack(CONFIG.as_bytes()) });
+    stage.shop.collate();
+    flows(SEND, GOOD_TO_T2);
+    // The word is as old as it may be: nothing had to come for that.
+    let last = 600_000.0;
+    assert!(stage.shop.stand.runs_once_only(last - 251.0) && !stage.shop.stand.runs_once_only(last - 250.0));
+    assert_eq!(stage.seen().iter().filter(|s| s.starts_with("POST")).count(), 3);
+    stage.shop.desk.forget();
+    held_back(&stage.ask(READ));
+}
+
+/// Danger: a transfer waits for a server, its route moves meanwhile, and it leaves by the old one.
+#[test]
+fn a_once_only_query_that_waited_does_not_leave_by_an_older_path() {
+    static SHOP: Mutex<Option<Arc<Shop>>> = Mutex::new(None);
+    let says: Says = |n| {
+        if let Some(shop) = SHOP.lock().unwrap().as_ref().filter(|_| n == 0) {
+            let moved = CONFIG.replace("00000001", "00000002").replace(
+                r#""pfx":"/send/"},"action":{"svc":"s1""#,
+                r#""pfx":"/send/"},"action":{"svc":"s2""#,
+            );
+            let moved = moved.replace(r#""pools":["#, r#""pools":[{"name":"s2","check":"/healthz"},"#);
+            shop.desk.apply(Part::Config { version: 2, text: pack(moved.as_bytes()) });
+            shop.collate();
+        }
+        Some("HTTP/1.1 503 Full\nNot-Run: 1\nContent-Length: 0\n\n")
+    };
+    let stage = stage(3, says);
+    *SHOP.lock().unwrap() = Some(stage.shop.clone());
+    held_back(&stage.ask(SEND));
+    assert_eq!(stage.seen().len(), 1, "it left once, by what was decided then");
+    // A key taken away meanwhile is the same.
+    assert!(stage.shop.runs_once_only());
+}
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -4,9 +4,12 @@
 use crate::control::Route;
 use crate::lend::Lender;
 use crate::notes::Note;
-use aspendrum_catalog::news::{Down, Mark, Part, Up, KINDS};
+use aspendrum_catalog::config::Config;
+use aspendrum_catalog::news::{Down, Edition, Part, Up, KINDS};
+use aspendrum_catalog::packed::unpack;
 use aspendrum_catalog::servers::Roster;
 use aspendrum_catalog::settings::Settings;
+use aspendrum_collation::{edition, Bounds, Mending, Section, Standing, Step, Verdict, Word};
 use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::mail::Inbox;
 use aspendrum_loan::{Act, Circle};
@@ -26,6 +29,9 @@
 const ALONE: Ms = 1500.0;
 /// A proxy that said nothing for so long is not ready, whatever it said last.
 const PROXY_SILENT: Ms = 900.0;
+/// Kinds of parts that an edition is of.
+const CONFIG: usize = 0;
+const EVACUATED: usize = 1;
 
 struct Control {
     id: u64,
@@ -46,7 +52,9 @@
     front: Option<SocketAddrV4>,
     heard: Ms,
     ready: bool,
-    applied: u32,
+    /// What is in force there, out of its tables.
+    applied: Edition,
+    mending: Mending,
     said: u64,
 }
 
@@ -59,6 +67,8 @@
     /// What is decided, as far as this agent knows: the newest of each kind but the list of servers.
     held: [Option<Part>; KINDS],
     roster: Roster,
+    /// What is held here, as it would be in force.
+    edition: Edition,
     /// A majority of control's disks held nothing above what is held here then, by whoever's word.
     as_of: Option<Ms>,
     /// The number of the last news of the present link, and the proxy's number for it.
@@ -66,6 +76,7 @@
     /// When control last answered on a link that is gone.
     lost: Ms,
     beat_at: Ms,
+    bounds: Bounds,
     circle: Circle,
     lender: Lender,
 }
@@ -73,6 +84,7 @@
 impl Desk {
     pub fn new(settings: Settings, route: Route, lender: Lender) -> Desk {
         Desk {
+            bounds: Bounds::of(settings.apply_ms, settings.stretch_ms),
             circle: Circle::new(settings.ip, fastrand::u64(..)),
             lender,
             settings,
@@ -82,6 +94,7 @@
             proxy: None,
             held: [const { None }; KINDS],
             roster: Roster::default(),
+            edition: Edition::default(),
             as_of: None,
             last: 0,
             lost: f64::NEG_INFINITY,
@@ -124,8 +137,18 @@
             }
             Note::Proxy { id, link } => {
                 let (host, front) = (String::new(), None);
-                self.proxy =
-                    Some(Proxy { id, link, host, front, heard: now, ready: false, applied: 0, said: 0 });
+                let (applied, mending) = (Edition::default(), Mending::default());
+                self.proxy = Some(Proxy {
+                    id,
+                    link,
+                    host,
+                    front,
+                    heard: now,
+                    ready: false,
+                    applied,
+                    mending,
+                    said: 0,
+                });
             }
             Note::ProxySaid { id, said } => self.proxy_said(id, said),
             Note::ProxyLost { id } => {
@@ -138,7 +161,8 @@
                 }
             }
             Note::Neighbour { from, word } => {
-                let acts = self.circle.hear(now, from, word, self.mark(), self.as_of);
+                let as_of = self.as_of.filter(|_| !self.alone(now));
+                let acts = self.circle.hear(now, from, word, &self.edition, as_of);
                 self.act(acts);
             }
             Note::Borrower(answer) => {
@@ -150,7 +174,7 @@
                 // Orders are numbered; what else a neighbour knows counts only for whoever hears nothing better.
                 let ordered = matches!(part, Part::Config { .. } | Part::Evacuated { .. });
                 if ordered || (self.alone(now) && !matches!(part, Part::Control(_))) {
-                    self.take(part);
+                    self.take(part, false);
                 }
             }
             Note::Settings(settings) => {
@@ -172,36 +196,72 @@
                 // Counted from when this was asked: the answer cannot be older than that, however late it
                 // comes.
                 let then = age.map(|age| stamp as Ms - f64::from(age));
-                let held = self.mark();
                 let Some(control) = &mut self.control else { return };
-                if held.covers(&of) {
+                let (held, decided) = (self.edition, Word { decided: of, as_of: 0.0 });
+                let standing = Verdict::of(&held, Some(&decided), false, &self.bounds).standing;
+                if standing == Standing::Current {
                     control.as_of = control.as_of.into_iter().chain(then).reduce(f64::max);
                     self.as_of = self.as_of.into_iter().chain(then).reduce(f64::max);
                 } else if age.is_some() {
                     // News come before the beats that rest on them: one was missed, and a new link begins with
                     // a snapshot.
-                    log::warn!("event=behind decided={:08x} held={:08x}", of.config, held.config);
+                    let (new, old) = (of.mark.config, held.mark.config);
+                    log::warn!("event=missed standing={} decided={new:08x} held={old:08x}", standing.word());
                     control.link.end();
+                    if standing == Standing::Differs {
+                        // Another text under the number: whatever control says next is taken.
+                        self.held[CONFIG] = None;
+                    }
                 }
             }
             Down::News { number, part } => {
                 self.last = number;
-                self.take(part);
+                self.take(part, true);
             }
+            // Agents are told that by nobody.
+            Down::Anew => {}
         }
     }
 
-    /// How far what is held here has come.
-    fn mark(&self) -> Mark {
-        let mut mark = Mark::default();
-        for part in self.held.iter().flatten() {
-            match part {
-                Part::Config { version, .. } => mark.config = *version,
-                Part::Evacuated { number, .. } => mark.evacuation = *number,
-                _ => {}
+    /// What is held here, as it would be in force.
+    fn collate(&mut self) {
+        let config = self.held.iter().flatten().find_map(|part| match part {
+            Part::Config { text, .. } => unpack(text).and_then(|text| Config::read(&text).ok()),
+            _ => None,
+        });
+        let emptied = self.held.iter().flatten().find_map(|part| match part {
+            Part::Evacuated { number, zones } => Some((*number, zones.as_slice())),
+            _ => None,
+        });
+        let (number, zones) = emptied.unwrap_or_default();
+        self.edition = edition(config.as_ref(), number, zones);
+    }
+
+    /// Sees to it that the proxy has in force what is held here.
+    fn mend(&mut self, now: Ms) {
+        let Some(proxy) = self.proxy.as_mut().filter(|p| p.front.is_some()) else { return };
+        let word = Word { decided: self.edition, as_of: now };
+        let standing = Verdict::of(&proxy.applied, Some(&word), false, &self.bounds).standing;
+        let differing = Section::differing(&proxy.applied, &self.edition);
+        let Some(step) = proxy.mending.look(now, standing, &differing) else { return };
+        let (applied, held) = (proxy.applied.mark.config, self.edition.mark.config);
+        log::warn!(
+            "event=proxy_differs standing={} applied={applied:08x} held={held:08x} sections={differing:?} step={step:?}",
+            standing.word()
+        );
+        match step {
+            Step::Sections(sections) => {
+                let emptied = sections.contains(&Section::Evacuations);
+                let others = sections.iter().any(|s| *s != Section::Evacuations);
+                [(CONFIG, others), (EVACUATED, emptied)].iter().filter(|k| k.1).for_each(|k| self.feed(k.0));
             }
+            Step::Snapshot => (0..KINDS).for_each(|kind| self.feed(kind)),
+            Step::Anew => {
+                proxy.link.say(&Down::Anew);
+                (0..KINDS).for_each(|kind| self.feed(kind));
+            }
+            Step::Tell => {}
         }
-        mark
     }
 
     /// No majority's word has come for too long.
@@ -222,12 +282,14 @@
         }
     }
 
-    /// Takes what is newer than what is held.
-    fn take(&mut self, part: Part) {
+    /// Takes what is newer than what is held. `control`: by its word, which settles two texts under one number.
+    fn take(&mut self, part: Part, control: bool) {
         let now = self.now();
         let kind = part.kind();
         let newer = match (&part, &self.held[kind]) {
-            (Part::Config { version: new, .. }, Some(Part::Config { version: old, .. })) => new > old,
+            (Part::Config { version: new, text }, Some(Part::Config { version: old, text: held })) => {
+                new > old || (new == old && control && text != held)
+            }
             (Part::Evacuated { number: new, .. }, Some(Part::Evacuated { number: old, .. })) => new > old,
             (Part::Servers { age, list }, _) => {
                 self.roster.take(now, list.clone(), now - f64::from(*age));
@@ -259,6 +321,9 @@
             log::info!("event=news part=config version={version:08x}");
         }
         self.held[kind] = Some(part);
+        if kind == CONFIG || kind == EVACUATED {
+            self.collate();
+        }
         self.feed(kind);
     }
 
@@ -284,7 +349,7 @@
         let now = self.now();
         let age = self.as_of.map(|at| (now - at).max(0.0).ceil() as u32);
         let heard = self.control.as_ref().map_or(self.lost, |c| c.answered);
-        let (heard, of) = (now - heard <= ALONE, self.mark());
+        let (heard, of, deserted) = (now - heard <= ALONE, self.edition, self.circle.deserted(now));
         let Some(proxy) = self.proxy.as_mut().filter(|p| p.id == id) else { return };
         proxy.heard = now;
         match said {
@@ -294,12 +359,13 @@
                 self.beat();
             }
             Up::Beat { stamp, ready, applied } => {
-                proxy.link.say(&Down::Beat { stamp, age, of, heard });
+                proxy.link.say(&Down::Beat { stamp, age, of, heard, deserted });
                 let turned = proxy.ready != ready;
                 (proxy.ready, proxy.applied) = (ready, applied);
                 if turned {
                     self.beat();
                 }
+                self.mend(now);
             }
             // All that the proxy was told is in force there, and so is all that control told us.
             Up::Applied { number } if number == proxy.said => {
--- a/crates/aspendrum-rig/src/system/fleet.rs
+++ b/crates/aspendrum-rig/src/system/fleet.rs
@@ -212,12 +212,12 @@
     pub async fn settings(&self, init: bool, seeds: &[usize]) -> io::Result<()> {
         for n in 0..self.scenario.cores {
             let slot = self.cores[n].lock().await;
-            std::fs::write(&slot.settings, self.core_settings(n, init, seeds, &slot).to_string())?;
+            put(&slot.settings, &self.core_settings(n, init, seeds, &slot).to_string())?;
         }
         for n in 0..self.scenario.edges {
             let text = self.edge_settings(n, seeds).to_string();
-            std::fs::write(&self.lecterns[n].lock().await.settings, &text)?;
-            std::fs::write(&self.pages[n].lock().await.settings, &text)?;
+            put(&self.lecterns[n].lock().await.settings, &text)?;
+            put(&self.pages[n].lock().await.settings, &text)?;
         }
         Ok(())
     }
@@ -355,6 +355,13 @@
     }
 }
 
+/// Whole or not at all: a process may start in the same moment.
+fn put(file: &Path, text: &str) -> io::Result<()> {
+    let next = file.with_extension("next");
+    std::fs::write(&next, text)?;
+    std::fs::rename(next, file)
+}
+
 fn way(to: SocketAddr, by: SocketAddr) -> (String, Value) {
     (to.to_string(), by.to_string().into())
 }
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -7,9 +7,12 @@
 use crate::store::Store;
 use crate::words::Between;
 use aspendrum_accession::{Act, Holdings, Order, Outcome, Place, Register, Said};
-use aspendrum_catalog::news::{Down, Front, Mark, Part, Up, KINDS};
+use aspendrum_catalog::config::Config;
+use aspendrum_catalog::news::{Down, Edition, Front, Part, Up, KINDS};
+use aspendrum_catalog::packed::unpack;
 use aspendrum_catalog::servers::{Roster, Server};
 use aspendrum_catalog::settings::Settings;
+use aspendrum_collation::edition;
 use aspendrum_folio::frames::Link;
 use aspendrum_folio::mail::{Inbox, Post};
 use crossbeam_channel::Sender;
@@ -66,6 +69,8 @@
     settings: Settings,
     store: Option<Store>,
     register: Register,
+    /// What a majority is known to hold, as it is in force where it was applied.
+    decided: Edition,
     me: Place,
     begun: Instant,
     notes: Arc<Post<Note>>,
@@ -99,6 +104,7 @@
         Desk {
             settings,
             store,
+            decided: decided(register.settled()),
             register,
             me,
             begun: Instant::now(),
@@ -266,8 +272,13 @@
                 if said == Said::Nudge {
                     self.read_at = f64::NEG_INFINITY;
                 }
+                let first = self.register.as_of().is_none();
                 let acts = self.register.hear(now, from, said);
                 self.act(acts);
+                if first && self.register.as_of().is_some() {
+                    // What was settled before a majority was read has been told to nobody.
+                    self.tell_agents();
+                }
             }
             Between::Fronts(fronts) => {
                 peer.fronts = fronts;
@@ -294,7 +305,7 @@
 
     fn agent(&mut self, id: u64, said: Up) {
         let age = self.register.as_of().map(|at| (self.now() - at).max(0.0).ceil() as u32);
-        let (now, of) = (self.now(), mark(self.register.settled()));
+        let (now, of, deserted) = (self.now(), self.decided, false);
         let Some(seat) = self.seats.get_mut(&id) else { return };
         seat.heard = now;
         match said {
@@ -305,7 +316,7 @@
                 self.tell_agents();
             }
             Up::Beat { stamp, ready, .. } => {
-                seat.link.say(&Down::Beat { stamp, age, of, heard: true });
+                seat.link.say(&Down::Beat { stamp, age, of, heard: true, deserted });
                 let front = seat.front.as_mut().filter(|f| f.ready != ready);
                 if let Some(front) = front {
                     front.ready = ready;
@@ -407,6 +418,7 @@
                 }
                 Act::News => {
                     let settled = self.register.settled();
+                    self.decided = decided(settled);
                     log::info!(
                         "event=settled version={:08x} evacuated={:?}",
                         settled.config.version,
@@ -471,8 +483,12 @@
     }
 }
 
-fn mark(settled: &Holdings) -> Mark {
-    Mark { config: settled.config.version, evacuation: settled.evacuated().0 }
+/// What is decided, as it would be in force.
+fn decided(settled: &Holdings) -> Edition {
+    let (number, zones) = settled.evacuated();
+    // Only what was found valid is held; of anything else nothing is in force anywhere.
+    let config = unpack(&settled.config.text).and_then(|text| Config::read(&text).ok());
+    edition(config.as_ref(), number, &zones)
 }
 
 /// Whether an agent that was told the one need not be told the other.
--- a/crates/aspendrum-vault/tests/processes.rs
+++ b/crates/aspendrum-vault/tests/processes.rs
@@ -1,6 +1,6 @@
 //! Control as processes on loopback, killed and robbed of disks: what was acknowledged is shown again.
 
-use aspendrum_catalog::news::{Down, Part, Up, Word};
+use aspendrum_catalog::news::{Down, Edition, Part, Up, Word};
 use aspendrum_catalog::packed::unpack;
 use aspendrum_folio::frames;
 use std::io::{Read, Write};
@@ -203,8 +203,8 @@
     control.done(2, "POST", "/api/Cfg.Set", &config(3));
     control.done(0, "POST", "/api/Cfg.Set", &config(6));
     all.extend(told(&mut link, |d| version(d) == Some(6)));
-    say(&link, Up::Beat { stamp: 42, ready: true, applied: 6 });
-    let is_answer = |d: &Down| matches!(d, Down::Beat { stamp: 42, age: Some(age), of, .. } if *age < 5000 && of.config == 6);
+    say(&link, Up::Beat { stamp: 42, ready: true, applied: Edition::default() });
+    let is_answer = |d: &Down| matches!(d, Down::Beat { stamp: 42, age: Some(age), of, .. } if *age < 5000 && of.mark.config == 6);
     all.extend(told(&mut link, is_answer));
     assert_eq!(all.iter().filter_map(version).collect::<Vec<_>>(), [4, 6]);
     // It is ready now, and hears of itself among the proxies.
@@ -212,7 +212,7 @@
     all.extend(told(&mut link, ready));
     let numbers = all.iter().filter_map(|d| match d {
         Down::News { number, .. } => Some(*number),
-        Down::Beat { .. } => None,
+        Down::Beat { .. } | Down::Anew => None,
     });
     let numbers: Vec<u64> = numbers.collect();
     assert_eq!(numbers, (1..=numbers.len() as u64).collect::<Vec<_>>());
