As many disks vote as the losses need: the seeds settle the voters once, at the first start

The voters were the three seeds, two disks may be lost there at once; with two of three gone no majority ever came back.

Change: where the seeds are fewer than 2 x losses + 1, they settle one set of voters among the machines that have come (single-decree Paxos, kept on disk); nothing is acknowledged before. Where they are enough they vote, as before.

--- a/crates/aspendrum-accession/src/lib.rs
+++ b/crates/aspendrum-accession/src/lib.rs
@@ -2,6 +2,7 @@
 //! once a majority of the voters' disks holds them. There is no log and no leader. Without I/O and clock: the
 //! shell gives each event with its time and carries out the acts, in their order.
 
+pub mod founding;
 pub mod holdings;
 pub mod register;
 
--- a/crates/aspendrum-accession/src/register.rs
+++ b/crates/aspendrum-accession/src/register.rs
@@ -5,6 +5,7 @@
 //! every acknowledged write is among what it read; they note its new disk first, so that no earlier word of the
 //! lost disk counts beside one of theirs.
 
+use crate::founding::{Acceptor, Voters};
 use crate::holdings::{Disk, Holdings, Order, Place};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -85,6 +86,10 @@
     pub disk: Disk,
     /// It contains every acknowledged write that its voter was part of.
     pub whole: bool,
+    /// It was there at the first start of all and has not been lost: a voter by it is whole from the beginning.
+    pub first: bool,
+    /// This machine's part in settling who votes.
+    pub founding: Acceptor,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -122,11 +127,12 @@
 }
 
 impl Register {
-    /// `kept`: what the disk held, none for an empty one. `founders`: the voters of a first start, empty
-    /// otherwise. `id`: drawn anew for each empty disk.
+    /// `kept`: what the disk held, none for an empty one. `first`: this is the first start of all. `founders`: the
+    /// voters, where they are known by then. `id`: drawn anew for each empty disk.
     pub fn start(
         me: Place,
         kept: Option<Kept>,
+        first: bool,
         founders: &[Place],
         id: u64,
         begin: u64,
@@ -135,8 +141,8 @@
         let founds = founders.contains(&me);
         let kept = kept.unwrap_or_else(|| {
             let held = Holdings { voters: founders.iter().copied().collect(), ..Holdings::default() };
-            let disk = Disk { generation: u32::from(founds), id };
-            Kept { held, disk, whole: founds }
+            let disk = Disk { generation: u32::from(first), id };
+            Kept { held, disk, whole: founds, first, founding: Acceptor::default() }
         });
         let (settled, as_of, rounds, healed_by) = (Holdings::default(), None, Vec::new(), BTreeMap::new());
         let (heal_said, now, acts) = (f64::NEG_INFINITY, 0.0, if new { vec![Act::Keep] } else { Vec::new() });
@@ -168,15 +174,22 @@
         self.kept.whole && self.votes()
     }
 
-    /// Another's word about who votes, for whoever does not know yet.
-    pub fn introduce(&mut self, held: &Holdings) -> Vec<Act> {
-        if self.kept.held.voters.is_empty() && !held.voters.is_empty() {
-            self.kept.held.voters.clone_from(&held.voters);
+    /// Who votes, once that is settled or another says so, for whoever does not know yet.
+    pub fn introduce(&mut self, voters: &Voters) -> Vec<Act> {
+        if self.kept.held.voters.is_empty() && !voters.is_empty() {
+            self.kept.held.voters.clone_from(voters);
+            self.kept.whole |= self.kept.first && self.votes();
             self.acts.push(Act::Keep);
         }
         std::mem::take(&mut self.acts)
     }
 
+    /// What is to be on the disk of this machine's part in settling who votes.
+    pub fn founding(&mut self, part: &Acceptor) -> Vec<Act> {
+        self.kept.founding = part.clone();
+        vec![Act::Keep]
+    }
+
     /// Begins a round for an order; `ticket` hears of its end.
     pub fn order(&mut self, now: Ms, order: Order, ticket: Option<Ticket>) -> Vec<Act> {
         self.now = now;
--- a/crates/aspendrum-accession/tests/register.rs
+++ b/crates/aspendrum-accession/tests/register.rs
@@ -94,10 +94,9 @@
         self.lives += 1;
         let founders: &[Place] = if self.first { &VOTERS } else { &[] };
         let (kept, life) = (self.disks[&me].clone(), self.lives);
-        let (mut register, acts) = Register::start(me, kept, founders, life, life << 32);
+        let (mut register, acts) = Register::start(me, kept, self.first, founders, life, life << 32);
         // The first word of any link says who votes.
-        let known = aspendrum_accession::Holdings { voters: VOTERS.into(), ..Default::default() };
-        let more = register.introduce(&known);
+        let more = register.introduce(&VOTERS.into());
         self.up.insert(me, register);
         self.act(me, acts.into_iter().chain(more).collect());
     }
--- a/crates/aspendrum-catalog/src/settings.rs
+++ b/crates/aspendrum-catalog/src/settings.rs
@@ -160,6 +160,8 @@
         /// Calls a second that the platform's list takes from all limiters together.
         cloud_rate: f64 = "plat.cloud-api.rate-s", Some(1.0), positive;
         cloud_lag_ms: f64 = "plat.cloud-api.lag-ms", Some(0.0), not_negative;
+        /// Machines with a disk that may be lost at once.
+        losses: u64 = "terms.tolerate.machs", Some(1), |n| *n < 50;
         contracts: BTreeSet<String> = "terms.contracts", Some(BTreeSet::new()), any;
         ack_ms: f64 = "terms.bounds.ack-ms", Some(5000.0), positive;
         drain_ms: f64 = "terms.bounds.drain-ms", Some(3000.0), positive;
--- a/crates/aspendrum-rig/src/system/fleet.rs
+++ b/crates/aspendrum-rig/src/system/fleet.rs
@@ -275,7 +275,7 @@
             "self": own,
             "net": {"binds": binds, "port-range": PORTS, "seeds": seeds, "zones": zones, "ways": ways},
             "plat": {"cloud-api": {"addr": self._cloud.addr(), "rate-s": 40.0, "lag-ms": 0}},
-            "terms": {"bounds": {
+            "terms": {"tolerate": {"machs": s.losses}, "bounds": {
                 "apply-ms": t.apply, "revoked": t.revoked, "revoke-ms": t.revoke, "evac-ms": t.evac,
                 "drain-ms": t.drain, "grace-s": t.grace_s, "retry-slack": 200, "quota-win-s": 5,
                 "quota-excess": 0.1, "quota-slack": 20, "ttl_max_s": 1,
--- a/crates/aspendrum-rig/src/system/library.rs
+++ b/crates/aspendrum-rig/src/system/library.rs
@@ -28,6 +28,7 @@
     "new-lives",
     "spoilt",
     "cut-from-control",
+    "two-disks-lost",
 );
 
 /// A scenario, by its name or from a file.
--- a/crates/aspendrum-rig/src/system/scenario.rs
+++ b/crates/aspendrum-rig/src/system/scenario.rs
@@ -26,6 +26,9 @@
     /// How often the first tenant asks for each time that another does.
     #[serde(default = "one")]
     pub hot: f64,
+    /// Disks that may be lost at once.
+    #[serde(default = "one_disk")]
+    pub losses: usize,
     #[serde(default)]
     pub seed: u64,
     #[serde(default)]
@@ -40,6 +43,10 @@
     1.0
 }
 
+fn one_disk() -> usize {
+    1
+}
+
 fn two() -> usize {
     2
 }
--- a/crates/aspendrum-rig/tests/system.rs
+++ b/crates/aspendrum-rig/tests/system.rs
@@ -58,4 +58,6 @@
     spoilt_answers_double_nothing = "spoilt";
     /// Danger: licences end where control is out of reach, though neighbours hear it.
     agents_lend_each_other_a_majoritys_word = "cut-from-control";
+    /// Danger: three machines vote where two disks may be lost at once.
+    two_lost_disks_of_five_leave_what_was_acknowledged = "two-disks-lost";
 }
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -6,6 +6,7 @@
 use crate::notes::Note;
 use crate::store::Store;
 use crate::words::Between;
+use aspendrum_accession::founding::{self, Founding, Voters};
 use aspendrum_accession::{Act, Holdings, Order, Outcome, Place, Register, Said};
 use aspendrum_catalog::config::Config;
 use aspendrum_catalog::news::{Down, Edition, Front, Part, Up, KINDS};
@@ -69,6 +70,8 @@
     settings: Settings,
     store: Option<Store>,
     register: Register,
+    /// Until it is settled who votes.
+    founding: Option<Founding>,
     /// What a majority is known to hold, as it is in force where it was applied.
     decided: Edition,
     me: Place,
@@ -96,6 +99,7 @@
         settings: Settings,
         store: Option<Store>,
         register: Register,
+        founding: Option<Founding>,
         notes: Arc<Post<Note>>,
         poll: Sender<SocketAddrV4>,
         directory: Arc<RwLock<Directory>>,
@@ -106,6 +110,7 @@
             store,
             decided: decided(register.settled()),
             register,
+            founding,
             me,
             begun: Instant::now(),
             notes,
@@ -217,13 +222,10 @@
             if link.is_some() { "reached" } else { "lost" },
             Ipv4Addr::from(place)
         );
-        let others = self.peers.iter().map(|(p, peer)| (*p, peer.zone.clone())).collect();
-        let voters = self.register.kept().held.voters.clone();
-        let voters = Box::new(Holdings { voters, ..Default::default() });
+        let hello = self.hello();
         let peer = self.peers.entry(place).or_default();
         peer.link = link;
-        let zone = self.settings.zone.clone();
-        self.say(place, Between::Hello { place: self.me, zone, others, voters });
+        self.say(place, hello);
         let fronts = self.own();
         self.say(place, Between::Fronts(fronts));
         let now = self.now();
@@ -233,6 +235,42 @@
         }
     }
 
+    /// Who speaks, where others are, and who votes.
+    fn hello(&self) -> Between {
+        let others = self.peers.iter().map(|(p, peer)| (*p, peer.zone.clone())).collect();
+        let (zone, voters) = (self.settings.zone.clone(), self.register.kept().held.voters.clone());
+        Between::Hello { place: self.me, zone, others, voters }
+    }
+
+    /// Carries out what settling the voters comes to.
+    fn found(&mut self, acts: Vec<founding::Act>) {
+        for act in acts {
+            match act {
+                founding::Act::Keep => {
+                    let part = self.founding.as_ref().map(|f| f.acceptor().clone()).unwrap_or_default();
+                    let kept = self.register.founding(&part);
+                    self.act(kept);
+                }
+                founding::Act::Say { to, word } => self.say(to, Between::Founding(word)),
+                founding::Act::Founded(voters) => self.know(&voters),
+            }
+        }
+    }
+
+    /// It is settled who votes.
+    fn know(&mut self, voters: &Voters) {
+        if voters.is_empty() || self.register.kept().held.voters == *voters {
+            return;
+        }
+        let acts = self.register.introduce(voters);
+        self.act(acts);
+        self.founding = None;
+        log::info!("event=founded voters={} votes={}", voters.len(), self.register.votes());
+        // Whoever has come meanwhile hears of it.
+        let hello = self.hello();
+        self.say_all(&hello);
+    }
+
     fn say(&self, to: Place, said: Between) {
         if let Some(link) = self.peers.get(&to).and_then(|p| p.link.as_ref()) {
             link.say(&links::Word::Between(said));
@@ -258,8 +296,9 @@
                         known.zone = zone;
                     }
                 }
-                let acts = self.register.introduce(&voters);
-                self.act(acts);
+                if self.register.kept().held.voters.is_empty() {
+                    self.know(&voters);
+                }
                 self.meet();
                 self.tell_agents();
             }
@@ -268,6 +307,10 @@
                     self.polled = Some(self.polled.unwrap_or(f64::NEG_INFINITY).max(now - f64::from(age)));
                 }
             }
+            Between::Founding(word) => {
+                let acts = self.founding.as_mut().map(|f| f.hear(from, word)).unwrap_or_default();
+                self.found(acts);
+            }
             Between::Register(said) => {
                 if said == Said::Nudge {
                     self.read_at = f64::NEG_INFINITY;
@@ -433,6 +476,13 @@
 
     fn beat(&mut self) {
         let now = self.now();
+        if let Some(founding) = &mut self.founding {
+            let heard = self.peers.iter().filter(|p| p.1.heard.is_some());
+            let mut there: BTreeMap<Place, String> = heard.map(|p| (*p.0, p.1.zone.clone())).collect();
+            there.insert(self.me, self.settings.zone.clone());
+            let acts = founding.beat(now, &there);
+            self.found(acts);
+        }
         let acts = self.register.beat(now);
         self.act(acts);
         let every = if self.register.as_of().is_some() { READ_EVERY } else { READ_FIRST };
--- a/crates/aspendrum-vault/src/main.rs
+++ b/crates/aspendrum-vault/src/main.rs
@@ -9,6 +9,7 @@
 mod store;
 mod words;
 
+use aspendrum_accession::founding::{voters_for, Founding};
 use aspendrum_accession::Register;
 use aspendrum_catalog::settings::{Settings, VARIABLE};
 use aspendrum_folio::daemon;
@@ -44,15 +45,19 @@
     let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let store = settings.datadir.as_ref().map(|d| store::Store::open(Path::new(d))).transpose()?;
     let kept = store.as_ref().map_or(Ok(None), store::Store::read)?;
-    let founders: Vec<u32> = match settings.init {
-        true => settings.seeds.iter().map(|s| u32::from(*s.ip())).collect(),
-        false => Vec::new(),
-    };
+    let seeds: Vec<u32> = settings.seeds.iter().map(|s| u32::from(*s.ip())).collect();
+    // Where the seeds are as many as must vote, they do, and all know it. Otherwise they settle who does besides.
+    let enough = seeds.len() >= voters_for(settings.losses as usize);
+    let founders: Vec<u32> = if settings.init && enough { seeds.clone() } else { Vec::new() };
     let me = u32::from(settings.ip);
     let fresh = kept.is_none();
     // Rounds of this life begin above those of earlier ones.
     let begin = u64::from(fastrand::u32(..)) << 24;
-    let (register, first) = Register::start(me, kept, &founders, fastrand::u64(1..), begin);
+    let part = kept.as_ref().map(|k| k.founding.clone());
+    let (register, first) = Register::start(me, kept, settings.init, &founders, fastrand::u64(1..), begin);
+    // Also whoever was killed before that was through goes on with it; who votes for ever is told by the others.
+    let unsettled = register.kept().first && register.kept().held.voters.is_empty();
+    let founding = unsettled.then(|| Founding::new(me, &seeds, settings.losses as usize, part));
     log::info!(
         "event=started host={} init={} empty_disk={fresh} votes={}",
         settings.host,
@@ -74,7 +79,7 @@
         })
     };
     let notes = Arc::new(mail::with(NOTES, start).map_err(failed("desk"))?);
-    let desk = Desk::new(settings.clone(), store, register, notes.clone(), poll, directory.clone());
+    let desk = Desk::new(settings.clone(), store, register, founding, notes.clone(), poll, directory.clone());
     let port = SocketAddrV4::new(settings.ip, settings.control_port());
     links::listen(port, Duration::from_millis(1600), &notes).map_err(failed("control port"))?;
     give.send(desk).map_err(|e| e.to_string())?;
--- a/crates/aspendrum-vault/src/store.rs
+++ b/crates/aspendrum-vault/src/store.rs
@@ -1,11 +1,14 @@
 //! The disk: one value, replaced whole, there after any loss of power once `keep` has returned.
 
+use aspendrum_accession::founding::Acceptor;
 use aspendrum_accession::register::Kept;
 use redb::{Builder, Database, TableDefinition};
 use std::path::Path;
 
 const TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("kept");
-const KEY: &str = "kept";
+const KEY: &str = "kept-2";
+/// As the version before wrote it.
+const BEFORE: &str = "kept";
 /// What is held is read once and written seldom.
 const CACHE: usize = 1 << 20;
 
@@ -27,8 +30,12 @@
             Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
             Err(e) => return Err(e.to_string()),
         };
-        let Some(bytes) = table.get(KEY).map_err(|e| e.to_string())? else { return Ok(None) };
-        postcard::from_bytes(bytes.value()).map(Some).map_err(|e| e.to_string())
+        if let Some(bytes) = table.get(KEY).map_err(|e| e.to_string())? {
+            return postcard::from_bytes(bytes.value()).map(Some).map_err(|e| e.to_string());
+        }
+        let Some(bytes) = table.get(BEFORE).map_err(|e| e.to_string())? else { return Ok(None) };
+        let (held, disk, whole) = postcard::from_bytes(bytes.value()).map_err(|e| e.to_string())?;
+        Ok(Some(Kept { held, disk, whole, first: whole, founding: Acceptor::default() }))
     }
 
     /// Returns once it is synced.
--- a/crates/aspendrum-vault/src/words.rs
+++ b/crates/aspendrum-vault/src/words.rs
@@ -1,6 +1,7 @@
 //! The words on a connection to control: from other machines of control, and from agents.
 
-use aspendrum_accession::{Holdings, Place, Said};
+use aspendrum_accession::founding::{self, Voters};
+use aspendrum_accession::{Place, Said};
 use aspendrum_catalog::news::Front;
 use aspendrum_catalog::servers::Server;
 use serde::{Deserialize, Serialize};
@@ -12,13 +13,14 @@
         place: Place,
         zone: String,
         others: Vec<(Place, String)>,
-        voters: Box<Holdings>,
+        voters: Voters,
     },
     /// A sign of life. `polled`: so long ago the platform's list was read here, in milliseconds.
     Here {
         polled: Option<u32>,
     },
     Register(Said),
+    Founding(founding::Word),
     /// The proxies whose agents hold a link to the speaker.
     Fronts(Vec<Front>),
     /// The platform's list, read that many milliseconds ago.
