Nodes that missed a change: sealed pushes, repair step by step, look-ups, the operators' client, a scenario of it

The rig drops, delays, reorders and tears pushes; the judge holds once-only queries to the decided path in touch or not.

--- a/crates/aspendrum-catalog/src/news.rs
+++ b/crates/aspendrum-catalog/src/news.rs
@@ -1,6 +1,7 @@
 //! The words on the held connections between control, agents and proxies. All times in milliseconds; ages,
 //! never times of day: no two clocks here agree.
 
+use crate::hash::digest;
 use crate::servers::Server;
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -12,6 +13,8 @@
     pub zone: String,
     /// New clients may be sent to it.
     pub ready: bool,
+    /// What it applied is what was decided, or was so a moment ago.
+    pub current: bool,
 }
 
 /// How far orders have come: the version of the configuration, and the number of the last evacuation order.
@@ -42,10 +45,11 @@
 /// Part of what is decided, each whole and newer than the one before.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Part {
-    /// A configuration, packed.
+    /// A configuration, packed. `seal`: of the text that was decided; what does not bear it is never applied.
     Config {
         version: u32,
         text: Vec<u8>,
+        seal: u64,
     },
     /// The zones that are evacuated, and the number of the last order about any zone.
     Evacuated {
@@ -62,6 +66,22 @@
     Control(Vec<(Ipv4Addr, String)>),
 }
 
+impl Part {
+    /// A configuration as it is told, out of its packed text.
+    pub fn config(version: u32, text: Vec<u8>) -> Part {
+        let seal = digest(&text);
+        Part::Config { version, text, seal }
+    }
+
+    /// It is what whoever sealed it told.
+    pub fn whole(&self) -> bool {
+        match self {
+            Part::Config { text, seal, .. } => digest(text) == *seal,
+            _ => true,
+        }
+    }
+}
+
 /// The kinds of parts: numbered changes of one kind supersede each other.
 pub const KINDS: usize = 5;
 
--- a/crates/aspendrum-collation/src/mending.rs
+++ b/crates/aspendrum-collation/src/mending.rs
@@ -16,13 +16,15 @@
     Tell,
 }
 
-/// News that are on their way make a node look behind for a moment; a step's effect shows in its next beats.
+/// News that are on their way make a node look behind for a moment; a step's effect shows in its next beats. Steps
+/// behind the third come ever more seldom, every 16 of these in the end.
 const STEP: Ms = 600.0;
 
 #[derive(Clone, Debug, Default)]
 pub struct Mending {
     /// Since when it differs, and how many steps were taken since.
     since: Option<Ms>,
+    next: Ms,
     steps: u32,
     told: bool,
     /// When the last repair was over, and how many there were.
@@ -40,11 +42,15 @@
             (self.steps, self.told) = (0, false);
             return None;
         }
-        let since = *self.since.get_or_insert(now);
-        if now - since < STEP * f64::from(self.steps + 1) {
+        if self.since.is_none() {
+            (self.since, self.next) = (Some(now), now + STEP);
+        }
+        if now < self.next {
             return None;
         }
-        self.steps += 1;
+        // The first steps come quickly; what they do not mend is not mended by haste.
+        let wait = STEP * 2f64.powi(self.steps.saturating_sub(2).min(4) as i32);
+        (self.steps, self.next) = (self.steps + 1, now + wait);
         Some(match self.steps {
             1 if !differing.is_empty() => Step::Sections(differing.to_vec()),
             1 | 2 => Step::Snapshot,
--- a/crates/aspendrum-folio/src/lib.rs
+++ b/crates/aspendrum-folio/src/lib.rs
@@ -1,6 +1,7 @@
 //! The plumbing that old and new programs share: rings, threads, letter boxes, connections to servers, HTTP
 //! framing, frames between own processes. Nothing here decides.
 
+pub mod caller;
 pub mod daemon;
 pub mod frames;
 pub mod hands;
--- a/crates/aspendrum-judge/src/system.rs
+++ b/crates/aspendrum-judge/src/system.rs
@@ -181,7 +181,7 @@
     }
     for t in &record.tries {
         let ran = runs.get(&t.id).map_or(0, Vec::len);
-        let once = record.versions.iter().all(|v| v.routes.get(t.route).is_some_and(|r| r.1));
+        let once = once_only(record, t.route);
         if once && ran > 1 {
             breaches.push(broken("TWICE", t.sent, format!("{:x} ran {ran} times", t.id)));
         }
@@ -205,6 +205,10 @@
     tally(record, &runs, breaches)
 }
 
+fn once_only(record: &Record, route: usize) -> bool {
+    record.versions.iter().all(|v| v.routes.get(route).is_some_and(|r| r.1))
+}
+
 fn broken(rule: &'static str, at: Ms, what: String) -> Breach {
     Breach { rule, at, what }
 }
@@ -236,8 +240,12 @@
     // What was acknowledged long enough ago rules out whatever is older.
     let least = |after: Ms| ever.iter().filter(|v| held(v, after)).map(|v| v.number).max().unwrap_or(0);
     let touched = !troubled(record, t.front, sent - b.contact, run.at);
+    // Once-only requests keep to the decided path in touch or not, unless a majority of control is gone for all.
+    let deserted =
+        record.troubles.iter().any(|t| t.front.is_none() && t.from <= run.at && t.to >= sent - b.contact);
+    let once = once_only(record, t.route) && !deserted;
     let at_least = least(b.apply);
-    if touched && !ever.iter().filter(|v| v.number >= at_least).any(allows) {
+    if (touched || once) && !ever.iter().filter(|v| v.number >= at_least).any(allows) {
         let what = format!("{:x} ran at {} as only a version before {at_least} says", t.id, run.service);
         breaches.push(broken("CONFIG", run.at, what));
     }
@@ -290,7 +298,7 @@
     for t in &record.tries {
         let counts = owed.contains(&t.wish);
         if counts {
-            wishes.insert(t.wish, record.versions.iter().all(|v| v.routes.get(t.route).is_some_and(|r| r.1)));
+            wishes.insert(t.wish, once_only(record, t.route));
         }
         if counts && t.end == End::Answered {
             served.insert(t.wish);
--- a/crates/aspendrum-judge/tests/system.rs
+++ b/crates/aspendrum-judge/tests/system.rs
@@ -104,6 +104,13 @@
     let mut record = sound();
     record.runs[1].service = "payouts".into();
     record.troubles.push(Trouble { front: Some(0), from: 2000.0, to: 8000.0 });
+    assert_eq!(rules(&record), ["CONFIG"], "once-only: in touch or not");
+    record.troubles[0].front = None;
+    assert!(rules(&record).is_empty());
+    for v in &mut record.versions {
+        v.routes[1].1 = false;
+    }
+    record.troubles[0].front = Some(0);
     assert!(rules(&record).is_empty());
     record.troubles[0].front = Some(1);
     assert_eq!(rules(&record), ["CONFIG"]);
--- a/crates/aspendrum-lectern/src/agent.rs
+++ b/crates/aspendrum-lectern/src/agent.rs
@@ -51,10 +51,7 @@
                             }
                             link.say(&Up::Applied { number });
                         }
-                        Down::Anew => {
-                            shop.desk.forget();
-                            shop.collate();
-                        }
+                        Down::Anew => shop.desk.anew(),
                         Down::Beat { stamp, age, of, heard, deserted } => {
                             shop.told(stamp, age, of, deserted);
                             shop.heard(heard);
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -97,6 +97,7 @@
     told_fronts: bool,
     /// The number of the last order about a zone.
     emptied: u64,
+    anew: bool,
     seats: HashMap<QueryId, Seat>,
     next: QueryId,
     groups: Vec<Group>,
@@ -144,6 +145,7 @@
             alone: false,
             told_fronts: false,
             emptied: 0,
+            anew: false,
             seats: HashMap::new(),
             next: 1,
             groups: vec![group],
@@ -390,7 +392,8 @@
     pub fn apply(&self, part: Part) {
         let now = self.now();
         match part {
-            Part::Config { version, text } => match Config::read(&unpack(&text).unwrap_or_default()) {
+            Part::Config { .. } if !part.whole() => log::warn!("event=torn_push"),
+            Part::Config { version, text, .. } => match Config::read(&unpack(&text).unwrap_or_default()) {
                 Ok(config) => self.configure(config),
                 // Control checked it by the same reader.
                 Err(fault) => log::error!("event=config_unreadable version={version:08x} why=\"{fault}\""),
@@ -452,7 +455,9 @@
             let of = |config: &Config| edition(Some(config), 0, &[]);
             held.config.version == config.version && of(&held.config) != of(&config)
         };
-        if self.view().is_some_and(|held| held.config.version >= config.version && !differs(&held)) {
+        let anew = std::mem::take(&mut inner.anew);
+        let stays = |held: &View| held.config.version >= config.version && !differs(held) && !anew;
+        if self.view().is_some_and(|held| stays(&held)) {
             return;
         }
         for service in &config.services {
@@ -512,10 +517,10 @@
         edition(self.view().as_ref().map(|v| &v.config), number, &zones)
     }
 
-    /// Nothing is in force until it is told anew.
-    pub fn forget(&self) {
-        log::warn!("event=forgotten");
-        *lock(&self.view) = None;
+    /// The tables are built anew from what is told next, whatever they hold. Until then they serve on.
+    pub fn anew(&self) {
+        log::warn!("event=tables_anew");
+        lock(&self.inner).anew = true;
     }
 }
 
--- a/crates/aspendrum-lectern/src/standing.rs
+++ b/crates/aspendrum-lectern/src/standing.rs
@@ -1,7 +1,7 @@
 //! How this proxy stands to what was decided, as its queries read it: one small verdict with an end.
 
 use aspendrum_catalog::news::Edition;
-use aspendrum_collation::{Bounds, Ms, Standing, Verdict, Word};
+use aspendrum_collation::{edition, Bounds, Ms, Standing, Verdict, Word};
 use aspendrum_folio::hands::lock;
 use std::sync::Mutex;
 
@@ -21,7 +21,7 @@
 
 impl Stand {
     pub fn new(apply_ms: Ms, stretch_ms: Ms) -> Stand {
-        let (applied, word, deserted) = (Edition::default(), None, false);
+        let (applied, word, deserted) = (edition(None, 0, &[]), None, false);
         let inner = Inner { applied, word, deserted, verdict: Verdict::NONE, shown: Standing::Alone };
         Stand { bounds: Bounds::of(apply_ms, stretch_ms), inner: Mutex::new(inner) }
     }
--- a/crates/aspendrum-lectern/tests/exchanges.rs
+++ b/crates/aspendrum-lectern/tests/exchanges.rs
@@ -69,8 +69,9 @@
             }
         });
     }
-    let front = Front { addr: "127.0.0.1:1".parse().unwrap(), zone: "poa-a".into(), ready: true };
-    shop.desk.apply(Part::Config { version: 1, text: pack(CONFIG.as_bytes()) });
+    let front =
+        Front { addr: "127.0.0.1:1".parse().unwrap(), zone: "poa-a".into(), ready: true, current: true };
+    shop.desk.apply(Part::config(1, pack(CONFIG.as_bytes())));
     shop.desk.apply(Part::Servers { age: 0, list });
     // Danger: a proxy that knows of no other takes the whole of every quota for its part.
     assert!(!shop.desk.knows());
@@ -398,20 +399,24 @@
 {"name":"open""#,
     );
     assert_ne!(corrupt, CONFIG);
-    stage.shop.desk.apply(Part::Config { version: 1, text: pack(corrupt.as_bytes()) });
+    stage.shop.desk.apply(Part::config(1, pack(corrupt.as_bytes())));
     stage.shop.collate();
     held_back(&stage.ask(SEND));
     flows(READ, GOOD_TO_T1);
     // Told again, the tables are built anew, though the number is the same.
-    stage.shop.desk.apply(Part::Config { version: 1, text: pack(CONFIG.as_bytes()) });
+    stage.shop.desk.apply(Part::config(1, pack(CONFIG.as_bytes())));
     stage.shop.collate();
     flows(SEND, GOOD_TO_T2);
     // The word is as old as it may be: nothing had to come for that.
     let last = 600_000.0;
     assert!(stage.shop.stand.runs_once_only(last - 251.0) && !stage.shop.stand.runs_once_only(last - 250.0));
     assert_eq!(stage.seen().iter().filter(|s| s.starts_with("POST")).count(), 3);
-    stage.shop.desk.forget();
-    held_back(&stage.ask(READ));
+    // A torn push is not applied, and the tables serve on as they are.
+    let Part::Config { version, seal, .. } = Part::config(1, pack(CONFIG.as_bytes())) else { return };
+    stage.shop.desk.apply(Part::Config { version: version + 1, text: pack(corrupt.as_bytes()), seal });
+    stage.shop.desk.anew();
+    stage.shop.collate();
+    flows(SEND, GOOD_TO_T2);
 }
 
 /// Danger: a transfer waits for a server, its route moves meanwhile, and it leaves by the old one.
@@ -425,7 +430,7 @@
                 r#""pfx":"/send/"},"action":{"svc":"s2""#,
             );
             let moved = moved.replace(r#""pools":["#, r#""pools":[{"name":"s2","check":"/healthz"},"#);
-            shop.desk.apply(Part::Config { version: 2, text: pack(moved.as_bytes()) });
+            shop.desk.apply(Part::config(2, pack(moved.as_bytes())));
             shop.collate();
         }
         Some("HTTP/1.1 503 Full\nNot-Run: 1\nContent-Length: 0\n\n")
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -27,6 +27,8 @@
 const STALE: Ms = 1300.0;
 /// Control that was not heard of for so long may have taken this machine off its list.
 const ALONE: Ms = 1500.0;
+/// Between two links that are ended because something was missed.
+const MISSED_AGAIN: Ms = 1000.0;
 /// A proxy that said nothing for so long is not ready, whatever it said last.
 const PROXY_SILENT: Ms = 900.0;
 /// Kinds of parts that an edition is of.
@@ -69,6 +71,9 @@
     roster: Roster,
     /// What is held here, as it would be in force.
     edition: Edition,
+    /// Something else was decided than what is held here, by the last word of control; and when a link was ended
+    /// for that.
+    missed: Option<Ms>,
     /// A majority of control's disks held nothing above what is held here then, by whoever's word.
     as_of: Option<Ms>,
     /// The number of the last news of the present link, and the proxy's number for it.
@@ -94,7 +99,8 @@
             proxy: None,
             held: [const { None }; KINDS],
             roster: Roster::default(),
-            edition: Edition::default(),
+            edition: edition(None, 0, &[]),
+            missed: None,
             as_of: None,
             last: 0,
             lost: f64::NEG_INFINITY,
@@ -137,7 +143,7 @@
             }
             Note::Proxy { id, link } => {
                 let (host, front) = (String::new(), None);
-                let (applied, mending) = (Edition::default(), Mending::default());
+                let (applied, mending) = (edition(None, 0, &[]), Mending::default());
                 self.proxy = Some(Proxy {
                     id,
                     link,
@@ -200,17 +206,21 @@
                 let (held, decided) = (self.edition, Word { decided: of, as_of: 0.0 });
                 let standing = Verdict::of(&held, Some(&decided), false, &self.bounds).standing;
                 if standing == Standing::Current {
+                    self.missed = None;
                     control.as_of = control.as_of.into_iter().chain(then).reduce(f64::max);
                     self.as_of = self.as_of.into_iter().chain(then).reduce(f64::max);
                 } else if age.is_some() {
                     // News come before the beats that rest on them: one was missed, and a new link begins with
                     // a snapshot.
-                    let (new, old) = (of.mark.config, held.mark.config);
-                    log::warn!("event=missed standing={} decided={new:08x} held={old:08x}", standing.word());
-                    control.link.end();
-                    if standing == Standing::Differs {
-                        // Another text under the number: whatever control says next is taken.
-                        self.held[CONFIG] = None;
+                    // Not again at once: a snapshot takes a moment, and neighbours are asked meanwhile.
+                    if self.missed.is_none_or(|at| now - at >= MISSED_AGAIN) {
+                        self.missed = Some(now);
+                        let (new, old) = (of.mark.config, held.mark.config);
+                        log::warn!(
+                            "event=missed standing={} decided={new:08x} held={old:08x}",
+                            standing.word()
+                        );
+                        control.link.end();
                     }
                 }
             }
@@ -286,10 +296,16 @@
     fn take(&mut self, part: Part, control: bool) {
         let now = self.now();
         let kind = part.kind();
+        if !part.whole() {
+            // The next word of what was decided shows that something is missing here.
+            log::warn!("event=torn_push");
+            return;
+        }
         let newer = match (&part, &self.held[kind]) {
-            (Part::Config { version: new, text }, Some(Part::Config { version: old, text: held })) => {
-                new > old || (new == old && control && text != held)
-            }
+            (
+                Part::Config { version: new, seal, .. },
+                Some(Part::Config { version: old, seal: held, .. }),
+            ) => new > old || (new == old && control && seal != held),
             (Part::Evacuated { number: new, .. }, Some(Part::Evacuated { number: old, .. })) => new > old,
             (Part::Servers { age, list }, _) => {
                 self.roster.take(now, list.clone(), now - f64::from(*age));
@@ -387,7 +403,7 @@
     fn beat(&mut self) {
         let now = self.now();
         self.beat_at = now;
-        let due = self.circle.beat(now, self.alone(now));
+        let due = self.circle.beat(now, self.missed.is_some() || self.alone(now));
         self.act(due);
         let zone = self.settings.zone.clone();
         let Some(control) = &mut self.control else { return };
--- a/crates/aspendrum-rig/src/system/fleet.rs
+++ b/crates/aspendrum-rig/src/system/fleet.rs
@@ -1,6 +1,7 @@
 //! The machines of a run, each at a loopback address of its own, and the links between them.
 
 use super::scenario::{Scenario, Who};
+use super::tamper::{How, Tamper};
 use crate::process::{build, Process, Start};
 use aspendrum_links::{Fault, Link, Mesh, Relay};
 use aspendrum_standins::cloud::Cloud;
@@ -17,6 +18,7 @@
 const PORTS: [u16; 2] = [7600, 7615];
 /// Within these, as the programs use them.
 const COUNTS: u16 = PORTS[0] + 1;
+const AGENT: u16 = PORTS[0] + 2;
 const WORDS: u16 = PORTS[0] + 3;
 const SNAPSHOTS: u16 = PORTS[0] + 4;
 const CTL: u16 = 8200;
@@ -89,6 +91,9 @@
     /// Datagrams between proxies, and between agents.
     counts: Mesh,
     words: Mesh,
+    /// By edge, then core: words of control to its agent; by edge: the agent's to its proxy.
+    pushes: Vec<Vec<Tamper>>,
+    feeds: Vec<Tamper>,
     /// By edge, then edge: snapshots between agents.
     loans: Vec<Vec<Relay>>,
     _cloud: Arc<Cloud>,
@@ -132,13 +137,23 @@
         let cloud = cloud.await.map_err(failed)?;
         let cores: Vec<Ipv4Addr> = (0..s.cores).map(|n| ip(net, 100, n)).collect();
         let edges: Vec<Ipv4Addr> = (0..s.edges).map(|n| ip(net, 101, n)).collect();
-        let mut controls = Vec::new();
-        for _ in 0..s.cores + s.edges {
-            let mut row = Vec::new();
+        let (mut controls, mut pushes, mut feeds) = (Vec::new(), Vec::new(), Vec::new());
+        for dialler in 0..s.cores + s.edges {
+            let (mut row, mut tampers) = (Vec::new(), Vec::new());
             for core in &cores {
-                row.push(relay(IpAddr::V4(*core), SocketAddr::from((*core, PORTS[0]))).await?);
+                let mut to = SocketAddr::from((*core, PORTS[0]));
+                if dialler >= s.cores {
+                    tampers.push(Tamper::start(IpAddr::V4(*core), to, SERVICES).await.map_err(failed)?);
+                    to = tampers.last().map_or(to, Tamper::addr);
+                }
+                row.push(relay(IpAddr::V4(*core), to).await?);
             }
             controls.push(row);
+            if let Some(n) = dialler.checked_sub(s.cores) {
+                pushes.push(tampers);
+                let agent = SocketAddr::from((ip(net, 102, n), AGENT));
+                feeds.push(Tamper::start(agent.ip(), agent, SERVICES).await.map_err(failed)?);
+            }
         }
         let mut servers = Vec::new();
         for _ in 0..s.edges {
@@ -178,6 +193,8 @@
             servers,
             counts,
             words,
+            pushes,
+            feeds,
             loans,
             _cloud: cloud,
             _claim: claim,
@@ -215,9 +232,10 @@
             put(&slot.settings, &self.core_settings(n, init, seeds, &slot).to_string())?;
         }
         for n in 0..self.scenario.edges {
-            let text = self.edge_settings(n, seeds).to_string();
-            put(&self.lecterns[n].lock().await.settings, &text)?;
-            put(&self.pages[n].lock().await.settings, &text)?;
+            let agent = SocketAddr::from((ip(self.net, 102, n), AGENT));
+            let text = |by| self.edge_settings(n, seeds, by).to_string();
+            put(&self.lecterns[n].lock().await.settings, &text(self.feeds[n].addr()))?;
+            put(&self.pages[n].lock().await.settings, &text(agent))?;
         }
         Ok(())
     }
@@ -231,7 +249,8 @@
         self.common(self.scenario.zone(n), own, binds, ways.collect(), seeds)
     }
 
-    fn edge_settings(&self, n: usize, seeds: &[usize]) -> Value {
+    /// `agent`: where the agent is found, or listens.
+    fn edge_settings(&self, n: usize, seeds: &[usize], agent: SocketAddr) -> Value {
         let s = &self.scenario;
         let dialler = s.cores + n;
         let mut ways: Map<String, Value> = (0..s.cores)
@@ -246,10 +265,7 @@
         ways.extend((0..s.edges).map(|to| way(at(to), self.loans[n][to].addr())));
         ways.extend(self.origins.iter().enumerate().map(|(to, o)| way(o.addr(), self.servers[n][to].addr())));
         // All machines of a run are one: each agent has an address of its own there.
-        ways.extend([way(
-            (Ipv4Addr::LOCALHOST, PORTS[0] + 2).into(),
-            (ip(self.net, 102, n), PORTS[0] + 2).into(),
-        )]);
+        ways.extend([way((Ipv4Addr::LOCALHOST, AGENT).into(), agent)]);
         let own = json!({"host-name": format!("edge-{n}"), "ip": ip(self.net, 101, n),
             "caps": {"nofile": 1024, "mem-mb": 256}});
         let binds =
@@ -329,6 +345,15 @@
         all
     }
 
+    /// What happens to configurations on their way to that agent or proxy.
+    pub fn tamper(&self, who: Who, how: Option<How>) {
+        match who {
+            Who::Page(n) => self.pushes[n].iter().for_each(|t| t.set(how)),
+            Who::Lectern(n) => self.feeds[n].set(how),
+            _ => {}
+        }
+    }
+
     /// Everyone that has links: machines and servers.
     pub fn everyone(&self) -> Vec<Who> {
         let s = &self.scenario;
--- a/crates/aspendrum-rig/src/system/library.rs
+++ b/crates/aspendrum-rig/src/system/library.rs
@@ -29,6 +29,7 @@
     "spoilt",
     "cut-from-control",
     "two-disks-lost",
+    "missed-changes",
 );
 
 /// A scenario, by its name or from a file.
--- a/crates/aspendrum-rig/src/system/mod.rs
+++ b/crates/aspendrum-rig/src/system/mod.rs
@@ -7,3 +7,4 @@
 pub mod play;
 pub mod report;
 pub mod scenario;
+pub mod tamper;
--- a/crates/aspendrum-rig/src/system/play.rs
+++ b/crates/aspendrum-rig/src/system/play.rs
@@ -24,6 +24,8 @@
 const ENDED: Duration = Duration::from_secs(10);
 /// Of all wishes, those of clients that hold an old answer.
 const STUBBORN: f64 = 0.15;
+/// Nodes agree by then, once the last fault is over.
+const AGREED: Duration = Duration::from_secs(5);
 /// The last part of the traffic, in which the system is to be back.
 const LAST: Ms = 2000.0;
 
@@ -133,6 +135,9 @@
     let read_back = order(&fleet, 0, "GET", "/api/Cfg.Show", "").await;
     let read_back = read_back.and_then(|(_, body)| version(&body));
     let mut book = std::mem::take(&mut *lock(&run.book));
+    if s.bounds.agree {
+        book.failures.extend(disagreeing(&fleet).await);
+    }
     end(&fleet, &mut book.failures).await;
     let (t, terms) = (s.terms, s.quota_per_s);
     let bounds = Bounds {
@@ -161,6 +166,31 @@
     Ok(Outcome { record, verdict, last, second, failures, ready: from - begun })
 }
 
+/// The nodes that do not apply what was decided, as control knows them, once they have had a moment.
+async fn disagreeing(fleet: &Fleet) -> Vec<String> {
+    let begun = Instant::now();
+    loop {
+        let mut all = Vec::new();
+        let mut known = 0;
+        for core in 0..fleet.scenario.cores {
+            let Some((200, body)) = call(fleet.ctl(core), "GET", "/api/Nodes", "").await else { continue };
+            let told: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let nodes = told["nodes"].as_array().cloned().unwrap_or_default();
+            known += nodes.len();
+            all.extend(
+                nodes.iter().filter(|n| n["standing"] != "current").map(|n| format!("disagrees: {n}")),
+            );
+        }
+        if known < fleet.scenario.edges {
+            all.push(format!("control knows of {known} nodes"));
+        }
+        if all.is_empty() || begun.elapsed() > AGREED {
+            return all;
+        }
+        sleep(LOOK).await;
+    }
+}
+
 /// Of a configuration that was read back.
 fn version(body: &[u8]) -> Option<u32> {
     let held: Value = serde_json::from_slice(body).ok()?;
@@ -308,6 +338,12 @@
                 sleep(lasts.unwrap_or_default()).await;
                 self.fleet.heal(of, &from, step.one_way, number);
             }
+            What::Tamper => {
+                self.trouble(of, over);
+                of.iter().for_each(|who| self.fleet.tamper(*who, step.how));
+                sleep(lasts.unwrap_or_default()).await;
+                of.iter().for_each(|who| self.fleet.tamper(*who, None));
+            }
             What::Seeds => {
                 let seeds: Vec<usize> = of
                     .iter()
--- a/crates/aspendrum-rig/src/system/scenario.rs
+++ b/crates/aspendrum-rig/src/system/scenario.rs
@@ -1,5 +1,6 @@
 //! A scenario of the system: its size, its terms, what happens when, and what must hold in the end.
 
+use super::tamper::How;
 use aspendrum_judge::record::Ms;
 use serde::Deserialize;
 
@@ -106,6 +107,8 @@
     /// The zone of an evacuation.
     #[serde(default)]
     pub zone: String,
+    /// What is done to configurations.
+    pub how: Option<How>,
     /// The share of requests that servers spoil.
     #[serde(default)]
     pub share: f64,
@@ -133,6 +136,8 @@
     Term,
     Freeze,
     Cut,
+    /// Configurations go wrong on their way: to an agent (`page 1`), or from it to its proxy (`lectern 1`).
+    Tamper,
     /// The settings name other seeds, and SIGHUP.
     Seeds,
     /// Servers: die (a new life after `for_s`), drain, answer 500, reset behind the work, hang, reset unread.
@@ -155,6 +160,9 @@
     pub served_second: Option<f64>,
     /// Of the wishes of the last two seconds: the system is back.
     pub served_last: Option<f64>,
+    /// In the end every node applies what was decided.
+    #[serde(default)]
+    pub agree: bool,
     /// Tries that a proxy refused with 503, for want of a licence or a server.
     pub unready: Option<usize>,
     /// Connections that a proxy closed with a request read, whatever went on.
--- a/crates/aspendrum-rig/tests/system.rs
+++ b/crates/aspendrum-rig/tests/system.rs
@@ -60,4 +60,6 @@
     agents_lend_each_other_a_majoritys_word = "cut-from-control";
     /// Danger: three machines vote where two disks may be lost at once.
     two_lost_disks_of_five_leave_what_was_acknowledged = "two-disks-lost";
+    /// Danger: a proxy that missed a change, or got another text by its number, sends once-only queries astray.
+    changes_that_nodes_missed_lead_nothing_astray = "missed-changes";
 }
--- a/crates/aspendrum-vault/src/calls.rs
+++ b/crates/aspendrum-vault/src/calls.rs
@@ -23,6 +23,8 @@
     Show,
     Begin,
     Finish,
+    Nodes,
+    Explain,
     LookUp,
 }
 
@@ -35,6 +37,8 @@
     api(vec![
         Node::Word("Cfg.Set", vec![Node::Leaf("POST", Call::Set)]),
         Node::Word("Cfg.Show", vec![Node::Leaf("GET", Call::Show)]),
+        Node::Word("Nodes", vec![Node::Leaf("GET", Call::Nodes)]),
+        Node::Word("Explain", vec![Node::Leaf("GET", Call::Explain)]),
         Node::Word("Evac.Begin", vec![Node::Any(vec![Node::Leaf("POST", Call::Begin)])]),
         Node::Word("Evac.Finish", vec![Node::Any(vec![Node::Leaf("POST", Call::Finish)])]),
     ])
@@ -77,11 +81,27 @@
                 log::info!("event=order call={call:?} zone={zone}");
                 self.order(Order::Evacuation { zone, on: call == Call::Begin }, |_| Reply::plain(200))
             }
+            Found::Call(Call::Nodes, ..) => self.told(None),
+            Found::Call(Call::Explain, _, query) => {
+                match (argument(query, "host"), argument(query, "path")) {
+                    (Some(host), Some(path)) => self.told(Some((host.into(), path.into()))),
+                    _ => Reply::plain(400),
+                }
+            }
             Found::Call(Call::LookUp, ..) | Found::Nothing => Reply::plain(404),
             Found::OtherMethod => Reply::plain(405),
         }
     }
 
+    fn told(&self, of: Option<(String, String)>) -> Reply {
+        let (answer, told) = bounded(1);
+        if self.notes.offer(Note::Told { of, answer }).is_err() {
+            return Reply::plain(503);
+        }
+        told.recv_timeout(WAIT)
+            .map_or_else(|_| Reply::plain(503), |v| Reply::json(v.to_string().into_bytes()))
+    }
+
     /// Only what a majority of disks holds is acknowledged; anything else may still come to be held.
     fn order(&self, order: Order, done: impl Fn(&aspendrum_accession::Holdings) -> Reply) -> Reply {
         let (answer, outcome) = bounded(1);
--- a/crates/aspendrum-vault/src/desk.rs
+++ b/crates/aspendrum-vault/src/desk.rs
@@ -3,21 +3,23 @@
 
 use crate::finding::{self, Directory};
 use crate::links;
+use crate::nodes::{self, Node};
 use crate::notes::Note;
 use crate::store::Store;
 use crate::words::Between;
 use aspendrum_accession::founding::{self, Founding, Voters};
-use aspendrum_accession::{Act, Holdings, Order, Outcome, Place, Register, Said};
+use aspendrum_accession::{Act, Order, Outcome, Place, Register, Said};
 use aspendrum_catalog::config::Config;
 use aspendrum_catalog::news::{Down, Edition, Front, Part, Up, KINDS};
 use aspendrum_catalog::packed::unpack;
 use aspendrum_catalog::servers::{Roster, Server};
 use aspendrum_catalog::settings::Settings;
-use aspendrum_collation::edition;
+use aspendrum_collation::{edition, Bounds, Standing, Verdict, Word};
 use aspendrum_folio::frames::Link;
 use aspendrum_folio::mail::{Inbox, Post};
 use crossbeam_channel::Sender;
-use std::collections::{BTreeMap, HashMap};
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
@@ -42,18 +44,27 @@
 /// Of the time in which a draining server must be left, what passes between two looks at the list at most.
 const POLL_SHARE: f64 = 0.25;
 const POLL_STEP: Ms = 600.0;
+/// Versions that can be explained.
+const VERSIONS: usize = 4;
+/// Of the time in which a change must be in force, how long a proxy may lack it before clients are sent elsewhere.
+const OFF_SHARE: f64 = 0.5;
 /// Of the platform's calls a second, what is taken at the most.
 const RATE_SHARE: f64 = 0.5;
 
 /// An agent and its proxy, by their link.
 struct Seat {
     link: Link,
+    host: String,
     front: Option<Front>,
     heard: Ms,
     /// The number of the last news it was told, the last it has applied, and what it was told of each kind.
     said: u64,
     applied: u64,
     told: [Option<Part>; KINDS],
+    /// What its proxy has in force, and since when that is not what was decided.
+    edition: Edition,
+    standing: Standing,
+    off: Option<Ms>,
 }
 
 /// Another machine of control.
@@ -74,6 +85,9 @@
     founding: Option<Founding>,
     /// What a majority is known to hold, as it is in force where it was applied.
     decided: Edition,
+    /// The last versions that were settled here, the newest first.
+    versions: VecDeque<Config>,
+    bounds: Bounds,
     me: Place,
     begun: Instant,
     notes: Arc<Post<Note>>,
@@ -104,11 +118,13 @@
         poll: Sender<SocketAddrV4>,
         directory: Arc<RwLock<Directory>>,
     ) -> Desk {
-        let me = u32::from(settings.ip);
+        let (me, bounds) = (u32::from(settings.ip), Bounds::of(settings.apply_ms, settings.stretch_ms));
         Desk {
             settings,
             store,
-            decided: decided(register.settled()),
+            decided: edition(None, 0, &[]),
+            versions: VecDeque::new(),
+            bounds,
             register,
             founding,
             me,
@@ -157,7 +173,11 @@
             Note::Reached { place, link } => self.reached(place, link),
             Note::Agent { id, link } => {
                 let told = [const { None }; KINDS];
-                self.seats.insert(id, Seat { link, front: None, heard: now, said: 0, applied: 0, told });
+                let (front, edition, standing, off) = (None, Edition::default(), Standing::Behind, None);
+                let host = String::new();
+                let seat =
+                    Seat { link, host, front, heard: now, said: 0, applied: 0, told, edition, standing, off };
+                self.seats.insert(id, seat);
             }
             Note::AgentSaid { id, said } => self.agent(id, said),
             Note::AgentGone { id } => {
@@ -189,6 +209,13 @@
                     }
                 }
             }
+            Note::Told { of, answer } => {
+                let told = match of {
+                    None => self.nodes(),
+                    Some((host, path)) => nodes::explain(self.versions.iter(), &host, &path),
+                };
+                let _ = answer.try_send(told);
+            }
             Note::Settings(settings) => {
                 log::info!("event=settings_read seeds={}", settings.seeds.len());
                 self.settings = *settings;
@@ -354,20 +381,34 @@
         match said {
             Up::Hello { host, front, zone } => {
                 log::info!("event=agent_came host={host} front={front} zone={zone}");
-                seat.front = Some(Front { addr: front, zone, ready: false });
+                seat.host = host;
+                seat.front = Some(Front { addr: front, zone, ready: false, current: true });
                 self.own_fronts();
                 self.tell_agents();
             }
-            Up::Beat { stamp, ready, .. } => {
+            Up::Beat { stamp, ready, applied } => {
                 seat.link.say(&Down::Beat { stamp, age, of, heard: true, deserted });
-                let front = seat.front.as_mut().filter(|f| f.ready != ready);
+                seat.edition = applied;
+                // Without a majority this machine may be the one that is behind.
+                if age.is_some_and(|age| Ms::from(age) <= SURE) {
+                    let word = Word { decided: of, as_of: now };
+                    seat.standing = Verdict::of(&applied, Some(&word), false, &self.bounds).standing;
+                    let off = seat.standing != Standing::Current;
+                    seat.off = off.then(|| seat.off.unwrap_or(now));
+                }
+                // News that are on their way are no reason to send clients elsewhere.
+                let current = seat.off.is_none_or(|at| now - at < OFF_SHARE * self.settings.apply_ms);
+                let standing = seat.standing.word();
+                let front = seat.front.as_mut().filter(|f| (f.ready, f.current) != (ready, current));
                 if let Some(front) = front {
-                    front.ready = ready;
-                    log::info!(
-                        "event=front_{} front={}",
-                        if ready { "ready" } else { "not_ready" },
-                        front.addr
-                    );
+                    if front.ready != ready {
+                        let is = if ready { "ready" } else { "not_ready" };
+                        log::info!("event=front_{is} front={}", front.addr);
+                    }
+                    if front.current != current {
+                        log::info!("event=front_standing front={} is={standing}", front.addr);
+                    }
+                    (front.ready, front.current) = (ready, current);
                     self.own_fronts();
                 }
             }
@@ -375,6 +416,28 @@
         }
     }
 
+    fn nodes(&self) -> Value {
+        let now = self.now();
+        let node = |s: &Seat| {
+            let front = s.front.as_ref()?;
+            Some(Node {
+                host: s.host.clone(),
+                front: front.addr.to_string(),
+                zone: front.zone.clone(),
+                ready: front.ready,
+                standing: s.standing,
+                off_ms: s.off.map_or(0, |at| (now - at).max(0.0) as u64),
+                applied: s.edition,
+                news: (s.said, s.applied),
+            })
+        };
+        let mut all: Vec<Node> = self.seats.values().filter_map(node).collect();
+        all.sort_by(|a, b| a.host.cmp(&b.host));
+        let age = self.register.as_of().map(|at| (now - at).max(0.0) as u64);
+        let control: Vec<String> = self.peers.keys().map(|p| Ipv4Addr::from(*p).to_string()).collect();
+        nodes::nodes(&self.settings.host, &self.decided, age, &all, &control)
+    }
+
     fn own(&self) -> Vec<Front> {
         self.seats.values().filter_map(|s| s.front.clone()).collect()
     }
@@ -408,7 +471,7 @@
         if self.register.as_of().is_some() {
             if settled.config.version > 0 {
                 let config = &settled.config;
-                wanted.push(Part::Config { version: config.version, text: config.text.clone() });
+                wanted.push(Part::config(config.version, config.text.clone()));
             }
             let (number, zones) = settled.evacuated();
             wanted.push(Part::Evacuated { number, zones });
@@ -460,8 +523,8 @@
                     }
                 }
                 Act::News => {
+                    self.settle();
                     let settled = self.register.settled();
-                    self.decided = decided(settled);
                     log::info!(
                         "event=settled version={:08x} evacuated={:?}",
                         settled.config.version,
@@ -474,6 +537,19 @@
         }
     }
 
+    /// What is decided now, as it would be in force.
+    fn settle(&mut self) {
+        let settled = self.register.settled();
+        let (number, zones) = settled.evacuated();
+        // Only what was found valid is held; of anything else nothing is in force anywhere.
+        let config = unpack(&settled.config.text).and_then(|text| Config::read(&text).ok());
+        self.decided = edition(config.as_ref(), number, &zones);
+        let Some(config) = config else { return };
+        self.versions.retain(|held| held.version != config.version);
+        self.versions.push_front(config);
+        self.versions.truncate(VERSIONS);
+    }
+
     fn beat(&mut self) {
         let now = self.now();
         if let Some(founding) = &mut self.founding {
@@ -533,18 +609,12 @@
     }
 }
 
-/// What is decided, as it would be in force.
-fn decided(settled: &Holdings) -> Edition {
-    let (number, zones) = settled.evacuated();
-    // Only what was found valid is held; of anything else nothing is in force anywhere.
-    let config = unpack(&settled.config.text).and_then(|text| Config::read(&text).ok());
-    edition(config.as_ref(), number, &zones)
-}
-
 /// Whether an agent that was told the one need not be told the other.
 fn same(told: &Part, now: &Part) -> bool {
     match (told, now) {
-        (Part::Config { version: a, text: s }, Part::Config { version: b, text: t }) => a == b && s == t,
+        (Part::Config { version: a, seal: s, .. }, Part::Config { version: b, seal: t, .. }) => {
+            (a, s) == (b, t)
+        }
         (Part::Servers { list: a, .. }, Part::Servers { list: b, .. }) => {
             let alike = |x: &Server, y: &Server| {
                 // A cold time that merely runs out is no news; one that begins is.
--- a/crates/aspendrum-vault/src/finding.rs
+++ b/crates/aspendrum-vault/src/finding.rs
@@ -26,11 +26,14 @@
         Directory { fronts: ready, regions: regions.clone() }
     }
 
-    /// Addresses for a client: of its zone, else of its region, else all. Empty: nobody is ready.
+    /// Addresses for a client: of its zone, else of its region, else all; without those that have not applied what
+    /// was decided, where enough others are. Empty: nobody is ready.
     pub fn look_up(&self, region: &str, zone: &str) -> Vec<SocketAddrV4> {
         let region_of = |f: &Front| self.regions.get(&f.zone).map(String::as_str);
         let near = |fits: &dyn Fn(&Front) -> bool| -> Vec<SocketAddrV4> {
-            self.fronts.iter().filter(|f| fits(f)).map(|f| f.addr).take(MOST).collect()
+            let there: Vec<&Front> = self.fronts.iter().filter(|f| fits(f)).collect();
+            let enough = there.iter().filter(|f| f.current).count() >= ENOUGH;
+            there.iter().filter(|f| f.current || !enough).map(|f| f.addr).take(MOST).collect()
         };
         let of_zone = near(&|f| f.zone == zone);
         if of_zone.len() >= ENOUGH {
@@ -51,6 +54,7 @@
     for front in tables.flatten() {
         let known = all.entry(front.addr).or_insert_with(|| front.clone());
         known.ready |= front.ready;
+        known.current |= front.current;
     }
     let mut all: Vec<Front> = all.into_values().collect();
     all.sort();
@@ -70,7 +74,7 @@
     use super::*;
 
     fn front(n: u8, zone: &str, ready: bool) -> Front {
-        Front { addr: format!("10.0.0.{n}:80").parse().unwrap(), zone: zone.into(), ready }
+        Front { addr: format!("10.0.0.{n}:80").parse().unwrap(), zone: zone.into(), ready, current: true }
     }
 
     fn told(fronts: &[Front], region: &str, zone: &str) -> Vec<u8> {
@@ -86,6 +90,14 @@
         let mut fronts =
             vec![front(1, "a1", true), front(2, "a1", true), front(3, "a2", true), front(4, "b1", true)];
         assert_eq!(told(&fronts, "a", "a1"), [1, 2]);
+        // What has not applied the newest is left out only where a choice is left without it.
+        fronts.push(front(5, "a1", true));
+        fronts[4].current = false;
+        assert_eq!(told(&fronts, "a", "a1"), [1, 2]);
+        fronts[1].current = false;
+        assert_eq!(told(&fronts, "a", "a1"), [1, 2, 5]);
+        fronts.pop();
+        fronts[1].current = true;
         assert_eq!(told(&fronts, "b", "b1"), [1, 2, 3, 4], "one alone is no choice");
         fronts[0].ready = false;
         assert_eq!(told(&fronts, "a", "a1"), [2, 3]);
--- a/crates/aspendrum-vault/src/main.rs
+++ b/crates/aspendrum-vault/src/main.rs
@@ -4,6 +4,7 @@
 mod desk;
 mod finding;
 mod links;
+mod nodes;
 mod notes;
 mod poll;
 mod store;
@@ -12,6 +13,7 @@
 use aspendrum_accession::founding::{voters_for, Founding};
 use aspendrum_accession::Register;
 use aspendrum_catalog::settings::{Settings, VARIABLE};
+use aspendrum_folio::caller::Caller;
 use aspendrum_folio::daemon;
 use aspendrum_folio::hands::spawn;
 use aspendrum_folio::mail;
@@ -86,13 +88,13 @@
 
     let own = notes.clone();
     let poller = move || {
-        let mut conn = None;
+        let mut platform = None;
         while let Ok(addr) = polls.recv() {
             let asked = Instant::now();
-            let list = poll::list(addr, &mut conn);
-            if list.is_err() {
-                conn = None;
-            }
+            let known = platform.take().filter(|p: &Caller| p.to() == addr);
+            let mut caller = known.unwrap_or_else(|| Caller::new(addr, poll::BOUNDS));
+            let list = poll::list(&mut caller);
+            platform = list.is_ok().then_some(caller);
             own.send(Note::Polled { asked, list }, None);
         }
     };
--- /dev/null
+++ b/crates/aspendrum-vault/src/nodes.rs
@@ -0,0 +1,58 @@
+//! What control tells operators of nodes and of what is decided, as JSON. Each machine of control knows the nodes
+//! whose agents hold a link to it, and where the other machines are.
+
+use aspendrum_catalog::config::{Config, Route};
+use aspendrum_catalog::news::Edition;
+use aspendrum_collation::{Section, Standing};
+use serde_json::{json, Value};
+
+/// A node as this machine of control knows it.
+pub struct Node {
+    pub host: String,
+    pub front: String,
+    pub zone: String,
+    pub ready: bool,
+    pub standing: Standing,
+    /// Milliseconds since it was current last, as of now; 0 while it is.
+    pub off_ms: u64,
+    pub applied: Edition,
+    /// Numbered news: told, and acknowledged as in force.
+    pub news: (u64, u64),
+}
+
+fn version(n: u32) -> String {
+    format!("{n:08x}")
+}
+
+fn edition(e: &Edition) -> Value {
+    let digests: Vec<String> = e.digests.iter().map(|d| format!("{d:016x}")).collect();
+    json!({"gen": version(e.mark.config), "evacuations": e.mark.evacuation, "digests": digests})
+}
+
+/// `age`: so long ago a majority held nothing newer, in milliseconds. `control`: IP numbers of the other machines.
+pub fn nodes(me: &str, decided: &Edition, age: Option<u64>, nodes: &[Node], control: &[String]) -> Value {
+    let row = |n: &Node| {
+        let differs: Vec<String> =
+            Section::differing(&n.applied, decided).iter().map(|s| format!("{s:?}").to_lowercase()).collect();
+        json!({"host": n.host, "front": n.front, "zone": n.zone, "ready": n.ready, "via": me,
+            "standing": n.standing.word(), "off-ms": n.off_ms, "applied": edition(&n.applied), "differs": differs,
+            "told": n.news.0, "acknowledged": n.news.1})
+    };
+    let rows: Vec<Value> = nodes.iter().map(row).collect();
+    json!({"decided": edition(decided), "majority-ms-ago": age, "nodes": rows, "control": control})
+}
+
+fn route(r: &Route) -> Value {
+    let may =
+        if r.repeatable { "repeated freely" } else { "lands once: leaves only where decided is applied" };
+    let services: Vec<Value> = r.services.iter().map(|s| json!({"svc": s.0, "wt": s.1})).collect();
+    json!({"name": r.name, "retries": may, "services": services, "tries": r.tries, "limit-ms": r.limit_ms,
+        "public": r.public, "homes": r.homes})
+}
+
+/// What each version would do with a request, the newest first.
+pub fn explain<'c>(versions: impl Iterator<Item = &'c Config>, host: &str, path: &str) -> Value {
+    let told = |c: &Config| json!({"gen": version(c.version), "route": c.route(host, path).map(|n| route(&c.routes[n]))});
+    let all: Vec<Value> = versions.map(told).collect();
+    json!({"host": host, "path": path, "versions": all})
+}
