Transcripts of the operators' client and of control's word on nodes

Cause: 'evacuate begin ZONE' was refused by the command line, whose inner command took the rest; found by the transcript. Change: the zone stands inside; transcripts of nodes, explain, put, check, diff and evacuate against two stand-ins.

--- a/crates/aspendrum-registrar/src/main.rs
+++ b/crates/aspendrum-registrar/src/main.rs
@@ -53,8 +53,6 @@
     Evacuate {
         #[bpaf(external)]
         turn: Turn,
-        #[bpaf(positional("ZONE"))]
-        zone: String,
     },
     /// Each node: what was decided, what it applied, since when it differs; ends with 1 if any does
     #[bpaf(command)]
@@ -69,14 +67,20 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 enum Turn {
     /// Nothing more is sent to the zone's servers
     #[bpaf(command)]
-    Begin,
+    Begin {
+        #[bpaf(positional("ZONE"))]
+        zone: String,
+    },
     /// The zone is taken back
     #[bpaf(command)]
-    Finish,
+    Finish {
+        #[bpaf(positional("ZONE"))]
+        zone: String,
+    },
 }
 
 fn main() -> ExitCode {
@@ -114,9 +118,13 @@
             changes.iter().for_each(|c| println!("{c}"));
             Ok(changes.is_empty())
         }
-        What::Evacuate { turn, zone } => {
-            let path = format!("/api/Evac.{turn:?}/{zone}");
-            ordered(control.order("POST", &path, b"")?, &format!("{turn:?} of {zone} is held"))
+        What::Evacuate { turn } => {
+            let (word, zone) = match turn {
+                Turn::Begin { zone } => ("Begin", zone),
+                Turn::Finish { zone } => ("Finish", zone),
+            };
+            let done = format!("the evacuation's {} in {zone} is held", word.to_lowercase());
+            ordered(control.order("POST", &format!("/api/Evac.{word}/{zone}"), b"")?, &done)
         }
         What::Nodes => {
             let told = control.nodes()?;
--- /dev/null
+++ b/crates/aspendrum-registrar/tests/transcripts.rs
@@ -0,0 +1,121 @@
+//! What an operator types and what comes back, against a stand-in for control that knows two machines of it.
+
+use aspendrum_folio::message::{Bounds, Request};
+use aspendrum_folio::reception::{open, Reply, Terms};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::process::{Command, Output};
+use std::time::Duration;
+
+const CONFIG: &str = r#"{"gen":"00000007","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":15000},
+"tenants":[{"name":"ann","keys":["k1","k2"]}],
+"ports":[{"vhost":"a.example","rules":[{"name":"r","type":"mutating","goal-ms":500,"match":{"pfx":"/send/"},
+"action":{"svc":"s","limit-ms":2000,"tries":2}}]}],"pools":[{"name":"s","check":"/healthz"},{"name":"t","check":"/healthz"}]}"#;
+
+const NODES: [&str; 2] = [
+    r#"{"decided":{"gen":"00000007","evacuations":1,"digests":["a","b","c","d"]},"majority-ms-ago":120,"control":["127.0.7.2"],
+"nodes":[{"host":"edge-b","front":"10.0.0.2:80","zone":"z1","ready":true,"via":"core-1","standing":"behind","off-ms":4200,
+"applied":{"gen":"00000004","evacuations":1,"digests":["x","b","c","d"]},"differs":["routes"],"told":9,"acknowledged":7}]}"#,
+    r#"{"decided":{"gen":"00000007","evacuations":1,"digests":["a","b","c","d"]},"majority-ms-ago":null,"control":["127.0.7.1"],
+"nodes":[{"host":"edge-a","front":"10.0.0.1:80","zone":"z2","ready":false,"via":"core-2","standing":"current","off-ms":0,
+"applied":{"gen":"00000007","evacuations":1,"digests":["a","b","c","d"]},"differs":[],"told":8,"acknowledged":8}]}"#,
+];
+const EXPLAINED: &str = r#"{"host":"a.example","path":"/send/1","versions":[
+{"gen":"00000007","route":{"name":"r","services":[{"svc":"s","wt":1.0}],"retries":"lands once","tries":2,"limit-ms":2000}},
+{"gen":"00000004","route":null}]}"#;
+
+fn answer(machine: usize, request: &Request) -> Reply {
+    let json = |text: &str| Reply::json(text.as_bytes().to_vec());
+    match (request.method.as_str(), request.path.as_str()) {
+        ("GET", "/api/Nodes") => json(NODES[machine]),
+        ("GET", "/api/Explain?host=a.example&path=/send/1") => json(EXPLAINED),
+        ("GET", "/api/Cfg.Show") => json(CONFIG),
+        // Only the second has a majority.
+        ("POST", "/api/Cfg.Set" | "/api/Evac.Begin/z1") if machine == 1 => Reply::plain(200),
+        ("POST", "/api/Cfg.Set" | "/api/Evac.Begin/z1") => Reply::plain(503),
+        _ => Reply::plain(404),
+    }
+}
+
+/// Both machines, at ports that are alike.
+fn control() -> u16 {
+    let terms = Terms {
+        stack: 128 << 10,
+        bounds: Bounds { head: 8 << 10, body: 1 << 20 },
+        idle: Duration::from_secs(5),
+        hands: Duration::from_secs(1),
+    };
+    let port = (20_000..30_000).find(|port| {
+        let at = |n: u8| SocketAddrV4::new(Ipv4Addr::new(127, 0, 7, n), *port);
+        open(at(1), terms.clone(), |r| answer(0, &r)).is_ok()
+            && open(at(2), terms.clone(), |r| answer(1, &r)).is_ok()
+    });
+    port.expect("a port is free")
+}
+
+fn registrar(port: u16, arguments: &[&str]) -> (i32, String, String) {
+    let at = format!("127.0.7.1:{port}");
+    let mut line = Command::new(env!("CARGO_BIN_EXE_registrar"));
+    let Output { status, stdout, stderr } = line.args(["--at", &at]).args(arguments).output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (status.code().unwrap(), text(stdout), text(stderr))
+}
+
+#[test]
+fn an_operator_sees_which_node_applies_what() {
+    let port = control();
+    let (code, out, _) = registrar(port, &["nodes"]);
+    let approved = "\
+decided 00000007, evacuation orders 1, majority read 120 ms ago
+decided 00000007, evacuation orders 1, majority read never
+node                     zone           applied  standing     off ms differs                  news
+edge-a                   z2             00000007 current           0                          8/8 not ready
+edge-b                   z1             00000004 behind         4200 routes                   7/9
+";
+    assert_eq!((code, out.as_str()), (1, approved), "one node differs");
+    let (code, out, _) = registrar(port, &["explain", "a.example", "/send/1"]);
+    let approved = "\
+00000007 (1 nodes): \"r\" -> [{\"svc\":\"s\",\"wt\":1.0}]; \"lands once\"; 2 tries, 2000 ms
+00000004 (1 nodes): no route, 404
+";
+    assert_eq!((code, out.as_str()), (0, approved));
+    let (code, out, _) = registrar(port, &["--json", "nodes"]);
+    assert!(
+        code == 1
+            && serde_json::from_str::<serde_json::Value>(&out).unwrap()[0]["nodes"][0]["host"] == "edge-b"
+    );
+}
+
+#[test]
+fn an_operator_puts_checks_and_evacuates() {
+    let port = control();
+    let folder = std::env::temp_dir().join(format!("registrar-{}-{port}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = |name: &str, text: &str| {
+        let path = folder.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    };
+    let both = format!("127.0.7.2:{port}");
+    let good = file("good.json", CONFIG);
+    assert_eq!(registrar(port, &["check", &good]).1, "version 00000007: 1 routes, 2 services, 1 tenants\n");
+    // The first machine has no majority; the next one named is asked.
+    let (code, out, _) = registrar(port, &["--at", &both, "put", &good]);
+    assert_eq!((code, out.as_str()), (0, "version 00000007 is held by a majority of control's disks\n"));
+    let (code, out, _) = registrar(port, &["--at", &both, "evacuate", "begin", "z1"]);
+    assert_eq!(
+        (code, out.as_str()),
+        (0, "the evacuation's begin in z1 is held by a majority of control's disks\n")
+    );
+    assert_eq!(registrar(port, &["evacuate", "begin", "z9"]).0, 1, "no such zone");
+    let bad = file("bad.json", &CONFIG.replace("\"svc\":\"s\"", "\"svc\":\"u\""));
+    let (code, _, told) = registrar(port, &["put", &bad]);
+    assert!(code == 1 && told.ends_with("route r names the service u, which is not there\n"), "{told}");
+    assert_eq!(registrar(port, &["diff", &good]).0, 0);
+    let moved = CONFIG.replace("\"svc\":\"s\"", "\"svc\":\"t\"").replace("00000007", "00000009");
+    let moved = moved.replace("\"k1\",", "");
+    let (code, out, _) = registrar(port, &["diff", &file("moved.json", &moved)]);
+    assert!(code == 1 && out.starts_with("~ a.example/send/, goes elsewhere: "), "{out}");
+    assert!(out.ends_with("~ keys: 0 given, 1 taken away\n~ version: 00000007 -> 00000009\n"), "{out}");
+    assert!(!out.contains("k1"), "keys are secrets");
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/aspendrum-vault/tests/processes.rs
+++ b/crates/aspendrum-vault/tests/processes.rs
@@ -216,4 +216,14 @@
     });
     let numbers: Vec<u64> = numbers.collect();
     assert_eq!(numbers, (1..=numbers.len() as u64).collect::<Vec<_>>());
+    // What it applied is nothing, and operators see that.
+    let nodes = control.done(1, "GET", "/api/Nodes", "");
+    assert!(nodes.contains(r#""host":"e1""#) && nodes.contains(r#""standing":"behind""#), "{nodes}");
+    let told = control.done(1, "GET", "/api/Explain?host=a.example&path=/a/x", "");
+    assert!(
+        told.contains(r#""gen":"00000006","route":{"homes":[]"#) && told.contains("repeated freely"),
+        "{told}"
+    );
+    assert!(told.find("00000006").unwrap() < told.find("00000004").unwrap(), "the newest first: {told}");
+    assert_eq!(control.call(1, "GET", "/api/Explain", "").unwrap().0, 400);
 }
