Counters are handed to their next holder; a fence is of one name, not of the whole list

Change: the fence runs from when a name itself moved; a holder that loses a name hands its total and its window's age to the next one, which goes on at once.

--- a/crates/aspendrum-lectern/src/counts.rs
+++ b/crates/aspendrum-lectern/src/counts.rs
@@ -23,6 +23,12 @@
     Fenced {
         call: u32,
     },
+    /// The speaker holds that counter no more: so much stands in its window, which began so many milliseconds ago.
+    Hand {
+        name: u64,
+        total: f32,
+        age: u32,
+    },
 }
 
 /// The quota of one tenant, as counters need it.
@@ -74,29 +80,75 @@
 pub struct Ledger {
     counters: HashMap<u64, Counter>,
     quotas: HashMap<u64, Quota>,
-    /// When the list of those that may hold counters last changed.
-    changed: Ms,
+    /// Since when each name is to be held here. Of every name by itself: a list that changes for others' sake keeps
+    /// no counter behind its fence.
+    since: HashMap<u64, Ms>,
+    /// It is known who may hold counters.
+    listed: bool,
 }
 
 /// Beyond a window: so long do others go by an older list of holders.
 const FENCE: Ms = 400.0;
 
+/// A counter that goes to its next holder.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Handed {
+    pub name: u64,
+    pub total: f32,
+    /// Milliseconds since its window began.
+    pub age: u32,
+}
+
 impl Ledger {
-    pub fn quotas(&mut self, quotas: HashMap<u64, Quota>) {
+    /// `holds`: whether a name is to be held here. A name that is new to the running process has been held nowhere.
+    pub fn quotas(&mut self, quotas: HashMap<u64, Quota>, holds: impl Fn(u64) -> bool) {
         self.counters.retain(|name, _| quotas.contains_key(name));
+        self.since.retain(|name, _| quotas.contains_key(name));
+        if self.listed {
+            let new = quotas.keys().filter(|name| !self.quotas.contains_key(name) && holds(**name));
+            self.since.extend(new.map(|name| (*name, f64::NEG_INFINITY)));
+        }
         self.quotas = quotas;
     }
 
-    pub fn changed(&mut self, now: Ms) {
-        self.changed = now;
+    /// The list of those that may hold counters has changed. What goes to others: nothing is granted from it here
+    /// any more, so its next holder goes on with it at once.
+    pub fn held(&mut self, now: Ms, holds: impl Fn(u64) -> bool) -> Vec<Handed> {
+        self.listed = true;
+        let mut handed = Vec::new();
+        for name in self.quotas.keys() {
+            if holds(*name) {
+                self.since.entry(*name).or_insert(now);
+                continue;
+            }
+            self.since.remove(name);
+            // Also one whose window is over: its next holder begins another without a fence.
+            let Some(counter) = self.counters.remove(name) else { continue };
+            let age = (now - counter.begun).clamp(0.0, f64::from(u32::MAX)) as u32;
+            handed.push(Handed { name: *name, total: counter.total as f32, age });
+        }
+        handed
+    }
+
+    /// The last holder's word. What was granted here meanwhile stands beside it.
+    pub fn take(&mut self, now: Ms, handed: Handed) {
+        if !self.quotas.contains_key(&handed.name) || !handed.total.is_finite() || handed.total < 0.0 {
+            return;
+        }
+        let begun = now - f64::from(handed.age);
+        let counter = self.counters.entry(handed.name).or_insert(Counter { total: 0.0, begun });
+        counter.total += f64::from(handed.total);
     }
 
     /// The plain add: the total of the window with it. None: a counter that was not held here before may be
-    /// granted from by its last holder until that one's window is over.
+    /// granted from by its last holder until that one's window is over, unless that one has said otherwise.
     pub fn add(&mut self, now: Ms, name: u64, add: f32) -> Option<f32> {
         let quota = self.quotas.get(&name)?;
-        if !self.counters.contains_key(&name) && now - self.changed < quota.window + FENCE {
-            return None;
+        if !self.counters.contains_key(&name) {
+            let since = self.since.get(&name)?;
+            if now - since < quota.window + FENCE {
+                return None;
+            }
         }
         let counter = self.counters.entry(name).or_insert(Counter { total: 0.0, begun: now });
         if now - counter.begun >= quota.window {
@@ -105,11 +157,6 @@
         counter.total += f64::from(add);
         Some(counter.total as f32)
     }
-
-    /// Counters that are another's now are forgotten: held again, they begin behind the fence.
-    pub fn keep(&mut self, held: impl Fn(u64) -> bool) {
-        self.counters.retain(|name, _| held(*name));
-    }
 }
 
 /// A call that waits for its total.
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -1,7 +1,7 @@
 //! The desk: the module, the servers it may use, the counters and the queries in hand, behind one lock. Each
 //! thread tells it what happened and carries on; nothing under the lock waits for anybody.
 
-use crate::counts::{Call, Calls, Leave, Ledger, Quota, Word};
+use crate::counts::{Call, Calls, Handed, Leave, Ledger, Quota, Word};
 use crate::stacks::{Stacks, Terms, Warmth};
 use aspendrum_catalog::config::{Config, Route, Tenant};
 use aspendrum_catalog::hash::digest;
@@ -291,6 +291,10 @@
                 self.counted(&mut inner, now, call, Outcome::Ok, total);
                 None
             }
+            Word::Hand { name, total, age } => {
+                inner.ledger.take(now, Handed { name, total, age });
+                None
+            }
             Word::Fenced { call } => {
                 let call = inner.calls.answered(now, from, call)?;
                 self.counted(&mut inner, now, call, Outcome::ConnectFailed, 0.0);
@@ -438,9 +442,13 @@
         let mut inner = lock(&self.inner);
         inner.told_fronts = true;
         if let Some(lost) = inner.calls.holders(ready) {
-            inner.ledger.changed(now);
             let Inner { ledger, calls, .. } = &mut *inner;
-            ledger.keep(|name| calls.holder(name) == Some(self.me));
+            for handed in ledger.held(now, |name| calls.holder(name) == Some(self.me)) {
+                if let Some(next) = calls.holder(handed.name) {
+                    let Handed { name, total, age } = handed;
+                    self.send(next, &Word::Hand { name, total, age });
+                }
+            }
             for call in lost {
                 self.counted(&mut inner, now, call, Outcome::TimedOut, 0.0);
             }
@@ -470,7 +478,9 @@
         let quota = |t: &Tenant| Quota::of(t.rate_s, t.burst, &leave);
         let plans = tenants.iter().map(|t| inner.plan(&t.name, quota(t))).collect();
         let accts: Vec<AcctId> = tenants.iter().map(|t| digest(t.name.as_bytes()) & NAMES).collect();
-        inner.ledger.quotas(accts.iter().copied().zip(tenants.iter().map(quota)).collect());
+        let Inner { ledger, calls, .. } = &mut *inner;
+        let quotas = accts.iter().copied().zip(tenants.iter().map(quota)).collect();
+        ledger.quotas(quotas, |name| calls.holder(name) == Some(self.me));
         let pools = config.services.iter().map(|s| (s.name.clone(), inner.stacks.pool(&s.name))).collect();
         let zones = |homes: &[String]| match homes {
             [] => u64::MAX,
--- a/crates/aspendrum-lectern/tests/counts.rs
+++ b/crates/aspendrum-lectern/tests/counts.rs
@@ -1,6 +1,6 @@
 //! Counters inside proxies: no tenant is granted more than the terms allow, wherever its counter is.
 
-use aspendrum_lectern::counts::{Calls, Leave, Ledger, Quota};
+use aspendrum_lectern::counts::{Calls, Handed, Leave, Ledger, Quota};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
@@ -9,8 +9,8 @@
 
 fn ledger(rate: f64, burst: f64) -> (Ledger, Quota) {
     let (mut ledger, quota) = (Ledger::default(), Quota::of(rate, burst, &LEAVE));
-    ledger.quotas(HashMap::from([(NAME, quota)]));
-    ledger.changed(-10_000.0);
+    ledger.quotas(HashMap::from([(NAME, quota)]), |_| true);
+    ledger.held(-10_000.0, |_| true);
     (ledger, quota)
 }
 
@@ -48,8 +48,9 @@
     let (mut held, quota) = ledger(rate, burst);
     for now in (0..30_000).map(f64::from) {
         if now % 3000.0 == 0.0 && now > 0.0 {
-            (held, _) = ledger(rate, burst);
-            held.changed(now);
+            held = Ledger::default();
+            held.quotas(HashMap::from([(NAME, quota)]), |_| true);
+            held.held(now, |_| true);
         }
         if held.add(now, NAME, 1.0).is_some_and(|total| f64::from(total) <= quota.burst) {
             grants.push(now);
@@ -63,13 +64,63 @@
 fn a_counter_taken_away_and_given_back_is_behind_the_fence_again() {
     let (mut ledger, quota) = ledger(10.0, 10.0);
     assert_eq!(ledger.add(0.0, NAME, 1.0), Some(1.0));
-    ledger.keep(|_| false);
-    ledger.changed(100.0);
+    ledger.held(50.0, |_| false);
+    assert_eq!(ledger.add(90.0, NAME, 1.0), None, "another's");
+    ledger.held(100.0, |_| true);
     assert_eq!(ledger.add(200.0, NAME, 1.0), None);
     assert_eq!(ledger.add(200.0 + quota.window + 400.0, NAME, 1.0), Some(1.0));
     assert_eq!(ledger.add(0.0, 8, 1.0), None, "a tenant that no configuration names");
 }
 
+/// Danger: proxies restart one after another, the list changes every 0.4 s, and every counter that moved stays behind
+/// its fence until the last of them is back: a quarter of all tries were refused below quota.
+#[test]
+fn a_list_that_changes_for_others_sake_prolongs_no_fence() {
+    let (mut ledger, quota) = ledger(10.0, 10.0);
+    ledger.held(0.0, |_| false);
+    let mut opened = None;
+    for now in (100..10_000).step_by(100).map(f64::from) {
+        if now % 400.0 == 100.0 {
+            ledger.held(now, |_| true);
+        }
+        if opened.is_none() && ledger.add(now, NAME, 1.0).is_some() {
+            opened = Some(now);
+        }
+    }
+    assert_eq!(opened, Some(100.0 + quota.window + 400.0));
+}
+
+/// A counter that is handed over goes on at once, and grants no more for it.
+#[test]
+fn a_counter_that_is_handed_over_goes_on_where_it_stood() {
+    let (mut grants, (rate, burst)) = (Vec::new(), (186.0, 186.0));
+    let (mut one, quota) = ledger(rate, burst);
+    let (mut other, _) = ledger(rate, burst);
+    other.held(-5000.0, |_| false);
+    for now in (0..30_000).map(f64::from) {
+        if now % 700.0 == 300.0 {
+            let handed = one.held(now, |_| false);
+            other.held(now, |_| true);
+            handed.into_iter().for_each(|h| other.take(now, h));
+            std::mem::swap(&mut one, &mut other);
+            assert_eq!(other.add(now, NAME, 1.0), None, "the last holder grants nothing more");
+        }
+        if one.add(now, NAME, 1.0).is_some_and(|total| f64::from(total) <= quota.burst) {
+            grants.push(now);
+        }
+    }
+    assert!(most(&grants) <= allowed(rate, burst), "{}", most(&grants));
+    assert!(grants.len() as f64 >= 29.0 * rate, "only {}", grants.len());
+    // Nonsense hands nothing over, and what was granted meanwhile is not forgotten.
+    let before = one.add(30_000.0, NAME, 0.0);
+    for (name, total) in [(8, 1.0), (NAME, f32::NAN), (NAME, -5.0)] {
+        one.take(30_000.0, Handed { name, total, age: 0 });
+    }
+    assert_eq!(one.add(30_000.0, NAME, 0.0), before);
+    one.take(30_000.0, Handed { name: NAME, total: 3.0, age: 0 });
+    assert_eq!(one.add(30_000.0, NAME, 0.0), before.map(|total| total + 3.0));
+}
+
 fn proxies(n: u8) -> Vec<Ipv4Addr> {
     (1..=n).map(|n| Ipv4Addr::new(10, 1, 0, n)).collect()
 }
