--- a/crates/aspendrum-vault/src/calls.rs
+++ b/crates/aspendrum-vault/src/calls.rs
@@ -127,10 +127,7 @@
             let ips: Vec<String> = ips.iter().map(ToString::to_string).collect();
             Reply::json(serde_json::json!({ "ips": ips, "ttl-s": ttl }).to_string().into_bytes())
         }
-        Found::Call(..) | Found::Nothing => {
-            log::info!("event=look_up_unknown path={}", request.path);
-            Reply::plain(404)
-        }
+        Found::Call(..) | Found::Nothing => Reply::plain(404),
         Found::OtherMethod => Reply::plain(405),
     }
 }
