A fence is handed over too: a fleet that comes back opens its counters once

While proxies become ready one by one names move again and again, and each next holder began its fence anew. Change: whoever loses a name that is still behind its fence tells the next one since when.

--- a/crates/aspendrum-lectern/src/counts.rs
+++ b/crates/aspendrum-lectern/src/counts.rs
@@ -7,6 +7,16 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
+/// A counter that goes to its next holder: nothing more is granted from it by the last.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Handed {
+    pub name: u64,
+    /// What stands in its window; none: it is behind its fence, and nothing was granted.
+    pub total: Option<f32>,
+    /// Milliseconds since its window began, or its fence.
+    pub age: u32,
+}
+
 /// A datagram between proxies.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
@@ -23,12 +33,8 @@
     Fenced {
         call: u32,
     },
-    /// The speaker holds that counter no more: so much stands in its window, which began so many milliseconds ago.
-    Hand {
-        name: u64,
-        total: f32,
-        age: u32,
-    },
+    /// The speaker holds that counter no more.
+    Hand(Handed),
 }
 
 /// The quota of one tenant, as counters need it.
@@ -90,15 +96,6 @@
 /// Beyond a window: so long do others go by an older list of holders.
 const FENCE: Ms = 400.0;
 
-/// A counter that goes to its next holder.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Handed {
-    pub name: u64,
-    pub total: f32,
-    /// Milliseconds since its window began.
-    pub age: u32,
-}
-
 impl Ledger {
     /// `holds`: whether a name is to be held here. A name that is new to the running process has been held nowhere.
     pub fn quotas(&mut self, quotas: HashMap<u64, Quota>, holds: impl Fn(u64) -> bool) {
@@ -121,23 +118,33 @@
                 self.since.entry(*name).or_insert(now);
                 continue;
             }
-            self.since.remove(name);
-            // Also one whose window is over: its next holder begins another without a fence.
-            let Some(counter) = self.counters.remove(name) else { continue };
-            let age = (now - counter.begun).clamp(0.0, f64::from(u32::MAX)) as u32;
-            handed.push(Handed { name: *name, total: counter.total as f32, age });
+            // Also one whose window is over: its next holder begins another without a fence. And one behind its fence,
+            // which need not begin anew at each holder while a whole fleet comes back.
+            let since = self.since.remove(name);
+            let counter = self.counters.remove(name);
+            let total = counter.as_ref().map(|c| c.total as f32);
+            let Some(begun) = counter.map(|c| c.begun).or(since) else { continue };
+            let age = (now - begun).clamp(0.0, f64::from(u32::MAX)) as u32;
+            handed.push(Handed { name: *name, total, age });
         }
         handed
     }
 
     /// The last holder's word. What was granted here meanwhile stands beside it.
     pub fn take(&mut self, now: Ms, handed: Handed) {
-        if !self.quotas.contains_key(&handed.name) || !handed.total.is_finite() || handed.total < 0.0 {
-            return;
-        }
         let begun = now - f64::from(handed.age);
-        let counter = self.counters.entry(handed.name).or_insert(Counter { total: 0.0, begun });
-        counter.total += f64::from(handed.total);
+        match handed.total {
+            _ if !self.quotas.contains_key(&handed.name) => {}
+            Some(total) if total >= 0.0 && total.is_finite() => {
+                let counter = self.counters.entry(handed.name).or_insert(Counter { total: 0.0, begun });
+                counter.total += f64::from(total);
+            }
+            Some(_) => {}
+            None => {
+                let since = self.since.entry(handed.name).or_insert(begun);
+                *since = since.min(begun);
+            }
+        }
     }
 
     /// The plain add: the total of the window with it. None: a counter that was not held here before may be
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -1,7 +1,7 @@
 //! The desk: the module, the servers it may use, the counters and the queries in hand, behind one lock. Each
 //! thread tells it what happened and carries on; nothing under the lock waits for anybody.
 
-use crate::counts::{Call, Calls, Handed, Leave, Ledger, Quota, Word};
+use crate::counts::{Call, Calls, Leave, Ledger, Quota, Word};
 use crate::stacks::{Stacks, Terms, Warmth};
 use aspendrum_catalog::config::{Config, Route, Tenant};
 use aspendrum_catalog::hash::digest;
@@ -291,8 +291,8 @@
                 self.counted(&mut inner, now, call, Outcome::Ok, total);
                 None
             }
-            Word::Hand { name, total, age } => {
-                inner.ledger.take(now, Handed { name, total, age });
+            Word::Hand(handed) => {
+                inner.ledger.take(now, handed);
                 None
             }
             Word::Fenced { call } => {
@@ -445,8 +445,7 @@
             let Inner { ledger, calls, .. } = &mut *inner;
             for handed in ledger.held(now, |name| calls.holder(name) == Some(self.me)) {
                 if let Some(next) = calls.holder(handed.name) {
-                    let Handed { name, total, age } = handed;
-                    self.send(next, &Word::Hand { name, total, age });
+                    self.send(next, &Word::Hand(handed));
                 }
             }
             for call in lost {
--- a/crates/aspendrum-lectern/tests/counts.rs
+++ b/crates/aspendrum-lectern/tests/counts.rs
@@ -114,13 +114,30 @@
     // Nonsense hands nothing over, and what was granted meanwhile is not forgotten.
     let before = one.add(30_000.0, NAME, 0.0);
     for (name, total) in [(8, 1.0), (NAME, f32::NAN), (NAME, -5.0)] {
-        one.take(30_000.0, Handed { name, total, age: 0 });
+        one.take(30_000.0, Handed { name, total: Some(total), age: 0 });
     }
     assert_eq!(one.add(30_000.0, NAME, 0.0), before);
-    one.take(30_000.0, Handed { name: NAME, total: 3.0, age: 0 });
+    one.take(30_000.0, Handed { name: NAME, total: Some(3.0), age: 0 });
     assert_eq!(one.add(30_000.0, NAME, 0.0), before.map(|total| total + 3.0));
 }
 
+/// Danger: a whole fleet comes back, the list grows for a second, and each next holder begins the fence anew.
+#[test]
+fn a_fence_that_is_handed_over_ends_where_it_would_have() {
+    let (mut one, quota) = ledger(10.0, 10.0);
+    let (mut other, _) = ledger(10.0, 10.0);
+    one.held(0.0, |_| false);
+    other.held(0.0, |_| false);
+    one.held(100.0, |_| true);
+    let handed = one.held(900.0, |_| false);
+    assert_eq!(handed, [Handed { name: NAME, total: None, age: 800 }]);
+    // The next one's list may come before or behind that word.
+    handed.into_iter().for_each(|h| other.take(905.0, h));
+    other.held(910.0, |_| true);
+    assert_eq!(other.add(100.0 + quota.window + 300.0, NAME, 1.0), None);
+    assert_eq!(other.add(106.0 + quota.window + 400.0, NAME, 1.0), Some(1.0));
+}
+
 fn proxies(n: u8) -> Vec<Ipv4Addr> {
     (1..=n).map(|n| Ipv4Addr::new(10, 1, 0, n)).collect()
 }
