--- a/crates/aspendrum-accession/src/founding.rs
+++ b/crates/aspendrum-accession/src/founding.rs
@@ -3,8 +3,7 @@
 //! the seeds, agree on one set among those that have come: single-decree Paxos (Lamport, "Paxos Made Simple",
 //! 2001), whose value is the set of voters. Nothing is acknowledged before; nothing of it is needed after.
 
-use crate::holdings::Place;
-use crate::register::Ms;
+use crate::holdings::{Ms, Place};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/aspendrum-accession/src/holdings.rs
+++ b/crates/aspendrum-accession/src/holdings.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
+pub type Ms = f64;
+
 /// A machine of control, by its IP number.
 pub type Place = u32;
 
--- a/crates/aspendrum-accession/src/register.rs
+++ b/crates/aspendrum-accession/src/register.rs
@@ -6,11 +6,10 @@
 //! lost disk counts beside one of theirs.
 
 use crate::founding::{Acceptor, Voters};
-use crate::holdings::{Disk, Holdings, Order, Place};
+use crate::holdings::{Disk, Holdings, Ms, Order, Place};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-pub type Ms = f64;
 /// Whoever gave an order hears of its end under this.
 pub type Ticket = u64;
 
--- a/crates/aspendrum-rig/src/library.rs
+++ b/crates/aspendrum-rig/src/library.rs
@@ -35,7 +35,12 @@
 
 /// A scenario's text, by its name or from a file.
 pub fn text(name: &str) -> Result<String, String> {
-    if let Some((_, text)) = ALL.iter().find(|s| s.0 == name) {
+    find(ALL, name)
+}
+
+/// The text of that name in a library, or of that file.
+pub fn find(all: &[(&str, &str)], name: &str) -> Result<String, String> {
+    if let Some((_, text)) = all.iter().find(|s| s.0 == name) {
         return Ok(text.to_string());
     }
     std::fs::read_to_string(name)
@@ -52,9 +57,14 @@
 
 /// A line for each.
 pub fn list() -> String {
+    lines(ALL, |text| Scenario::read(text).map(|s| s.about))
+}
+
+/// A line for each of a library: its name, and what it is about.
+pub fn lines(all: &[(&str, &str)], about: impl Fn(&str) -> Result<String, String>) -> String {
     let mut out = String::new();
-    for (name, text) in ALL {
-        let about = Scenario::read(text).map_or_else(|e| e, |s| s.about);
+    for (name, text) in all {
+        let about = about(text).unwrap_or_else(|e| e);
         // Writing to memory does not fail.
         let _ = writeln!(out, "{name:<18} {about}");
     }
--- a/crates/aspendrum-rig/src/system/library.rs
+++ b/crates/aspendrum-rig/src/system/library.rs
@@ -1,7 +1,7 @@
 //! The scenarios of the system that come with the rig.
 
 use super::scenario::Scenario;
-use std::fmt::Write;
+use crate::library::{find, lines};
 
 macro_rules! library {
     ($($name:literal),* $(,)?) => {
@@ -34,21 +34,10 @@
 
 /// A scenario, by its name or from a file.
 pub fn scenario(name: &str) -> Result<Scenario, String> {
-    let text = match ALL.iter().find(|s| s.0 == name) {
-        Some((_, text)) => text.to_string(),
-        None => std::fs::read_to_string(name)
-            .map_err(|e| format!("{name}: neither of the library nor a file: {e}"))?,
-    };
-    Scenario::read(&text)
+    Scenario::read(&find(ALL, name)?)
 }
 
 /// A line for each.
 pub fn list() -> String {
-    let mut out = String::new();
-    for (name, text) in ALL {
-        let about = Scenario::read(text).map_or_else(|e| e, |s| s.about);
-        // Writing to memory does not fail.
-        let _ = writeln!(out, "{name:<18} {about}");
-    }
-    out
+    lines(ALL, |text| Scenario::read(text).map(|s| s.about))
 }
