--- a/crates/aspendrum-rig/src/system/play.rs
+++ b/crates/aspendrum-rig/src/system/play.rs
@@ -42,6 +42,14 @@
 }
 
 impl Outcome {
+    /// So long do nineteen of twenty refusals for a quota take at the most, milliseconds.
+    pub fn refusals(&self) -> Ms {
+        let refused = self.record.tries.iter().filter(|t| t.end == End::Promise(429));
+        let mut took: Vec<Ms> = refused.map(|t| t.ended - t.sent).collect();
+        took.sort_by(f64::total_cmp);
+        took.get(took.len() * 19 / 20).copied().unwrap_or(0.0)
+    }
+
     /// Every failure, broken rule and passed bound, in words.
     pub fn broken(&self, s: &Scenario) -> Vec<String> {
         let (v, b) = (&self.verdict, &s.bounds);
@@ -56,6 +64,9 @@
         let share = |part: (usize, usize)| part.1 as f64 / part.0.max(1) as f64;
         least("the share served in the end", share(self.last), b.served_last);
         least("the share of the second tenant", share(self.second), b.served_second);
+        let refused = self.refusals();
+        let late = b.refused_ms.filter(|most| refused > *most);
+        all.extend(late.map(|most| format!("refusals take {refused:.0} ms, and may take {most:.0}")));
         let mut most = |name: &str, n: usize, most: Option<usize>| {
             let over = most.filter(|most| n > *most);
             all.extend(over.map(|most| format!("{n} {name}, and {most} may be")));
--- a/crates/aspendrum-rig/src/system/scenario.rs
+++ b/crates/aspendrum-rig/src/system/scenario.rs
@@ -160,6 +160,8 @@
     pub served_second: Option<f64>,
     /// Of the wishes of the last two seconds: the system is back.
     pub served_last: Option<f64>,
+    /// Milliseconds until nineteen of twenty refusals for a quota are there: a client that is given up is told at once.
+    pub refused_ms: Option<Ms>,
     /// In the end every node applies what was decided.
     #[serde(default)]
     pub agree: bool,
