--- a/crates/aspendrum-folio/src/pool.rs
+++ b/crates/aspendrum-folio/src/pool.rs
@@ -39,6 +39,7 @@
     inward: Ring,
     pub outward: Ring,
     idle_since: Instant,
+    rested: Duration,
     /// How long it may stay idle.
     pub good_for: Duration,
     pub dial: SocketAddr,
@@ -77,7 +78,8 @@
         let ring = || Ring::new(lines.ring, lines.ring_top);
         let (inward, outward, idle_since) = (ring(), ring(), Instant::now());
         let (dial, read_wait, good_for) = (addr, Duration::ZERO, lines.idle);
-        Ok(Conn { stream, inward, outward, idle_since, good_for, dial, read_wait, _place: place })
+        let rested = Duration::ZERO;
+        Ok(Conn { stream, inward, outward, idle_since, rested, good_for, dial, read_wait, _place: place })
     }
 
     /// A connection outside the pool's count, for discovery.
@@ -85,6 +87,16 @@
         Conn::open(addr, wait, lines, Place(Arc::new(AtomicUsize::new(1))), |_| true)
     }
 
+    /// How long it had rested when it was taken; nothing for a new one.
+    pub fn rested(&self) -> Duration {
+        self.rested
+    }
+
+    /// No byte of an answer has come.
+    pub fn unread(&self) -> bool {
+        self.inward.is_empty()
+    }
+
     /// Nothing may lie on an idle connection: bytes belong to no call, and an end means that whatever is
     /// written now might or might not run.
     fn still_good(&self) -> bool {
@@ -183,24 +195,27 @@
         self.shelves().retain(|server, _| named.contains(server));
     }
 
-    /// An idle connection that has rested, or a new one; `shown` sees its socket first. Without one nothing
-    /// ran. `ConnectFailed`: the server cannot be reached. `Moot`: that is not the server's doing.
+    /// An idle connection that has rested, at `most` so long, or a new one; `shown` sees its socket first. Without
+    /// one nothing ran. `ConnectFailed`: the server cannot be reached. `Moot`: that is not the server's doing.
     pub fn take(
         &self,
         server: ServerId,
         wait: Duration,
+        most: Duration,
         shown: impl FnOnce(&Arc<TcpStream>) -> bool,
     ) -> Result<Conn, Outcome> {
         loop {
             let (dial, conn) = {
                 let mut shelves = self.shelves();
                 let shelf = shelves.get_mut(&server).ok_or(Outcome::ConnectFailed)?;
-                let rested = shelf.idle.iter().rposition(|c| c.idle_since.elapsed() >= self.lines.rest);
+                let fits = |rest: Duration| rest >= self.lines.rest && rest <= most;
+                let rested = shelf.idle.iter().rposition(|c| fits(c.idle_since.elapsed()));
                 (shelf.dial.ok_or(Outcome::ConnectFailed)?, rested.map(|at| shelf.idle.remove(at)))
             };
             match conn {
-                Some(conn) if conn.idle_since.elapsed() < conn.good_for && conn.still_good() => {
-                    return if shown(&conn.stream) { Ok(conn) } else { Err(Outcome::Moot) }
+                Some(mut conn) if conn.idle_since.elapsed() < conn.good_for && conn.still_good() => {
+                    conn.rested = conn.idle_since.elapsed();
+                    return if shown(&conn.stream) { Ok(conn) } else { Err(Outcome::Moot) };
                 }
                 Some(_) => {}
                 None => {
--- a/crates/aspendrum-lectern/src/lib.rs
+++ b/crates/aspendrum-lectern/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod query;
 pub mod stacks;
 pub mod standing;
+pub mod trust;
 pub mod wire;
 
 use agent::Agent;
@@ -15,7 +16,7 @@
 use aspendrum_catalog::settings::{Settings, VARIABLE};
 use aspendrum_collation::{Standing, Word};
 use aspendrum_folio::daemon;
-use aspendrum_folio::hands::{spawn, Hands};
+use aspendrum_folio::hands::{lock, spawn, Hands};
 use aspendrum_folio::message::Bounds;
 use aspendrum_folio::pool::{Lines, Pool};
 use aspendrum_folio::reception::{self, Reply, Terms};
@@ -24,9 +25,10 @@
 use standing::Stand;
 use std::net::{IpAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
+use trust::Trust;
 
 const STACK: usize = 128 << 10;
 /// Beats to the agent.
@@ -57,6 +59,7 @@
     pub agent: Agent,
     pub hands: Hands,
     pub stand: Stand,
+    trust: Mutex<Trust>,
     pub connect_wait: Duration,
     begun: Instant,
     draining: AtomicBool,
@@ -77,6 +80,7 @@
             clients: Clients::default(),
             agent: Agent::default(),
             hands: Hands::new(STACK, Duration::from_secs(5)),
+            trust: Mutex::default(),
             stand: Stand::new(settings.apply_ms, settings.stretch_ms),
             connect_wait: CONNECT_WAIT,
             begun: Instant::now(),
@@ -121,6 +125,17 @@
         self.stand.runs_once_only(self.age() as f64)
     }
 
+    /// How long a connection may have rested for a once-only query.
+    pub fn rest(&self) -> Duration {
+        let most = lock(&self.trust).most(self.age() as f64);
+        most.map_or(Duration::MAX, |ms| Duration::from_secs_f64(ms / 1000.0))
+    }
+
+    /// A query on a kept connection was reset before a byte came back.
+    pub fn forgotten(&self, rested: Duration) {
+        lock(&self.trust).broke(self.age() as f64, rested.as_secs_f64() * 1000.0);
+    }
+
     pub fn heard(&self, heard: bool) {
         if heard {
             self.heard_at.store(self.age(), Ordering::Release);
--- a/crates/aspendrum-lectern/src/query.rs
+++ b/crates/aspendrum-lectern/src/query.rs
@@ -215,7 +215,8 @@
         }
         let Some((addr, uid)) = shop.desk.server(server) else { return (Outcome::Moot, None) };
         shop.pool.place(server, addr.into());
-        let mut conn = match shop.pool.take(server, left.min(shop.connect_wait), |_| true) {
+        let most = if self.repeatable { Duration::MAX } else { shop.rest() };
+        let mut conn = match shop.pool.take(server, left.min(shop.connect_wait), most, |_| true) {
             Ok(conn) => conn,
             Err(outcome) => return (outcome, None),
         };
@@ -230,7 +231,12 @@
             let got = conn.receive(until, shop.pool.lines(), |ring| message::response(ring, &SERVER_BOUNDS));
             let response = match got {
                 Ok(response) => response,
-                Err(outcome) => return (outcome, None),
+                Err(outcome) => {
+                    if outcome == Outcome::Reset && conn.unread() && !conn.rested().is_zero() {
+                        shop.forgotten(conn.rested());
+                    }
+                    return (outcome, None);
+                }
             };
             let turned_away = wire::nameless(&response)
                 && matches!(wire::taken(&response), Taken::Full | Taken::Misdirected);
@@ -272,7 +278,7 @@
     let told = || -> Result<(Outcome, Load, Option<Ms>), Outcome> {
         let (addr, uid, path) = shop.desk.check(server).ok_or(Outcome::Moot)?;
         shop.pool.place(server, addr.into());
-        let mut conn = shop.pool.take(server, shop.connect_wait, |_| true)?;
+        let mut conn = shop.pool.take(server, shop.connect_wait, Duration::MAX, |_| true)?;
         conn.outward.put(&wire::probe(&path, &addr.to_string()));
         conn.send()?;
         let answer =
--- a/crates/aspendrum/src/query.rs
+++ b/crates/aspendrum/src/query.rs
@@ -10,7 +10,7 @@
 use crate::Shop;
 use aspendrum_core::api::*;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// From here to the end it is one query's life. `at` is when its last byte was read. True: its connection
 /// goes on.
@@ -106,7 +106,7 @@
     // The line has the socket before it is connected: a query that is given up meanwhile must not wait for
     // a server that never comes up.
     let wait = left().min(shop.limits.connect_wait);
-    let mut conn = match shop.pool.take(server, wait, |stream| line.enter(forward, stream)) {
+    let mut conn = match shop.pool.take(server, wait, Duration::MAX, |stream| line.enter(forward, stream)) {
         Ok(conn) => conn,
         Err(outcome) => return (if line.leave(forward) { Outcome::Moot } else { outcome }, None),
     };
@@ -162,7 +162,7 @@
 fn ask(shop: &Shop, server: ServerId, until: Instant) -> Result<(Outcome, Load), Outcome> {
     let path = if shop.lanes.load_values.is_empty() { http::LIVE } else { http::STATS };
     let wait = || until.saturating_duration_since(Instant::now());
-    let mut conn = shop.pool.take(server, wait(), |_| true)?;
+    let mut conn = shop.pool.take(server, wait(), Duration::MAX, |_| true)?;
     http::get(&mut conn.outward, path);
     conn.send()?;
     let answer = http::receive(&mut conn, until, shop)?;
