--- a/crates/aspendrum-collation/examples/nights/mod.rs
+++ b/crates/aspendrum-collation/examples/nights/mod.rs
@@ -145,9 +145,11 @@
         }
         let calm = self.now;
         for node in &mut self.nodes {
-            node.faults = Faults::default();
+            let f = &mut node.faults;
+            let all = [&mut f.control, &mut f.all, &mut f.frozen, &mut f.agent, &mut f.push, &mut f.feed];
+            all.into_iter().for_each(|end| *end = end.min(calm));
         }
-        self.control_lost = 0.0;
+        self.control_lost = self.control_lost.min(calm);
         while self.now - calm <= AGREED {
             self.step();
             let agrees = |n: &Node| n.tables == self.decided && n.verdict.runs_once_only(self.now);
