--- a/crates/aspendrum-collation/src/mending.rs
+++ b/crates/aspendrum-collation/src/mending.rs
@@ -66,6 +66,3 @@
         self.since
     }
 }
-
-/// From when a node differs until its tables were built anew, at the latest.
-pub const REPAIRED: Ms = 4.0 * STEP;
--- a/crates/aspendrum-rig/src/system/play.rs
+++ b/crates/aspendrum-rig/src/system/play.rs
@@ -341,10 +341,6 @@
             What::Cut => {
                 let from = if from.is_empty() { self.fleet.everyone() } else { from };
                 self.trouble(of, over);
-                self.trouble(
-                    &from.iter().copied().filter(|w| matches!(w, Who::Edge(_))).collect::<Vec<_>>(),
-                    0.0,
-                );
                 self.fleet.cut(of, &from, step.one_way, number);
                 sleep(lasts.unwrap_or_default()).await;
                 self.fleet.heal(of, &from, step.one_way, number);
