--- /dev/null
+++ b/crates/aspendrum-known-red/tests/list.rs
@@ -0,0 +1,99 @@
+//! The list of known red tests: what is refused, and that exactly the listed tests are left out.
+
+use aspendrum_known_red::*;
+use std::path::PathBuf;
+
+const GOOD: &str = "aspendrum-vault::processes a::b, voters are settled once, and never change, #42\n";
+
+#[test]
+fn a_line_is_a_test_a_cause_and_an_issue() {
+    let [one] = &read(GOOD).unwrap()[..] else { panic!() };
+    assert_eq!((one.package.as_str(), one.program.as_str()), ("aspendrum-vault", "processes"));
+    assert_eq!((one.test.as_str(), one.issue), ("a::b", 42));
+    assert_eq!(one.cause, "voters are settled once, and never change");
+    assert_eq!(read(&format!("{one}\n\n")).unwrap(), std::slice::from_ref(one));
+    assert_eq!(read("\n \n").unwrap(), []);
+}
+
+/// Danger: a list that grows, or that says nothing of why.
+#[test]
+fn a_bad_line_and_a_fourth_are_refused() {
+    let three = "p::t a, why, 1\np::t b, why, 2\n\np::t c, why, 3\n";
+    assert_eq!(read(three).unwrap().len(), 3);
+    let refused = [
+        ("p::t a", "TEST, CAUSE, ISSUE"),
+        ("p::t a, why", "no issue"),
+        ("p::t a, , 4", "no cause"),
+        ("p::t a, --, 4", "no cause"),
+        ("p::t a, why, ", "must be a number"),
+        ("p::t a, why, soon", "must be a number"),
+        ("p::t a, why, 0", "must be a number"),
+        ("p::t, why, 4", "PACKAGE::PROGRAM TEST"),
+        ("a, why, 4", "PACKAGE::PROGRAM TEST"),
+        ("p t, why, 4", "PACKAGE::PROGRAM TEST"),
+        ("::t a, why, 4", "PACKAGE::PROGRAM TEST"),
+        ("p:: a, why, 4", "PACKAGE::PROGRAM TEST"),
+        ("p::t a b, why, 4", "PACKAGE::PROGRAM TEST"),
+        ("p::t a, why, 4\np::t a, why, 4", "twice"),
+        ("# a comment", "TEST, CAUSE, ISSUE"),
+    ];
+    for (text, why) in refused {
+        let said = read(text).unwrap_err();
+        assert!(said.contains(why), "{text:?}: {said}");
+    }
+    let said = read(&format!("{three}p::t d, why, 4\n")).unwrap_err();
+    assert!(said.contains("4 tests, and 3 may be"), "{said}");
+    let said = read("p::t a, why, 1\nnonsense\n").unwrap_err();
+    assert!(said.contains("line 2"), "{said}");
+}
+
+fn built(package: &str, kind: &str, name: &str) -> Program {
+    let (executable, folder) = (PathBuf::from(format!("/t/{name}-{kind}")), PathBuf::from("/p"));
+    Program { package: package.into(), kind: kind.into(), name: name.into(), executable, folder }
+}
+
+#[test]
+fn programs_are_told_from_what_cargo_says_of_its_builds() {
+    let said = r#"{"reason":"compiler-artifact","package_id":"path+file:///w/crates/one#0.1.0","manifest_path":"/w/crates/one/Cargo.toml","target":{"kind":["lib"],"name":"one"},"profile":{"test":true},"executable":"/t/one-1"}
+{"reason":"compiler-artifact","package_id":"path+file:///w/crates/x#two@0.1.0","manifest_path":"/w/crates/x/Cargo.toml","target":{"kind":["test"],"name":"deep"},"profile":{"test":true},"executable":"/t/deep-1"}
+{"reason":"compiler-artifact","package_id":"path+file:///w/crates/x#two@0.1.0","manifest_path":"/w/crates/x/Cargo.toml","target":{"kind":["bin"],"name":"two"},"profile":{"test":false},"executable":"/t/two"}
+{"reason":"build-finished","success":true}
+no message"#;
+    let all = programs(said);
+    let told: Vec<_> = all.iter().map(|p| (p.package.as_str(), p.called(), p.target())).collect();
+    let words = |w: &[&str]| w.iter().map(|w| w.to_string()).collect::<Vec<_>>();
+    assert_eq!(told, [("one", "lib", words(&["--lib"])), ("two", "deep", words(&["--test", "deep"]))]);
+    assert_eq!(all[1].folder, PathBuf::from("/w/crates/x"));
+}
+
+/// Danger: a listed name leaves out others that are like it, in the same program or in another.
+#[test]
+fn only_the_listed_tests_of_the_listed_program_are_left_out() {
+    let all = [built("one", "lib", "one"), built("one", "test", "deep"), built("two", "bin", "two")];
+    let listed = read("one::deep a::b, why, 4").unwrap();
+    let told: Vec<String> = runs(&listed, &all).unwrap().iter().map(|r| r.join(" ")).collect();
+    assert_eq!(
+        told,
+        [
+            "test --workspace --locked --exclude one",
+            "test --locked --package one --lib",
+            "test --locked --package one --test deep -- --exact --skip a::b",
+            "test --locked --package one --doc",
+        ]
+    );
+    for missing in ["one::other a, why, 4", "three::deep a, why, 4", "two::lib a, why, 4"] {
+        assert!(runs(&read(missing).unwrap(), &all).is_err(), "{missing}");
+    }
+    let two = [built("one", "bin", "deep"), built("one", "test", "deep")];
+    assert!(runs(&listed, &two).unwrap_err().contains("several"));
+}
+
+#[test]
+fn a_test_is_there_by_its_whole_name_only() {
+    let list = "a::b: test\na::bc: test\nd: benchmark\n";
+    assert!(holds(list, "a::b") && holds(list, "a::bc"));
+    assert!(!holds(list, "a") && !holds(list, "b") && !holds(list, "a::b: test") && !holds(list, "d"));
+    assert_eq!(came(false, ""), Came::Red);
+    assert_eq!(came(true, "ok. 1 passed; 0 failed; 0 ignored"), Came::Passes);
+    assert_eq!(came(true, "ok. 0 passed; 0 failed; 1 ignored"), Came::Ignored);
+}
