--- a/crates/aspendrum-rig/src/main.rs
+++ b/crates/aspendrum-rig/src/main.rs
@@ -2,7 +2,7 @@
 
 use aspendrum_rig::process::Start;
 use aspendrum_rig::scenario::Scenario;
-use aspendrum_rig::{bench, library, pass_through, report, run, sweep, system};
+use aspendrum_rig::{bench, days, library, pass_through, report, run, sweep, system};
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -58,6 +58,29 @@
         #[arg(long, default_value = "found/system")]
         out: PathBuf,
     },
+    /// Plays days of our own on the users' bench, in the root of a checkout; ends with 1 if a rule was broken
+    Days {
+        /// Names of days (`list` for a line each); all of them without any
+        days: Vec<String>,
+        /// The bench's program
+        #[arg(long)]
+        bench: Option<PathBuf>,
+        /// A folder with site files
+        #[arg(long)]
+        sites: Vec<PathBuf>,
+        /// Only this site
+        #[arg(long)]
+        only: Vec<String>,
+        /// Only the first seed of each
+        #[arg(long)]
+        first: bool,
+        /// Cores that the bench may use
+        #[arg(long)]
+        jobs: Option<usize>,
+        /// Where the bench's words and reports go
+        #[arg(long, default_value = "found/days")]
+        out: PathBuf,
+    },
     /// The baseline that lets all in: forwards every query, counts nothing
     #[command(hide = true)]
     PassThrough {
@@ -98,6 +121,14 @@
             Ok(true)
         }
         Command::System { scenario, out } => whole(&scenario, &out),
+        Command::Days { days, .. } if days == ["list"] => days::all().map(|all| {
+            all.iter().for_each(|d| println!("{:<20} {}", d.name, d.about));
+            true
+        }),
+        Command::Days { days, bench, sites, only, first, jobs, out } => {
+            let bench = bench.ok_or("name the bench's program with --bench".to_string());
+            bench.and_then(|bench| days::play(&days::How { bench, sites, days, only, first, jobs, out }))
+        }
         Command::PassThrough { config } => pass_through::serve(&config).map(|()| true),
         Command::Bench { seconds, rate } => bench::play(line.limiter, seconds, rate).map(|text| {
             print!("{text}");
--- /dev/null
+++ b/crates/aspendrum-rig/tests/days.rs
@@ -0,0 +1,48 @@
+//! Days of our own for the users' bench: every file says what it aims at, and what a report says is told.
+
+use aspendrum_rig::days::{all, verdict, Day};
+use serde_json::json;
+
+#[test]
+fn every_day_says_what_it_aims_at_and_where_it_is_played() {
+    let days = all().unwrap();
+    assert!(days.len() >= 20, "{}", days.len());
+    for day in &days {
+        assert!(day.about.starts_with("Point"), "{}: {}", day.name, day.about);
+        assert!(day.sites.iter().all(|s| s.starts_with("pampa-lb") || s.starts_with("tabua-sign-edge")));
+    }
+    for point in '1'..='5' {
+        let aimed = days.iter().filter(|d| d.about.split(':').next().is_some_and(|a| a.contains(point)));
+        assert!(aimed.count() > 0, "no day aims at point {point}");
+    }
+}
+
+#[test]
+fn a_day_that_does_not_say_so_is_refused() {
+    let whole = "# Point 1: a cut.\n# sites: small\n# seeds: 1 2\nname = \"cut\"\n";
+    let day = Day::read("cut", whole).unwrap();
+    assert_eq!(
+        (day.about.as_str(), &day.sites[..], &day.seeds[..]),
+        ("Point 1: a cut.", &["small".into()][..], &[1, 2][..])
+    );
+    for (bad, why) in [
+        (whole.replace("# sites: small\n", ""), "must say"),
+        (whole.replace("# seeds: 1 2\n", ""), "must say"),
+        (whole.replace("# Point 1: a cut.\n", ""), "must say"),
+        (whole.replace("1 2", "1 two"), "no number"),
+        (whole.replace("\"cut\"", "\"other\""), "name"),
+        (whole.replace("name =", "name"), "cut"),
+    ] {
+        let said = Day::read("cut", &bad).unwrap_err();
+        assert!(said.contains(why), "{bad}: {said}");
+    }
+}
+
+#[test]
+fn a_broken_rule_a_fault_and_a_missed_gate_are_told() {
+    assert_eq!(verdict(&json!({"breaks": {}, "fault": null, "short": []})), ("none".into(), true));
+    let told = verdict(&json!({"breaks": {"CONFIG": 3}, "fault": "an end", "short": ["served"]}));
+    assert_eq!(told, ("CONFIG 3; fault: \"an end\"; gate: \"served\"".into(), false));
+    // A report without what it should hold is no clean bill.
+    assert!(!verdict(&json!({})).1);
+}
