Stocktake: requests through a whole limiter, with hollow servers behind it

Need: what the proxy adds to a request and what a request costs it, with the target's list of servers. Change: one listener answers for all servers of the list; clients send evenly on routes and with keys of the configuration, straight and through the proxy.

--- a/crates/aspendrum-stocktake/src/hollow/fleet.rs
+++ b/crates/aspendrum-stocktake/src/hollow/fleet.rs
@@ -91,6 +91,11 @@
     SocketAddrV4::new(vault_ip(n), DIR)
 }
 
+/// Where clients reach the whole limiter of that number.
+pub fn whole_front(n: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 60, 20, n as u8 + 1), 28_202)
+}
+
 /// Control stands in zones of regions of its own, as far as they go.
 pub fn place(n: usize) -> usize {
     n * sizes::ZONES / sizes::REGIONS + n
@@ -150,7 +155,7 @@
         }
         let (mut whole, mut behind) = (Vec::new(), Vec::new());
         for n in 0..plan.whole {
-            let own_ip = Ipv4Addr::new(127, 60, 20, n as u8 + 1);
+            let own_ip = *whole_front(n).ip();
             let agent = SocketAddr::from((Ipv4Addr::new(127, 60, 21, n as u8 + 1), AGENT));
             let mut ways = Map::new();
             ways.extend([way(SocketAddrV4::new(Ipv4Addr::LOCALHOST, AGENT), agent)]);
@@ -162,7 +167,7 @@
             }
             let own = json!({"host-name": format!("whole-{n}"), "ip": own_ip,
                 "caps": {"nofile": 4100, "mem-mb": 160}});
-            let binds = json!({"front": SocketAddrV4::new(own_ip, 28_202),
+            let binds = json!({"front": whole_front(n),
                 "readyz": SocketAddrV4::new(own_ip, READYZ)});
             let settings = common(own, n, binds, ways);
             whole.push(member("lectern", format!("lectern-{n}"), settings.clone())?);
--- a/crates/aspendrum-stocktake/src/hollow/mod.rs
+++ b/crates/aspendrum-stocktake/src/hollow/mod.rs
@@ -4,10 +4,12 @@
 pub mod agent;
 mod fleet;
 mod platform;
+mod traffic;
 
 use crate::measure::{Line, Samples};
 use crate::sizes::{self, Size};
 use agent::{Agent, Counts, BEATS};
+use aspendrum_catalog::config::Config;
 use aspendrum_folio::caller::Caller;
 use aspendrum_folio::message::Bounds;
 use bpaf::Bpaf;
@@ -56,6 +58,9 @@
     /// Seconds of each calm look
     #[bpaf(long("seconds"), argument("S"), fallback(8))]
     pub seconds: u64,
+    /// Requests a second through each first whole limiter, with commas between
+    #[bpaf(long("traffic"), argument("RATES"), fallback("67,300".into()))]
+    pub traffic: String,
     #[bpaf(long("changes"), argument("N"), fallback(5))]
     pub changes: u32,
 }
@@ -257,6 +262,7 @@
         self.greeting("hollow.greeting", 0..self.plan.agents);
         self.calm("hollow.calm");
         self.look_ups();
+        self.traffic()?;
         self.changes();
         self.server();
         self.restart_one();
@@ -317,6 +323,30 @@
         line.number("vault_cpu_ms_each", (now.cpu[0] - before.cpu[0]) * 1000.0 / 500.0).tell();
     }
 
+    /// Requests through a whole limiter, and straight to a server.
+    fn traffic(&self) -> Result<(), String> {
+        let Some(proxy) = self.fleet.whole.first() else { return Ok(()) };
+        let taken = traffic::serve().map_err(|e| format!("hollow servers: {e}"))?;
+        let text = sizes::config(&self.size, self.plan.services, self.version);
+        let config = Config::read(text.as_bytes()).map_err(|e| e.to_string())?;
+        let span = Duration::from_secs(self.plan.seconds);
+        for rate in self.plan.traffic.split(',').filter_map(|r| r.parse::<f64>().ok()).filter(|r| *r > 0.0) {
+            let line = |name| self.line(name).number("rate", rate);
+            let straight = traffic::send(sizes::apart(0).into(), &config, rate, span, &taken);
+            straight.tell(line("hollow.traffic.straight"));
+            for play in 0..2 {
+                let (before, at) = (proxy.cpu_s(), Instant::now());
+                let came = traffic::send(fleet::whole_front(0).into(), &config, rate, span, &taken);
+                let (cpu, passed) = (proxy.cpu_s() - before, at.elapsed().as_secs_f64());
+                let line = line("hollow.traffic.proxy").with("play", play).number("core", cpu / passed);
+                let line = line.number("rss_mb", proxy.status("VmRSS").unwrap_or(0) as f64 / 1e3);
+                let line = line.with("descriptors", proxy.descriptors());
+                came.tell(line.with("threads", proxy.status("Threads").unwrap_or(0)));
+            }
+        }
+        Ok(())
+    }
+
     fn changes(&mut self) {
         for n in 0..self.plan.changes {
             let before = self.snapshot();
--- a/crates/aspendrum-stocktake/src/sizes.rs
+++ b/crates/aspendrum-stocktake/src/sizes.rs
@@ -114,9 +114,12 @@
     (0..size.servers).map(of).collect()
 }
 
-/// An address of its own for each server, none of them listened at.
+/// The port of all servers.
+pub const SERVERS_PORT: u16 = 28_080;
+
+/// An address of its own for each server.
 pub fn apart(n: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(127, 62, (n >> 8) as u8, n as u8), 8080)
+    SocketAddrV4::new(Ipv4Addr::new(127, 62, (n >> 8) as u8, n as u8), SERVERS_PORT)
 }
 
 /// The address of the proxy of that number.
