Stocktake: agents may begin one after another; control's threads are bounded

Cause: 430 agents that began at once before 3,700 servers never came up; four processes of control held 8,005 threads each, and the machine has 32,768 for all that runs on it.

--- a/crates/aspendrum-stocktake/src/cores/accession.rs
+++ b/crates/aspendrum-stocktake/src/cores/accession.rs
@@ -86,11 +86,10 @@
 }
 
 /// Machines that settle who votes, three of them seeds.
-fn founded(machines: usize) {
+fn founded(machines: usize, losses: usize) {
     let places: Vec<Place> = (1..=machines as Place).collect();
     let seeds: Vec<Place> = places.iter().copied().take(3).collect();
     let there: BTreeMap<Place, String> = places.iter().map(|p| (*p, sizes::zone(*p as usize))).collect();
-    let losses = (machines - 1) / 2;
     let mut all: BTreeMap<Place, Founding> =
         places.iter().map(|p| (*p, Founding::new(*p, &seeds, losses, None))).collect();
     let (mut words, mut size, mut voters, before) = (0, 0, 0, cpu_ms());
@@ -109,12 +108,13 @@
             founding::Act::Keep => {}
         }
     }
-    let line = Line::of("accession.founding").with("machines", machines).with("voters", voters);
+    let line = Line::of("accession.founding").with("machines", machines).with("losses", losses);
+    let line = line.with("voters", voters);
     line.with("words", words).with("bytes", size).number("cpu_ms", cpu_ms() - before).tell();
 }
 
 pub fn tell() {
-    (3..=7).for_each(founded);
+    [(3, 1), (4, 1), (4, 2), (5, 2), (6, 2), (7, 3)].into_iter().for_each(|(n, losses)| founded(n, losses));
     for size in GRADES {
         let text = pack(sizes::config(&size, size.services, 1).as_bytes());
         for voters in [3, 4, 5, 7] {
--- a/crates/aspendrum-stocktake/src/cores/lectern.rs
+++ b/crates/aspendrum-stocktake/src/cores/lectern.rs
@@ -140,6 +140,36 @@
     line("lectern.query.ended").ms("cpu", &Samples::of(ended)).tell();
 }
 
+/// Which queries must wait for another proxy's answer before anything is decided of them.
+fn counted_elsewhere(size: &Size) {
+    let desk = desk();
+    desk.apply(Part::Fronts(sizes::fronts(size.limiters)));
+    desk.apply(news(&sizes::config(size, size.services, 1), 1));
+    desk.apply(Part::Servers { age: 0, list: sizes::servers(size, sizes::apart) });
+    desk.beat();
+    let Some(view) = desk.view() else { return };
+    let mut at_once = 0;
+    for n in 0..size.tenants.min(QUERIES) {
+        let Some(service) = view.pools.get(view.config.routes[0].service(0.1)).copied() else { return };
+        let (orders, inbox) = mail::here(8);
+        let until = Instant::now() + Duration::from_secs(2);
+        let ask = Ask { route: 0, service, tenant: Some(n), zones: u64::MAX, until, orders };
+        let id = desk.ask(&view, ask);
+        at_once += usize::from(inbox.next(Some(Instant::now())).is_ok());
+        desk.quit(id);
+    }
+    let mut calls = Calls::default();
+    calls.holders(sizes::fronts(size.limiters).iter().map(|f| *f.addr.ip()).collect());
+    let home = sizes::region(0);
+    let region = |ip: Ipv4Addr| (0..size.limiters).find(|n| *front_at(*n).ip() == ip).map(sizes::region);
+    let tenants = view.config.tenants.iter().flatten();
+    let holder = |name: &str| calls.holder(digest(name.as_bytes()) & ((1 << 40) - 1)).and_then(region);
+    let far = tenants.filter(|t| holder(&t.name).is_some_and(|r| r != home)).count();
+    let line = Line::of("lectern.query.counted").with("limiters", size.limiters);
+    let line = line.with("asked", size.tenants.min(QUERIES)).with("decided_at_once", at_once);
+    line.with("tenants", size.tenants).with("held_in_another_region", far).tell();
+}
+
 /// A service without a usable server: whether others' queries still leave. Pools are told apart by 64 bits.
 fn stuck() {
     for (services, dead, asks) in [(60, 0, 59), (250, 0, 64), (250, 0, 65)] {
@@ -219,6 +249,9 @@
     // A zone of twenty comes back cold.
     beats(&GRADES[2], GRADES[2].servers / sizes::ZONES);
     queries(&GRADES[2]);
+    for size in GRADES {
+        counted_elsewhere(&Size { tenants: 3_000, ..size });
+    }
     stuck();
     for size in GRADES {
         applied(&size, size.services);
--- a/crates/aspendrum-stocktake/src/hollow/fleet.rs
+++ b/crates/aspendrum-stocktake/src/hollow/fleet.rs
@@ -41,9 +41,7 @@
 
     /// A line of its status, in kB or by number; nothing of a process that is down.
     pub fn status(&self, name: &str) -> Option<u64> {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.process.as_ref()?.id())).ok()?;
-        let line = text.lines().find_map(|l| l.strip_prefix(name))?;
-        line.trim_start_matches(':').split_whitespace().next()?.parse().ok()
+        status(self.process.as_ref()?.id(), name)
     }
 
     pub fn descriptors(&self) -> usize {
@@ -61,6 +59,13 @@
     }
 }
 
+/// A line of a process' status, in kB or by number.
+pub fn status(id: i32, name: &str) -> Option<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let line = text.lines().find_map(|l| l.strip_prefix(name))?;
+    line.trim_start_matches(':').split_whitespace().next()?.parse().ok()
+}
+
 pub struct Fleet {
     pub vaults: Vec<Member>,
     /// Proxies and agents of whole limiters, in turn.
--- a/crates/aspendrum-stocktake/src/hollow/mod.rs
+++ b/crates/aspendrum-stocktake/src/hollow/mod.rs
@@ -55,6 +55,9 @@
     /// The platform's calls a second
     #[bpaf(long("rate"), argument("N"), fallback(300.0))]
     pub rate: f64,
+    /// Between the beginnings of two agents, milliseconds; 0: all at once, as after a loss of everything
+    #[bpaf(long("every-ms"), argument("MS"), fallback(0))]
+    pub every_ms: u64,
     /// Seconds of each calm look
     #[bpaf(long("seconds"), argument("S"), fallback(8))]
     pub seconds: u64,
@@ -69,6 +72,8 @@
 /// For anything that is waited for.
 const LIMIT: Duration = Duration::from_secs(30);
 const LOOK: Duration = Duration::from_millis(2);
+/// Threads of control that are let be: the machine has 32,768 for all that runs on it.
+const THREADS: u64 = 10_000;
 const BOUNDS: Bounds = Bounds { head: 8 << 10, body: 32 << 20 };
 
 pub fn play(plan: &Plan) -> Result<(), String> {
@@ -248,6 +253,7 @@
         for vault in &mut self.fleet.vaults {
             vault.up()?;
         }
+        self.guard();
         let first = self.set_config();
         let told = first.map_or("never".into(), |f| format!("{:.3}", f.0));
         let disk: u64 = self.disk();
@@ -259,8 +265,12 @@
         for member in &mut self.fleet.whole {
             member.up()?;
         }
-        self.greeting("hollow.greeting", 0..self.plan.agents);
+        let whole = self.greeting("hollow.greeting", 0..self.plan.agents);
         self.calm("hollow.calm");
+        if !whole {
+            // A fleet that never came up says nothing more; its dials take the machine's threads.
+            return Ok(());
+        }
         self.look_ups();
         self.traffic()?;
         self.changes();
@@ -271,6 +281,21 @@
         Ok(())
     }
 
+    /// Ends all if control takes too many threads: others work on this machine.
+    fn guard(&self) {
+        let ids: Vec<i32> =
+            self.fleet.vaults.iter().filter_map(|v| v.process.as_ref().map(|p| p.id())).collect();
+        std::thread::spawn(move || loop {
+            let threads: u64 = ids.iter().filter_map(|id| fleet::status(*id, "Threads")).sum();
+            if threads > THREADS {
+                Line::of("hollow.guard").with("threads", threads).with("ended", true).tell();
+                // The kernel ends what was started here with it.
+                std::process::exit(3);
+            }
+            sleep(Duration::from_millis(100));
+        });
+    }
+
     fn disk(&self) -> u64 {
         let of = |m: &fleet::Member| {
             let at = m.log.with_file_name(m.name.replace("core", "disk")).join("vault.redb");
@@ -280,9 +305,13 @@
     }
 
     /// These agents begin at once.
-    fn greeting(&mut self, name: &str, who: std::ops::Range<usize>) {
+    fn greeting(&mut self, name: &str, who: std::ops::Range<usize>) -> bool {
         let before = self.snapshot();
-        self.agents[who].iter().for_each(|a| a.run(true));
+        let every = Duration::from_millis(self.plan.every_ms);
+        for agent in &self.agents[who] {
+            agent.run(true);
+            sleep(every);
+        }
         let many = self.plan.agents;
         let config = until(LIMIT, || self.all_hold(1));
         let linked = until(LIMIT, || self.all_linked());
@@ -292,11 +321,13 @@
         // Processor time comes in hundredths of a second.
         sleep(Duration::from_secs(1));
         self.line(name)
+            .with("every_ms", self.plan.every_ms)
             .with("all_hold_config_s", seconds(config))
             .with("all_linked_s", seconds(linked))
             .with("all_know_all_s", seconds(fronts))
             .tell();
         self.spent(name, &before);
+        config.is_some() && linked.is_some()
     }
 
     fn calm(&self, name: &str) {
