--- a/crates/aspendrum-stocktake/src/cores/accession.rs
+++ b/crates/aspendrum-stocktake/src/cores/accession.rs
@@ -5,6 +5,7 @@
 use crate::sizes::{self, GRADES};
 use aspendrum_accession::founding::{self, Founding};
 use aspendrum_accession::{Act, Order, Place, Register};
+use aspendrum_catalog::hash::digest;
 use aspendrum_catalog::packed::pack;
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
@@ -116,9 +117,10 @@
 pub fn tell() {
     [(3, 1), (4, 1), (4, 2), (5, 2), (6, 2), (7, 3)].into_iter().for_each(|(n, losses)| founded(n, losses));
     for size in GRADES {
-        let text = pack(sizes::config(&size, size.services, 1).as_bytes());
+        let sent = sizes::config(&size, size.services, 1);
+        let (text, digest) = (pack(sent.as_bytes()), digest(sent.as_bytes()));
         for voters in [3, 4, 5, 7] {
-            let config = |n: usize| Order::Config { version: n as u32 + 1, text: text.clone() };
+            let config = |n: usize| Order::Config { version: n as u32 + 1, text: text.clone(), digest };
             told("accession.config", voters, text.len(), config);
         }
     }
@@ -128,10 +130,11 @@
         told("accession.read", voters, 0, |_| Order::Read);
     }
     // A read by a machine that holds the target's configuration, as all others do.
-    let text = pack(sizes::config(&GRADES[2], 250, 1).as_bytes());
+    let sent = sizes::config(&GRADES[2], 250, 1);
+    let (text, digest) = (pack(sent.as_bytes()), digest(sent.as_bytes()));
     for voters in [3, 4, 5, 7] {
         let order = |n: usize| match n {
-            0 => Order::Config { version: 1, text: text.clone() },
+            0 => Order::Config { version: 1, text: text.clone(), digest },
             _ => Order::Read,
         };
         told("accession.read.held", voters, text.len(), order);
