--- a/crates/aspendrum-accession/tests/founding.rs
+++ b/crates/aspendrum-consensus/tests/founding.rs
@@ -1,8 +1,8 @@
 //! Who votes, under schedules drawn by quickcheck: seeds die and come back, words are dropped, doubled and reordered,
 //! machines come late. There is one set of voters or none, and once all is calm there is one.
 
-use aspendrum_accession::founding::{Acceptor, Act, Founding, Voters, Word};
-use aspendrum_accession::Place;
+use aspendrum_consensus::founding::{Acceptor, Act, Founding, Voters, Word};
+use aspendrum_consensus::Place;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
 
--- a/crates/aspendrum-accession/tests/register.rs
+++ b/crates/aspendrum-consensus/tests/register.rs
@@ -2,10 +2,10 @@
 //! and reordered, operators race with two texts under one number and send old orders again. What was acknowledged is
 //! never gone, one number has one text, and what was taken is not refused.
 
-use aspendrum_accession::holdings::Place;
-use aspendrum_accession::numbers::Answer;
-use aspendrum_accession::register::{Kept, Register};
-use aspendrum_accession::{Act, Order, Outcome, Said};
+use aspendrum_consensus::holdings::Place;
+use aspendrum_consensus::numbers::Answer;
+use aspendrum_consensus::register::{Kept, Register};
+use aspendrum_consensus::{Act, Order, Outcome, Said};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/aspendrum-stocktake/src/cores/accession.rs
+++ b/crates/aspendrum-stocktake/src/cores/consensus.rs
@@ -3,10 +3,10 @@
 
 use crate::measure::{cpu_ms, Line, Samples};
 use crate::sizes::{self, GRADES};
-use aspendrum_accession::founding::{self, Founding};
-use aspendrum_accession::{Act, Order, Place, Register};
 use aspendrum_catalog::hash::digest;
 use aspendrum_catalog::packed::pack;
+use aspendrum_consensus::founding::{self, Founding};
+use aspendrum_consensus::{Act, Order, Place, Register};
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -109,7 +109,7 @@
             founding::Act::Keep => {}
         }
     }
-    let line = Line::of("accession.founding").with("machines", machines).with("losses", losses);
+    let line = Line::of("consensus.founding").with("machines", machines).with("losses", losses);
     let line = line.with("voters", voters);
     line.with("words", words).with("bytes", size).number("cpu_ms", cpu_ms() - before).tell();
 }
@@ -121,13 +121,13 @@
         let (text, digest) = (pack(sent.as_bytes()), digest(sent.as_bytes()));
         for voters in [3, 4, 5, 7] {
             let config = |n: usize| Order::Config { version: n as u32 + 1, text: text.clone(), digest };
-            told("accession.config", voters, text.len(), config);
+            told("consensus.config", voters, text.len(), config);
         }
     }
     for voters in [3, 4, 5, 7] {
         let evacuation = |n: usize| Order::Evacuation { zone: sizes::zone(n / 2), on: n.is_multiple_of(2) };
-        told("accession.evacuation", voters, 0, evacuation);
-        told("accession.read", voters, 0, |_| Order::Read);
+        told("consensus.evacuation", voters, 0, evacuation);
+        told("consensus.read", voters, 0, |_| Order::Read);
     }
     // A read by a machine that holds the target's configuration, as all others do.
     let sent = sizes::config(&GRADES[2], 250, 1);
@@ -137,6 +137,6 @@
             0 => Order::Config { version: 1, text: text.clone(), digest },
             _ => Order::Read,
         };
-        told("accession.read.held", voters, text.len(), order);
+        told("consensus.read.held", voters, text.len(), order);
     }
 }
--- a/crates/aspendrum-stocktake/src/cores/mod.rs
+++ b/crates/aspendrum-stocktake/src/cores/mod.rs
@@ -1,7 +1,7 @@
 //! Each core by itself, at graded sizes.
 
-mod accession;
 mod catalog;
+mod consensus;
 mod finding;
 mod lectern;
 mod loan;
@@ -15,7 +15,7 @@
     ("lists", catalog::lists),
     ("lectern", lectern::tell),
     ("loan", loan::tell),
-    ("accession", accession::tell),
+    ("consensus", consensus::tell),
     ("finding", finding::tell),
 ];
 
--- a/crates/aspendrum-vault/src/calls.rs
+++ b/crates/aspendrum-vault/src/calls.rs
@@ -2,10 +2,10 @@
 
 use crate::finding::Directory;
 use crate::notes::Note;
-use aspendrum_accession::{Order, Outcome};
 use aspendrum_catalog::config::Config;
 use aspendrum_catalog::hash::digest;
 use aspendrum_catalog::packed::{pack, unpack};
+use aspendrum_consensus::{Order, Outcome};
 use aspendrum_folio::mail::Post;
 use aspendrum_folio::matcher::{argument, find, Found, Node};
 use aspendrum_folio::message::Request;
@@ -105,7 +105,7 @@
     }
 
     /// Only what a majority of disks holds is acknowledged; anything else may still come to be held.
-    fn order(&self, order: Order, done: impl Fn(&aspendrum_accession::Holdings) -> Reply) -> Reply {
+    fn order(&self, order: Order, done: impl Fn(&aspendrum_consensus::Holdings) -> Reply) -> Reply {
         let (answer, outcome) = bounded(1);
         if self.notes.offer(Note::Order { order, answer }).is_err() {
             return Reply::plain(503);
--- a/crates/aspendrum-vault/src/finding.rs
+++ b/crates/aspendrum-vault/src/finding.rs
@@ -1,8 +1,8 @@
 //! Which proxies clients are sent to, and who reads the platform's list: decisions without I/O.
 
-use aspendrum_accession::Place;
 use aspendrum_catalog::hash::{digest, rank};
 use aspendrum_catalog::news::Front;
+use aspendrum_consensus::Place;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 
--- a/crates/aspendrum-vault/src/links.rs
+++ b/crates/aspendrum-vault/src/links.rs
@@ -2,8 +2,8 @@
 
 use crate::notes::Note;
 use crate::words::Between;
-use aspendrum_accession::Place;
 use aspendrum_catalog::news;
+use aspendrum_consensus::Place;
 use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::hands::spawn;
 use aspendrum_folio::mail::Post;
--- a/crates/aspendrum-vault/src/main.rs
+++ b/crates/aspendrum-vault/src/main.rs
@@ -10,9 +10,9 @@
 mod store;
 mod words;
 
-use aspendrum_accession::founding::{voters_for, Founding};
-use aspendrum_accession::Register;
 use aspendrum_catalog::settings::{Settings, VARIABLE};
+use aspendrum_consensus::founding::{voters_for, Founding};
+use aspendrum_consensus::Register;
 use aspendrum_folio::caller::Caller;
 use aspendrum_folio::daemon;
 use aspendrum_folio::hands::spawn;
