--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -9,10 +9,10 @@
 use aspendrum_catalog::packed::unpack;
 use aspendrum_catalog::servers::Roster;
 use aspendrum_catalog::settings::Settings;
-use aspendrum_collation::{edition, Bounds, Mending, Section, Standing, Step, Verdict, Word};
 use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::mail::Inbox;
 use aspendrum_loan::{Act, Circle};
+use aspendrum_reconcile::{edition, Bounds, Mending, Section, Standing, Step, Verdict, Word};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
--- a/crates/aspendrum-collation/examples/nights/mod.rs
+++ b/crates/aspendrum-reconcile/examples/nights/mod.rs
@@ -3,8 +3,8 @@
 //! are over all nodes apply what was decided, within a stated time.
 
 use aspendrum_catalog::news::{Edition, Mark};
-use aspendrum_collation::{Bounds, Mending, Ms, Section, Standing, Step, Verdict, Word};
 use aspendrum_loan::{Act, Circle, Word as Lent};
+use aspendrum_reconcile::{Bounds, Mending, Ms, Section, Standing, Step, Verdict, Word};
 use fastrand::Rng;
 use std::net::Ipv4Addr;
 
--- a/crates/aspendrum-collation/tests/collation.rs
+++ b/crates/aspendrum-reconcile/tests/collation.rs
@@ -2,7 +2,7 @@
 
 use aspendrum_catalog::config::Config;
 use aspendrum_catalog::news::{Edition, Mark};
-use aspendrum_collation::*;
+use aspendrum_reconcile::*;
 
 const TEXT: &str = r#"{"gen":"00000004","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":15000},
 "tenants":[{"name":"ann","keys":["k1","k2"],"prio":0,"rate-s":61,"burst":61,"homes":[]},{"name":"bob","keys":["k3"]}],
--- a/crates/aspendrum-collation/tests/model.rs
+++ b/crates/aspendrum-reconcile/tests/model.rs
@@ -3,7 +3,7 @@
 //! overtaken longer ago than the bound; a variant that trusts the last push is found.
 
 use aspendrum_catalog::news::{Edition, Mark};
-use aspendrum_collation::{Bounds, Standing, Verdict, Word};
+use aspendrum_reconcile::{Bounds, Standing, Verdict, Word};
 use stateright::{Checker, Model, Property};
 
 const NODES: usize = 3;
--- a/crates/aspendrum-vault/src/nodes.rs
+++ b/crates/aspendrum-vault/src/nodes.rs
@@ -3,7 +3,7 @@
 
 use aspendrum_catalog::config::{Config, Route};
 use aspendrum_catalog::news::Edition;
-use aspendrum_collation::{Section, Standing};
+use aspendrum_reconcile::{Section, Standing};
 use serde_json::{json, Value};
 
 /// A node as this machine of control knows it.
