--- a/crates/aspendrum-loan/tests/views.rs
+++ b/crates/aspendrum-gossip/tests/views.rs
@@ -1,6 +1,6 @@
 //! Views at the sizes of fleets to come, by simulation: no I/O, no clock, the same run for the same seed.
 
-use aspendrum_loan::view::{View, PLACES};
+use aspendrum_gossip::view::{View, PLACES};
 use fastrand::Rng;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::Ipv4Addr;
@@ -122,9 +122,9 @@
     let mut view = View::new(ip(0));
     view.meet(&mut rng, &[ip(1), ip(2)]);
     let before = view.neighbours().to_vec();
-    view.answered(ip(9), &[aspendrum_loan::Neighbour { ip: ip(8), age: 0 }]);
+    view.answered(ip(9), &[aspendrum_gossip::Neighbour { ip: ip(8), age: 0 }]);
     assert_eq!(view.neighbours(), before);
     // Its own address is nobody's neighbour.
-    view.asked(&mut rng, &[aspendrum_loan::Neighbour { ip: ip(0), age: 0 }]);
+    view.asked(&mut rng, &[aspendrum_gossip::Neighbour { ip: ip(0), age: 0 }]);
     assert!(view.neighbours().iter().all(|n| n.ip != ip(0)));
 }
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -11,7 +11,7 @@
 use aspendrum_catalog::settings::Settings;
 use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::mail::Inbox;
-use aspendrum_loan::{Act, Circle};
+use aspendrum_gossip::{Act, Circle};
 use aspendrum_reconcile::{edition, Bounds, Mending, Section, Standing, Step, Verdict, Word};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
--- a/crates/aspendrum-page/src/lend.rs
+++ b/crates/aspendrum-page/src/lend.rs
@@ -6,7 +6,7 @@
 use aspendrum_folio::frames::{self, Link};
 use aspendrum_folio::hands::spawn;
 use aspendrum_folio::mail::Post;
-use aspendrum_loan::Word;
+use aspendrum_gossip::Word;
 use crossbeam_channel::bounded;
 use std::io::{BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
--- a/crates/aspendrum-page/src/notes.rs
+++ b/crates/aspendrum-page/src/notes.rs
@@ -3,7 +3,7 @@
 use aspendrum_catalog::news::{Down, Part, Up};
 use aspendrum_catalog::settings::Settings;
 use aspendrum_folio::frames::Link;
-use aspendrum_loan::Word;
+use aspendrum_gossip::Word;
 use crossbeam_channel::Sender;
 use std::net::Ipv4Addr;
 
--- a/crates/aspendrum-reconcile/examples/nights/mod.rs
+++ b/crates/aspendrum-reconcile/examples/nights/mod.rs
@@ -3,7 +3,7 @@
 //! are over all nodes apply what was decided, within a stated time.
 
 use aspendrum_catalog::news::{Edition, Mark};
-use aspendrum_loan::{Act, Circle, Word as Lent};
+use aspendrum_gossip::{Act, Circle, Word as Lent};
 use aspendrum_reconcile::{Bounds, Mending, Ms, Section, Standing, Step, Verdict, Word};
 use fastrand::Rng;
 use std::net::Ipv4Addr;
--- a/crates/aspendrum-stocktake/src/cores/loan.rs
+++ b/crates/aspendrum-stocktake/src/cores/gossip.rs
@@ -3,7 +3,7 @@
 use crate::measure::{cpu_ms, Line};
 use crate::sizes::front_at;
 use aspendrum_catalog::news::Edition;
-use aspendrum_loan::{Act, Circle, Word};
+use aspendrum_gossip::{Act, Circle, Word};
 use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
 
@@ -61,7 +61,7 @@
         now += BEAT;
     }
     let spent = (agents as f64) * WATCHED / 1000.0;
-    let line = Line::of("loan.circle").with("agents", agents);
+    let line = Line::of("gossip.circle").with("agents", agents);
     let line = line.with("alone", alone.map_or("none".to_string(), |of| format!("1/{of}")));
     let line = line.number("datagrams_s", carried.datagrams as f64 / spent);
     let line = line.number("bytes_s", carried.bytes as f64 / spent).with("longest", carried.most);
--- a/crates/aspendrum-stocktake/src/cores/mod.rs
+++ b/crates/aspendrum-stocktake/src/cores/mod.rs
@@ -3,8 +3,8 @@
 mod catalog;
 mod consensus;
 mod finding;
+mod gossip;
 mod lectern;
-mod loan;
 
 pub use catalog::PAGE;
 
@@ -14,7 +14,7 @@
     ("catalog", catalog::configurations),
     ("lists", catalog::lists),
     ("lectern", lectern::tell),
-    ("loan", loan::tell),
+    ("gossip", gossip::tell),
     ("consensus", consensus::tell),
     ("finding", finding::tell),
 ];
