--- a/crates/aspendrum-lectern/src/agent.rs
+++ b/crates/aspendrum-lectern/src/agent.rs
@@ -3,8 +3,8 @@
 use crate::Shop;
 use aspendrum_catalog::news::{Down, Edition, Part, Up};
 use aspendrum_catalog::settings::Settings;
-use aspendrum_folio::frames::{self, Link};
-use aspendrum_folio::hands::{lock, spawn};
+use aspendrum_net::frames::{self, Link};
+use aspendrum_net::hands::{lock, spawn};
 use std::io::BufReader;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
--- a/crates/aspendrum-lectern/src/door.rs
+++ b/crates/aspendrum-lectern/src/door.rs
@@ -3,10 +3,10 @@
 
 use crate::query;
 use crate::Shop;
-use aspendrum_folio::hands::lock;
-use aspendrum_folio::message::{self, Bounds, Parsed};
-use aspendrum_folio::pool::linger;
-use aspendrum_folio::ring::{waited, Ring};
+use aspendrum_net::hands::lock;
+use aspendrum_net::message::{self, Bounds, Parsed};
+use aspendrum_net::pool::linger;
+use aspendrum_net::ring::{waited, Ring};
 use socket2::SockRef;
 use std::collections::HashMap;
 use std::io::Write;
--- a/crates/aspendrum-lectern/src/lib.rs
+++ b/crates/aspendrum-lectern/src/lib.rs
@@ -14,11 +14,11 @@
 use agent::Agent;
 use aspendrum_catalog::news::Edition;
 use aspendrum_catalog::settings::{Settings, VARIABLE};
-use aspendrum_folio::daemon;
-use aspendrum_folio::hands::{lock, spawn, Hands};
-use aspendrum_folio::message::Bounds;
-use aspendrum_folio::pool::{Lines, Pool};
-use aspendrum_folio::reception::{self, Reply, Terms};
+use aspendrum_net::daemon;
+use aspendrum_net::hands::{lock, spawn, Hands};
+use aspendrum_net::message::Bounds;
+use aspendrum_net::pool::{Lines, Pool};
+use aspendrum_net::reception::{self, Reply, Terms};
 use aspendrum_reconcile::{Standing, Word};
 use desk::{Desk, BEAT_MS};
 use door::Clients;
@@ -164,7 +164,7 @@
         let bounds = Bounds { head: 8 << 10, body: 1 << 10 };
         let (idle, hands) = (Duration::from_secs(10), Duration::from_secs(5));
         let own = shop.clone();
-        let serve = move |request: aspendrum_folio::message::Request| match request.path.as_str() {
+        let serve = move |request: aspendrum_net::message::Request| match request.path.as_str() {
             "/api/readyz" => Reply::plain(if own.ready() { 200 } else { 503 }),
             _ => Reply::plain(404),
         };
--- a/crates/aspendrum-lectern/src/main.rs
+++ b/crates/aspendrum-lectern/src/main.rs
@@ -1,7 +1,7 @@
 //! The command line. Everything else is in the library.
 
 use aspendrum_catalog::settings::Settings;
-use aspendrum_folio::daemon;
+use aspendrum_net::daemon;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
--- a/crates/aspendrum-lectern/src/query.rs
+++ b/crates/aspendrum-lectern/src/query.rs
@@ -5,8 +5,8 @@
 use crate::wire::{self, Taken};
 use crate::Shop;
 use aspendrum_core::api::{Load, Ms, Outcome, QueryId, ServerId};
-use aspendrum_folio::mail;
-use aspendrum_folio::message::{self, Bounds, Request, Response};
+use aspendrum_net::mail;
+use aspendrum_net::message::{self, Bounds, Request, Response};
 use std::time::{Duration, Instant};
 
 /// Orders of one query that may wait.
--- a/crates/aspendrum-lectern/tests/trust.rs
+++ b/crates/aspendrum-lectern/tests/trust.rs
@@ -1,7 +1,7 @@
 //! Connections that a server may have forgotten: what goes over them, and for how long that is remembered.
 
-use aspendrum_folio::pool::{Lines, Pool};
 use aspendrum_lectern::trust::Trust;
+use aspendrum_net::pool::{Lines, Pool};
 use std::net::TcpListener;
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
     });
     pool.place(1, listener.local_addr().unwrap());
     let take = |most| pool.take(1, second, most, |_| true).unwrap();
-    let own = |conn: &aspendrum_folio::pool::Conn| conn.stream.local_addr().unwrap().port();
+    let own = |conn: &aspendrum_net::pool::Conn| conn.stream.local_addr().unwrap().port();
     let first = take(Duration::MAX);
     let port = own(&first);
     assert!(first.rested().is_zero() && first.unread());
--- a/crates/aspendrum-page/src/lend.rs
+++ b/crates/aspendrum-page/src/lend.rs
@@ -3,10 +3,10 @@
 use crate::notes::Note;
 use aspendrum_catalog::news::Down;
 use aspendrum_catalog::settings::Settings;
-use aspendrum_folio::frames::{self, Link};
-use aspendrum_folio::hands::spawn;
-use aspendrum_folio::mail::Post;
 use aspendrum_gossip::Word;
+use aspendrum_net::frames::{self, Link};
+use aspendrum_net::hands::spawn;
+use aspendrum_net::mail::Post;
 use crossbeam_channel::bounded;
 use std::io::{BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
--- a/crates/aspendrum-page/src/main.rs
+++ b/crates/aspendrum-page/src/main.rs
@@ -8,9 +8,9 @@
 mod proxy;
 
 use aspendrum_catalog::settings::{Settings, VARIABLE};
-use aspendrum_folio::daemon;
-use aspendrum_folio::hands::spawn;
-use aspendrum_folio::mail;
+use aspendrum_net::daemon;
+use aspendrum_net::hands::spawn;
+use aspendrum_net::mail;
 use crossbeam_channel::bounded;
 use desk::Desk;
 use notes::Note;
--- a/crates/aspendrum-page/src/notes.rs
+++ b/crates/aspendrum-page/src/notes.rs
@@ -2,8 +2,8 @@
 
 use aspendrum_catalog::news::{Down, Part, Up};
 use aspendrum_catalog::settings::Settings;
-use aspendrum_folio::frames::Link;
 use aspendrum_gossip::Word;
+use aspendrum_net::frames::Link;
 use crossbeam_channel::Sender;
 use std::net::Ipv4Addr;
 
--- a/crates/aspendrum-page/src/proxy.rs
+++ b/crates/aspendrum-page/src/proxy.rs
@@ -2,9 +2,9 @@
 
 use crate::notes::Note;
 use aspendrum_catalog::news::Up;
-use aspendrum_folio::frames::{self, Link};
-use aspendrum_folio::hands::spawn;
-use aspendrum_folio::mail::Post;
+use aspendrum_net::frames::{self, Link};
+use aspendrum_net::hands::spawn;
+use aspendrum_net::mail::Post;
 use std::io::BufReader;
 use std::net::{SocketAddrV4, TcpListener};
 use std::sync::Arc;
--- a/crates/aspendrum-registrar/tests/transcripts.rs
+++ b/crates/aspendrum-registrar/tests/transcripts.rs
@@ -1,7 +1,7 @@
 //! What an operator types and what comes back, against a stand-in for control that knows two machines of it.
 
-use aspendrum_folio::message::{Bounds, Request};
-use aspendrum_folio::reception::{open, Reply, Terms};
+use aspendrum_net::message::{Bounds, Request};
+use aspendrum_net::reception::{open, Reply, Terms};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::process::{Command, Output};
 use std::time::Duration;
--- a/crates/aspendrum-rig/src/system/tamper.rs
+++ b/crates/aspendrum-rig/src/system/tamper.rs
@@ -3,7 +3,7 @@
 
 use aspendrum_catalog::news::{Down, Part};
 use aspendrum_catalog::packed::{pack, unpack};
-use aspendrum_folio::frames;
+use aspendrum_net::frames;
 use aspendrum_standins::lock;
 use serde::Deserialize;
 use std::io;
--- a/crates/aspendrum-stocktake/src/cores/catalog.rs
+++ b/crates/aspendrum-stocktake/src/cores/catalog.rs
@@ -6,7 +6,7 @@
 use aspendrum_catalog::news::{Down, Edition, Part, Up, Word};
 use aspendrum_catalog::packed::{pack, unpack};
 use aspendrum_catalog::servers::{page, Roster, Server};
-use aspendrum_folio::frames::frame;
+use aspendrum_net::frames::frame;
 use aspendrum_reconcile::edition;
 
 /// Servers on a page of the platform's list, as the pages' deployments have it.
--- a/crates/aspendrum-stocktake/src/hollow/agent.rs
+++ b/crates/aspendrum-stocktake/src/hollow/agent.rs
@@ -3,8 +3,8 @@
 
 use crate::sizes::{front_at, zone};
 use aspendrum_catalog::news::{Down, Edition, Part, Up, Word, KINDS};
-use aspendrum_folio::frames;
-use aspendrum_folio::hands::{lock, spawn};
+use aspendrum_net::frames;
+use aspendrum_net::hands::{lock, spawn};
 use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed};
--- a/crates/aspendrum-stocktake/src/hollow/platform.rs
+++ b/crates/aspendrum-stocktake/src/hollow/platform.rs
@@ -4,10 +4,10 @@
 use crate::cores::PAGE;
 use crate::sizes::page;
 use aspendrum_catalog::servers::Server;
-use aspendrum_folio::hands::lock;
-use aspendrum_folio::matcher::argument;
-use aspendrum_folio::message::{Bounds, Request};
-use aspendrum_folio::reception::{self, Reply, Terms};
+use aspendrum_net::hands::lock;
+use aspendrum_net::matcher::argument;
+use aspendrum_net::message::{Bounds, Request};
+use aspendrum_net::reception::{self, Reply, Terms};
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
--- a/crates/aspendrum-stocktake/tests/agents.rs
+++ b/crates/aspendrum-stocktake/tests/agents.rs
@@ -1,7 +1,7 @@
 //! Hollow agents before a control of the test's own: they say and heed what agents do.
 
 use aspendrum_catalog::news::{Down, Edition, Mark, Part, Up, Word};
-use aspendrum_folio::frames;
+use aspendrum_net::frames;
 use aspendrum_stocktake::hollow::agent::{self, Counts};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
--- a/crates/aspendrum-vault/src/notes.rs
+++ b/crates/aspendrum-vault/src/notes.rs
@@ -5,7 +5,7 @@
 use aspendrum_catalog::servers::Server;
 use aspendrum_catalog::settings::Settings;
 use aspendrum_consensus::{Order, Outcome, Place};
-use aspendrum_folio::frames::Link;
+use aspendrum_net::frames::Link;
 use crossbeam_channel::Sender;
 use serde_json::Value;
 use std::time::Instant;
--- a/crates/aspendrum-vault/tests/processes.rs
+++ b/crates/aspendrum-vault/tests/processes.rs
@@ -2,7 +2,7 @@
 
 use aspendrum_catalog::news::{Down, Edition, Part, Up, Word};
 use aspendrum_catalog::packed::unpack;
-use aspendrum_folio::frames;
+use aspendrum_net::frames;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
--- a/crates/aspendrum/src/lib.rs
+++ b/crates/aspendrum/src/lib.rs
@@ -19,8 +19,8 @@
 pub mod shutdown;
 
 use aspendrum_core::api::ListKind;
-pub(crate) use aspendrum_folio::hands;
-pub use aspendrum_folio::{mail, pool, ring};
+pub(crate) use aspendrum_net::hands;
+pub use aspendrum_net::{mail, pool, ring};
 use backoff::Backoff;
 use clients::Clients;
 use clock::Clock;
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::ms;
 use crate::config::Config;
-use aspendrum_folio::pool::Lines;
+use aspendrum_net::pool::Lines;
 use std::time::Duration;
 
 #[derive(Clone, Debug)]
