--- a/crates/aspendrum-consensus/src/holdings.rs
+++ b/crates/aspendrum-consensus/src/holdings.rs
@@ -1,6 +1,6 @@
 //! What is held: a join semilattice. Any two states have one that contains both, whatever order words come in.
 
-use aspendrum_catalog::hash::digest;
+use aspendrum_model::hash::digest;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/aspendrum-gossip/src/circle.rs
+++ b/crates/aspendrum-gossip/src/circle.rs
@@ -5,7 +5,7 @@
 
 use crate::view::{Neighbour, View};
 use crate::Ms;
-use aspendrum_catalog::news::Edition;
+use aspendrum_model::news::Edition;
 use fastrand::Rng;
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
--- a/crates/aspendrum-gossip/tests/circle.rs
+++ b/crates/aspendrum-gossip/tests/circle.rs
@@ -1,7 +1,7 @@
 //! What agents lend each other, under schedules: delays, losses, restarts of clocks, hops.
 
-use aspendrum_catalog::news::{Edition, Mark};
 use aspendrum_gossip::{Act, Circle, Word};
+use aspendrum_model::news::{Edition, Mark};
 use std::net::Ipv4Addr;
 
 const ME: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
--- a/crates/aspendrum-lectern/src/agent.rs
+++ b/crates/aspendrum-lectern/src/agent.rs
@@ -1,8 +1,8 @@
 //! The loopback connection to the agent on this machine: news come in and are applied, beats go out.
 
 use crate::Shop;
-use aspendrum_catalog::news::{Down, Edition, Part, Up};
-use aspendrum_catalog::settings::Settings;
+use aspendrum_model::news::{Down, Edition, Part, Up};
+use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::{self, Link};
 use aspendrum_net::hands::{lock, spawn};
 use std::io::BufReader;
--- a/crates/aspendrum-lectern/src/counts.rs
+++ b/crates/aspendrum-lectern/src/counts.rs
@@ -1,8 +1,8 @@
 //! Tenants' counters inside proxies: which proxy holds a counter, what it holds, and the calls to others'. One
 //! datagram asks, one answers; the module decides by the total. No I/O, no clock.
 
-use aspendrum_catalog::hash::first;
 use aspendrum_core::api::Ms;
+use aspendrum_model::hash::first;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
--- a/crates/aspendrum-lectern/src/desk.rs
+++ b/crates/aspendrum-lectern/src/desk.rs
@@ -3,13 +3,13 @@
 
 use crate::counts::{Call, Calls, Leave, Ledger, Quota, Word};
 use crate::stacks::{Stacks, Terms, Warmth};
-use aspendrum_catalog::config::{Config, Route, Tenant};
-use aspendrum_catalog::hash::digest;
-use aspendrum_catalog::news::{Edition, Front, Part};
-use aspendrum_catalog::packed::unpack;
-use aspendrum_catalog::settings::Settings;
 use aspendrum_core::api::*;
 use aspendrum_core::control::Control;
+use aspendrum_model::config::{Config, Route, Tenant};
+use aspendrum_model::hash::digest;
+use aspendrum_model::news::{Edition, Front, Part};
+use aspendrum_model::packed::unpack;
+use aspendrum_model::settings::Settings;
 use aspendrum_net::hands::lock;
 use aspendrum_net::mail::Post;
 use aspendrum_reconcile::edition;
--- a/crates/aspendrum-lectern/src/lib.rs
+++ b/crates/aspendrum-lectern/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod wire;
 
 use agent::Agent;
-use aspendrum_catalog::news::Edition;
-use aspendrum_catalog::settings::{Settings, VARIABLE};
+use aspendrum_model::news::Edition;
+use aspendrum_model::settings::{Settings, VARIABLE};
 use aspendrum_net::daemon;
 use aspendrum_net::hands::{lock, spawn, Hands};
 use aspendrum_net::message::Bounds;
--- a/crates/aspendrum-lectern/src/main.rs
+++ b/crates/aspendrum-lectern/src/main.rs
@@ -1,6 +1,6 @@
 //! The command line. Everything else is in the library.
 
-use aspendrum_catalog::settings::Settings;
+use aspendrum_model::settings::Settings;
 use aspendrum_net::daemon;
 use std::process::ExitCode;
 
--- a/crates/aspendrum-lectern/src/stacks.rs
+++ b/crates/aspendrum-lectern/src/stacks.rs
@@ -2,10 +2,10 @@
 //! zone, and are warm or have a turn left for this proxy. And how many further tries this proxy may make. No
 //! I/O, no clock.
 
-use aspendrum_catalog::hash::{digest, rank};
-use aspendrum_catalog::servers::Server;
-use aspendrum_catalog::settings::Settings;
 use aspendrum_core::api::{Health, Member, Ms, ServerId};
+use aspendrum_model::hash::{digest, rank};
+use aspendrum_model::servers::Server;
+use aspendrum_model::settings::Settings;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
--- a/crates/aspendrum-lectern/tests/exchanges.rs
+++ b/crates/aspendrum-lectern/tests/exchanges.rs
@@ -1,11 +1,11 @@
 //! Whole exchanges on loopback: a client, the proxy, and servers that do all that servers in trouble do. What
 //! went over each wire is compared with an approved transcript.
 
-use aspendrum_catalog::news::{Edition, Front, Mark, Part};
-use aspendrum_catalog::packed::pack;
-use aspendrum_catalog::servers::Server;
-use aspendrum_catalog::settings::Settings;
 use aspendrum_lectern::{beat, query, Shop};
+use aspendrum_model::news::{Edition, Front, Mark, Part};
+use aspendrum_model::packed::pack;
+use aspendrum_model::servers::Server;
+use aspendrum_model::settings::Settings;
 use aspendrum_net::message::{request, Bounds, Parsed, Request};
 use aspendrum_net::ring::Ring;
 use aspendrum_reconcile::Word;
--- a/crates/aspendrum-catalog/tests/config.rs
+++ b/crates/aspendrum-model/tests/config.rs
@@ -1,8 +1,8 @@
 //! Configurations and settings: what is read, and what is refused.
 
-use aspendrum_catalog::config::{Config, Fault};
-use aspendrum_catalog::servers::{page, Roster, Server};
-use aspendrum_catalog::settings::Settings;
+use aspendrum_model::config::{Config, Fault};
+use aspendrum_model::servers::{page, Roster, Server};
+use aspendrum_model::settings::Settings;
 use test_case::test_case;
 
 const CONFIG: &str = r#"{"gen":"0000000c","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":15000},
--- a/crates/aspendrum-page/src/control.rs
+++ b/crates/aspendrum-page/src/control.rs
@@ -1,9 +1,9 @@
 //! The held connection to control: to a machine nearby, and to the next one when that falls silent.
 
 use crate::notes::Note;
-use aspendrum_catalog::hash::{digest, rank};
-use aspendrum_catalog::news::Down;
-use aspendrum_catalog::settings::Settings;
+use aspendrum_model::hash::{digest, rank};
+use aspendrum_model::news::Down;
+use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::{self, Link};
 use aspendrum_net::hands::{lock, spawn};
 use aspendrum_net::mail::Post;
--- a/crates/aspendrum-page/src/desk.rs
+++ b/crates/aspendrum-page/src/desk.rs
@@ -4,12 +4,12 @@
 use crate::control::Route;
 use crate::lend::Lender;
 use crate::notes::Note;
-use aspendrum_catalog::config::Config;
-use aspendrum_catalog::news::{Down, Edition, Part, Up, KINDS};
-use aspendrum_catalog::packed::unpack;
-use aspendrum_catalog::servers::Roster;
-use aspendrum_catalog::settings::Settings;
 use aspendrum_gossip::{Act, Circle};
+use aspendrum_model::config::Config;
+use aspendrum_model::news::{Down, Edition, Part, Up, KINDS};
+use aspendrum_model::packed::unpack;
+use aspendrum_model::servers::Roster;
+use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::{self, Link};
 use aspendrum_net::mail::Inbox;
 use aspendrum_reconcile::{edition, Bounds, Mending, Section, Standing, Step, Verdict, Word};
@@ -427,6 +427,6 @@
 }
 
 /// Control tells agents' words from its own machines' by this.
-fn up(said: Up) -> aspendrum_catalog::news::Word {
-    aspendrum_catalog::news::Word::Up(said)
+fn up(said: Up) -> aspendrum_model::news::Word {
+    aspendrum_model::news::Word::Up(said)
 }
--- a/crates/aspendrum-page/src/lend.rs
+++ b/crates/aspendrum-page/src/lend.rs
@@ -1,9 +1,9 @@
 //! The shell of what agents lend each other: datagrams for words, a short connection for a snapshot.
 
 use crate::notes::Note;
-use aspendrum_catalog::news::Down;
-use aspendrum_catalog::settings::Settings;
 use aspendrum_gossip::Word;
+use aspendrum_model::news::Down;
+use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::{self, Link};
 use aspendrum_net::hands::spawn;
 use aspendrum_net::mail::Post;
--- a/crates/aspendrum-page/src/main.rs
+++ b/crates/aspendrum-page/src/main.rs
@@ -7,7 +7,7 @@
 mod notes;
 mod proxy;
 
-use aspendrum_catalog::settings::{Settings, VARIABLE};
+use aspendrum_model::settings::{Settings, VARIABLE};
 use aspendrum_net::daemon;
 use aspendrum_net::hands::spawn;
 use aspendrum_net::mail;
--- a/crates/aspendrum-page/src/notes.rs
+++ b/crates/aspendrum-page/src/notes.rs
@@ -1,8 +1,8 @@
 //! What the desk is told.
 
-use aspendrum_catalog::news::{Down, Part, Up};
-use aspendrum_catalog::settings::Settings;
 use aspendrum_gossip::Word;
+use aspendrum_model::news::{Down, Part, Up};
+use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::Link;
 use crossbeam_channel::Sender;
 use std::net::Ipv4Addr;
--- a/crates/aspendrum-page/src/proxy.rs
+++ b/crates/aspendrum-page/src/proxy.rs
@@ -1,7 +1,7 @@
 //! The loopback connection to the proxy on this machine. It dials; there is one at a time.
 
 use crate::notes::Note;
-use aspendrum_catalog::news::Up;
+use aspendrum_model::news::Up;
 use aspendrum_net::frames::{self, Link};
 use aspendrum_net::hands::spawn;
 use aspendrum_net::mail::Post;
--- a/crates/aspendrum-reconcile/examples/nights/mod.rs
+++ b/crates/aspendrum-reconcile/examples/nights/mod.rs
@@ -2,8 +2,8 @@
 //! step may a once-only request leave by a path that was no longer decided, beyond the bounds; and once the faults
 //! are over all nodes apply what was decided, within a stated time.
 
-use aspendrum_catalog::news::{Edition, Mark};
 use aspendrum_gossip::{Act, Circle, Word as Lent};
+use aspendrum_model::news::{Edition, Mark};
 use aspendrum_reconcile::{Bounds, Mending, Ms, Section, Standing, Step, Verdict, Word};
 use fastrand::Rng;
 use std::net::Ipv4Addr;
--- a/crates/aspendrum-reconcile/src/edition.rs
+++ b/crates/aspendrum-reconcile/src/edition.rs
@@ -1,9 +1,9 @@
 //! The canonical form of what is in force, and its digests. Two nodes that would treat every request alike have one
 //! edition, however their tables came to be; whatever a request's way depends on is in it.
 
-use aspendrum_catalog::config::Config;
-use aspendrum_catalog::hash::digest;
-use aspendrum_catalog::news::{Edition, Mark, SECTIONS};
+use aspendrum_model::config::Config;
+use aspendrum_model::hash::digest;
+use aspendrum_model::news::{Edition, Mark, SECTIONS};
 
 /// What is digested apart, in the order of an edition's digests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/aspendrum-reconcile/src/verdict.rs
+++ b/crates/aspendrum-reconcile/src/verdict.rs
@@ -3,7 +3,7 @@
 //! it to stop.
 
 use crate::Ms;
-use aspendrum_catalog::news::Edition;
+use aspendrum_model::news::Edition;
 
 /// How a node stands to what was decided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/aspendrum-reconcile/tests/collation.rs
+++ b/crates/aspendrum-reconcile/tests/collation.rs
@@ -1,7 +1,7 @@
 //! Editions and verdicts: whatever a request's way depends on shows, and nothing else does.
 
-use aspendrum_catalog::config::Config;
-use aspendrum_catalog::news::{Edition, Mark};
+use aspendrum_model::config::Config;
+use aspendrum_model::news::{Edition, Mark};
 use aspendrum_reconcile::*;
 
 const TEXT: &str = r#"{"gen":"00000004","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":15000},
--- a/crates/aspendrum-reconcile/tests/model.rs
+++ b/crates/aspendrum-reconcile/tests/model.rs
@@ -2,7 +2,7 @@
 //! freeze and restart. In every state that can be reached no node runs a once-only request by a version that was
 //! overtaken longer ago than the bound; a variant that trusts the last push is found.
 
-use aspendrum_catalog::news::{Edition, Mark};
+use aspendrum_model::news::{Edition, Mark};
 use aspendrum_reconcile::{Bounds, Standing, Verdict, Word};
 use stateright::{Checker, Model, Property};
 
--- a/crates/aspendrum-registrar/src/main.rs
+++ b/crates/aspendrum-registrar/src/main.rs
@@ -4,7 +4,7 @@
 mod control;
 mod shown;
 
-use aspendrum_catalog::config::Config;
+use aspendrum_model::config::Config;
 use bpaf::Bpaf;
 use control::Control;
 use std::net::SocketAddrV4;
--- a/crates/aspendrum-registrar/src/shown.rs
+++ b/crates/aspendrum-registrar/src/shown.rs
@@ -1,6 +1,6 @@
 //! What the client prints.
 
-use aspendrum_catalog::config::{Config, Route};
+use aspendrum_model::config::{Config, Route};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/crates/aspendrum-rig/src/system/tamper.rs
+++ b/crates/aspendrum-rig/src/system/tamper.rs
@@ -1,8 +1,8 @@
 //! A way between two processes of the system on which pushes go wrong: configurations are dropped, come late, come
 //! behind the next one, or say something else by their number, while every other word passes.
 
-use aspendrum_catalog::news::{Down, Part};
-use aspendrum_catalog::packed::{pack, unpack};
+use aspendrum_model::news::{Down, Part};
+use aspendrum_model::packed::{pack, unpack};
 use aspendrum_net::frames;
 use aspendrum_standins::lock;
 use serde::Deserialize;
--- a/crates/aspendrum-stocktake/src/cores/consensus.rs
+++ b/crates/aspendrum-stocktake/src/cores/consensus.rs
@@ -3,10 +3,10 @@
 
 use crate::measure::{cpu_ms, Line, Samples};
 use crate::sizes::{self, GRADES};
-use aspendrum_catalog::hash::digest;
-use aspendrum_catalog::packed::pack;
 use aspendrum_consensus::founding::{self, Founding};
 use aspendrum_consensus::{Act, Order, Place, Register};
+use aspendrum_model::hash::digest;
+use aspendrum_model::packed::pack;
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/aspendrum-stocktake/src/cores/gossip.rs
+++ b/crates/aspendrum-stocktake/src/cores/gossip.rs
@@ -2,8 +2,8 @@
 
 use crate::measure::{cpu_ms, Line};
 use crate::sizes::front_at;
-use aspendrum_catalog::news::Edition;
 use aspendrum_gossip::{Act, Circle, Word};
+use aspendrum_model::news::Edition;
 use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
 
--- a/crates/aspendrum-stocktake/src/cores/lectern.rs
+++ b/crates/aspendrum-stocktake/src/cores/lectern.rs
@@ -3,14 +3,14 @@
 
 use crate::measure::{batches, cpu_ms, each, memory, Line, Samples};
 use crate::sizes::{self, front_at, Size, GRADES};
-use aspendrum_catalog::config::Config;
-use aspendrum_catalog::hash::digest;
-use aspendrum_catalog::news::{Front, Part};
-use aspendrum_catalog::packed::pack;
-use aspendrum_catalog::settings::Settings;
 use aspendrum_core::api::{Load, Outcome};
 use aspendrum_lectern::counts::{Calls, Leave, Ledger, Quota};
 use aspendrum_lectern::desk::{Ask, Desk, Order, BEAT_MS};
+use aspendrum_model::config::Config;
+use aspendrum_model::hash::digest;
+use aspendrum_model::news::{Front, Part};
+use aspendrum_model::packed::pack;
+use aspendrum_model::settings::Settings;
 use aspendrum_net::mail;
 use std::net::{Ipv4Addr, UdpSocket};
 use std::thread::sleep;
@@ -236,7 +236,7 @@
     if let Ok(config) = config {
         let keys: Vec<&String> = config.tenants.iter().flatten().filter_map(|t| t.keys.first()).collect();
         let found = batches(9, 10_000, |n| config.tenant(keys[n % keys.len()]));
-        line("catalog.tenant").ms("cpu", &found).tell();
+        line("model.tenant").ms("cpu", &found).tell();
     }
 }
 
--- a/crates/aspendrum-stocktake/src/cores/mod.rs
+++ b/crates/aspendrum-stocktake/src/cores/mod.rs
@@ -1,18 +1,18 @@
 //! Each core by itself, at graded sizes.
 
-mod catalog;
 mod consensus;
 mod finding;
 mod gossip;
 mod lectern;
+mod model;
 
-pub use catalog::PAGE;
+pub use model::PAGE;
 
 type Case = (&'static str, fn());
 
 const CASES: [Case; 6] = [
-    ("catalog", catalog::configurations),
-    ("lists", catalog::lists),
+    ("model", model::configurations),
+    ("lists", model::lists),
     ("lectern", lectern::tell),
     ("gossip", gossip::tell),
     ("consensus", consensus::tell),
--- a/crates/aspendrum-stocktake/src/cores/catalog.rs
+++ b/crates/aspendrum-stocktake/src/cores/model.rs
@@ -2,10 +2,10 @@
 
 use crate::measure::{batches, each, memory, Line};
 use crate::sizes::{self, Size, GRADES};
-use aspendrum_catalog::config::Config;
-use aspendrum_catalog::news::{Down, Edition, Part, Up, Word};
-use aspendrum_catalog::packed::{pack, unpack};
-use aspendrum_catalog::servers::{page, Roster, Server};
+use aspendrum_model::config::Config;
+use aspendrum_model::news::{Down, Edition, Part, Up, Word};
+use aspendrum_model::packed::{pack, unpack};
+use aspendrum_model::servers::{page, Roster, Server};
 use aspendrum_net::frames::frame;
 use aspendrum_reconcile::edition;
 
@@ -31,14 +31,14 @@
         let text = sizes::config(&size, hosts, 1);
         let packed = pack(text.as_bytes());
         let whole = frame(&Down::News { number: 1, part: Part::config(1, packed.clone()) });
-        let bytes = line("catalog.config.bytes").with("text", text.len()).with("packed", packed.len());
+        let bytes = line("model.config.bytes").with("text", text.len()).with("packed", packed.len());
         bytes.with("frame", whole.len()).tell();
         let repeats = if tenants > 5_000 { 5 } else { 15 };
-        line("catalog.pack").ms("cpu", &each(repeats, |_| pack(text.as_bytes()))).tell();
-        line("catalog.unpack").ms("cpu", &each(repeats, |_| unpack(&packed))).tell();
+        line("model.pack").ms("cpu", &each(repeats, |_| pack(text.as_bytes()))).tell();
+        line("model.unpack").ms("cpu", &each(repeats, |_| unpack(&packed))).tell();
         let (config, held, most) = memory(|| Config::read(text.as_bytes()));
-        line("catalog.config.memory").mb("held", held).mb("most", most).tell();
-        line("catalog.config.read").ms("cpu", &each(repeats, |_| Config::read(text.as_bytes()))).tell();
+        line("model.config.memory").mb("held", held).mb("most", most).tell();
+        line("model.config.read").ms("cpu", &each(repeats, |_| Config::read(text.as_bytes()))).tell();
         let Ok(config) = config else { continue };
         let digests = each(if tenants > 5_000 { 3 } else { 9 }, |_| edition(Some(&config), 0, &[]));
         line("collation.edition").ms("cpu", &digests).tell();
--- a/crates/aspendrum-stocktake/src/hollow/agent.rs
+++ b/crates/aspendrum-stocktake/src/hollow/agent.rs
@@ -2,7 +2,7 @@
 //! once. Nothing stands behind them: no proxy, no neighbours. They leave a machine of control as agents do.
 
 use crate::sizes::{front_at, zone};
-use aspendrum_catalog::news::{Down, Edition, Part, Up, Word, KINDS};
+use aspendrum_model::news::{Down, Edition, Part, Up, Word, KINDS};
 use aspendrum_net::frames;
 use aspendrum_net::hands::{lock, spawn};
 use std::io::{self, BufReader, Read, Write};
--- a/crates/aspendrum-stocktake/src/hollow/mod.rs
+++ b/crates/aspendrum-stocktake/src/hollow/mod.rs
@@ -9,7 +9,7 @@
 use crate::measure::{Line, Samples};
 use crate::sizes::{self, Size};
 use agent::{Agent, Counts, BEATS};
-use aspendrum_catalog::config::Config;
+use aspendrum_model::config::Config;
 use aspendrum_net::caller::Caller;
 use aspendrum_net::message::Bounds;
 use bpaf::Bpaf;
--- a/crates/aspendrum-stocktake/src/hollow/platform.rs
+++ b/crates/aspendrum-stocktake/src/hollow/platform.rs
@@ -3,7 +3,7 @@
 
 use crate::cores::PAGE;
 use crate::sizes::page;
-use aspendrum_catalog::servers::Server;
+use aspendrum_model::servers::Server;
 use aspendrum_net::hands::lock;
 use aspendrum_net::matcher::argument;
 use aspendrum_net::message::{Bounds, Request};
--- a/crates/aspendrum-stocktake/src/hollow/traffic.rs
+++ b/crates/aspendrum-stocktake/src/hollow/traffic.rs
@@ -3,7 +3,7 @@
 
 use crate::measure::{Line, Samples};
 use crate::sizes::SERVERS_PORT;
-use aspendrum_catalog::config::Config;
+use aspendrum_model::config::Config;
 use aspendrum_net::hands::{lock, spawn};
 use aspendrum_net::message::{self, answer, only, Bounds, Parsed};
 use aspendrum_net::ring::Ring;
--- a/crates/aspendrum-stocktake/src/sizes.rs
+++ b/crates/aspendrum-stocktake/src/sizes.rs
@@ -1,8 +1,8 @@
 //! Configurations, lists of servers and of proxies, of any size, shaped as the protocol's examples are. The
 //! same numbers give the same texts.
 
-use aspendrum_catalog::news::Front;
-use aspendrum_catalog::servers::Server;
+use aspendrum_model::news::Front;
+use aspendrum_model::servers::Server;
 use fastrand::Rng;
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/crates/aspendrum-stocktake/tests/agents.rs
+++ b/crates/aspendrum-stocktake/tests/agents.rs
@@ -1,6 +1,6 @@
 //! Hollow agents before a control of the test's own: they say and heed what agents do.
 
-use aspendrum_catalog::news::{Down, Edition, Mark, Part, Up, Word};
+use aspendrum_model::news::{Down, Edition, Mark, Part, Up, Word};
 use aspendrum_net::frames;
 use aspendrum_stocktake::hollow::agent::{self, Counts};
 use std::io::Write;
--- a/crates/aspendrum-stocktake/tests/sizes.rs
+++ b/crates/aspendrum-stocktake/tests/sizes.rs
@@ -1,7 +1,7 @@
 //! The texts and lists that are measured are what they are said to be.
 
-use aspendrum_catalog::config::Config;
-use aspendrum_catalog::servers::page;
+use aspendrum_model::config::Config;
+use aspendrum_model::servers::page;
 use aspendrum_stocktake::measure::Samples;
 use aspendrum_stocktake::sizes::{self, Size, GRADES, REGIONS, ZONES};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/aspendrum-vault/src/calls.rs
+++ b/crates/aspendrum-vault/src/calls.rs
@@ -2,10 +2,10 @@
 
 use crate::finding::Directory;
 use crate::notes::Note;
-use aspendrum_catalog::config::Config;
-use aspendrum_catalog::hash::digest;
-use aspendrum_catalog::packed::{pack, unpack};
 use aspendrum_consensus::{Order, Outcome};
+use aspendrum_model::config::Config;
+use aspendrum_model::hash::digest;
+use aspendrum_model::packed::{pack, unpack};
 use aspendrum_net::mail::Post;
 use aspendrum_net::matcher::{argument, find, Found, Node};
 use aspendrum_net::message::Request;
--- a/crates/aspendrum-vault/src/finding.rs
+++ b/crates/aspendrum-vault/src/finding.rs
@@ -1,8 +1,8 @@
 //! Which proxies clients are sent to, and who reads the platform's list: decisions without I/O.
 
-use aspendrum_catalog::hash::{digest, rank};
-use aspendrum_catalog::news::Front;
 use aspendrum_consensus::Place;
+use aspendrum_model::hash::{digest, rank};
+use aspendrum_model::news::Front;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 
--- a/crates/aspendrum-vault/src/links.rs
+++ b/crates/aspendrum-vault/src/links.rs
@@ -2,8 +2,8 @@
 
 use crate::notes::Note;
 use crate::words::Between;
-use aspendrum_catalog::news;
 use aspendrum_consensus::Place;
+use aspendrum_model::news;
 use aspendrum_net::frames::{self, Link};
 use aspendrum_net::hands::spawn;
 use aspendrum_net::mail::Post;
--- a/crates/aspendrum-vault/src/main.rs
+++ b/crates/aspendrum-vault/src/main.rs
@@ -10,9 +10,9 @@
 mod store;
 mod words;
 
-use aspendrum_catalog::settings::{Settings, VARIABLE};
 use aspendrum_consensus::founding::{voters_for, Founding};
 use aspendrum_consensus::Register;
+use aspendrum_model::settings::{Settings, VARIABLE};
 use aspendrum_net::caller::Caller;
 use aspendrum_net::daemon;
 use aspendrum_net::hands::spawn;
--- a/crates/aspendrum-vault/src/nodes.rs
+++ b/crates/aspendrum-vault/src/nodes.rs
@@ -1,8 +1,8 @@
 //! What control tells operators of nodes and of what is decided, as JSON. Each machine of control knows the nodes
 //! whose agents hold a link to it, and where the other machines are.
 
-use aspendrum_catalog::config::{Config, Route};
-use aspendrum_catalog::news::Edition;
+use aspendrum_model::config::{Config, Route};
+use aspendrum_model::news::Edition;
 use aspendrum_reconcile::{Section, Standing};
 use serde_json::{json, Value};
 
--- a/crates/aspendrum-vault/src/notes.rs
+++ b/crates/aspendrum-vault/src/notes.rs
@@ -1,10 +1,10 @@
 //! What the desk is told.
 
 use crate::words::Between;
-use aspendrum_catalog::news::Up;
-use aspendrum_catalog::servers::Server;
-use aspendrum_catalog::settings::Settings;
 use aspendrum_consensus::{Order, Outcome, Place};
+use aspendrum_model::news::Up;
+use aspendrum_model::servers::Server;
+use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::Link;
 use crossbeam_channel::Sender;
 use serde_json::Value;
--- a/crates/aspendrum-vault/src/poll.rs
+++ b/crates/aspendrum-vault/src/poll.rs
@@ -1,6 +1,6 @@
 //! Reads the platform's list of servers, page after page.
 
-use aspendrum_catalog::servers::{self, Server};
+use aspendrum_model::servers::{self, Server};
 use aspendrum_net::caller::Caller;
 use aspendrum_net::message::Bounds;
 use std::time::{Duration, Instant};
--- a/crates/aspendrum-vault/src/store.rs
+++ b/crates/aspendrum-vault/src/store.rs
@@ -1,11 +1,11 @@
 //! The disk: one value, replaced whole, there after any loss of power once `keep` has returned.
 
-use aspendrum_catalog::hash::digest;
-use aspendrum_catalog::packed::unpack;
 use aspendrum_consensus::founding::Acceptor;
 use aspendrum_consensus::holdings::{Config, Disk, Holdings};
 use aspendrum_consensus::numbers::{Numbers, Text};
 use aspendrum_consensus::register::Kept;
+use aspendrum_model::hash::digest;
+use aspendrum_model::packed::unpack;
 use redb::{Builder, Database, TableDefinition};
 use std::path::Path;
 
--- a/crates/aspendrum-vault/src/words.rs
+++ b/crates/aspendrum-vault/src/words.rs
@@ -1,9 +1,9 @@
 //! The words on a connection to control: from other machines of control, and from agents.
 
-use aspendrum_catalog::news::Front;
-use aspendrum_catalog::servers::Server;
 use aspendrum_consensus::founding::{self, Voters};
 use aspendrum_consensus::{Place, Said};
+use aspendrum_model::news::Front;
+use aspendrum_model::servers::Server;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/aspendrum-vault/tests/processes.rs
+++ b/crates/aspendrum-vault/tests/processes.rs
@@ -1,7 +1,7 @@
 //! Control as processes on loopback, killed and robbed of disks: what was acknowledged is shown again.
 
-use aspendrum_catalog::news::{Down, Edition, Part, Up, Word};
-use aspendrum_catalog::packed::unpack;
+use aspendrum_model::news::{Down, Edition, Part, Up, Word};
+use aspendrum_model::packed::unpack;
 use aspendrum_net::frames;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
