--- a/crates/aspendrum-stocktake/src/main.rs
+++ b/crates/aspendrum-capacity/src/main.rs
@@ -1,6 +1,6 @@
 //! The command line. Everything else is in the library.
 
-use aspendrum_stocktake::{cores, hollow};
+use aspendrum_capacity::{cores, hollow};
 use bpaf::Bpaf;
 use std::process::ExitCode;
 
--- a/crates/aspendrum-stocktake/tests/agents.rs
+++ b/crates/aspendrum-capacity/tests/agents.rs
@@ -1,8 +1,8 @@
 //! Hollow agents before a control of the test's own: they say and heed what agents do.
 
+use aspendrum_capacity::hollow::agent::{self, Counts};
 use aspendrum_model::news::{Down, Edition, Mark, Part, Up, Word};
 use aspendrum_net::frames;
-use aspendrum_stocktake::hollow::agent::{self, Counts};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering::Relaxed;
--- a/crates/aspendrum-stocktake/tests/sizes.rs
+++ b/crates/aspendrum-capacity/tests/sizes.rs
@@ -1,9 +1,9 @@
 //! The texts and lists that are measured are what they are said to be.
 
+use aspendrum_capacity::measure::Samples;
+use aspendrum_capacity::sizes::{self, Size, GRADES, REGIONS, ZONES};
 use aspendrum_model::config::Config;
 use aspendrum_model::servers::page;
-use aspendrum_stocktake::measure::Samples;
-use aspendrum_stocktake::sizes::{self, Size, GRADES, REGIONS, ZONES};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Danger: a figure for 35,000 tenants out of a text that holds fewer, or that control would refuse.
