--- a/crates/aspendrum-capacity/src/cores/mod.rs
+++ b/crates/aspendrum-capacity/src/cores/mod.rs
@@ -3,8 +3,8 @@
 mod consensus;
 mod finding;
 mod gossip;
-mod lectern;
 mod model;
+mod proxy;
 
 pub use model::PAGE;
 
@@ -13,7 +13,7 @@
 const CASES: [Case; 6] = [
     ("model", model::configurations),
     ("lists", model::lists),
-    ("lectern", lectern::tell),
+    ("proxy", proxy::tell),
     ("gossip", gossip::tell),
     ("consensus", consensus::tell),
     ("finding", finding::tell),
--- a/crates/aspendrum-capacity/src/cores/lectern.rs
+++ b/crates/aspendrum-capacity/src/cores/proxy.rs
@@ -4,14 +4,14 @@
 use crate::measure::{batches, cpu_ms, each, memory, Line, Samples};
 use crate::sizes::{self, front_at, Size, GRADES};
 use aspendrum_core::api::{Load, Outcome};
-use aspendrum_lectern::counts::{Calls, Leave, Ledger, Quota};
-use aspendrum_lectern::desk::{Ask, Desk, Order, BEAT_MS};
 use aspendrum_model::config::Config;
 use aspendrum_model::hash::digest;
 use aspendrum_model::news::{Front, Part};
 use aspendrum_model::packed::pack;
 use aspendrum_model::settings::Settings;
 use aspendrum_net::mail;
+use aspendrum_proxy::counts::{Calls, Leave, Ledger, Quota};
+use aspendrum_proxy::desk::{Ask, Desk, Order, BEAT_MS};
 use std::net::{Ipv4Addr, UdpSocket};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -61,19 +61,19 @@
     let parts: Vec<Part> = texts.iter().zip(1..).map(|(text, version)| news(text, version)).collect();
     let list = sizes::servers(size, sizes::apart);
     let ((), held, most) = memory(|| desk.apply(parts[0].clone()));
-    line("lectern.config.memory").mb("held", held).mb("most", most).tell();
-    line("lectern.config.apply").ms("cpu", &each(3, |n| desk.apply(parts[n + 1].clone()))).tell();
-    line("lectern.edition").ms("cpu", &each(3, |_| desk.edition())).tell();
+    line("proxy.config.memory").mb("held", held).mb("most", most).tell();
+    line("proxy.config.apply").ms("cpu", &each(3, |n| desk.apply(parts[n + 1].clone()))).tell();
+    line("proxy.edition").ms("cpu", &each(3, |_| desk.edition())).tell();
     // The desk takes the list; its copy is made outside of the time.
     let mut copies: Vec<Vec<_>> = (0..9).map(|_| list.clone()).collect();
     let ((), held, _) = memory(|| desk.apply(Part::Servers { age: 0, list: list.clone() }));
-    line("lectern.list.memory").mb("held", held).tell();
-    line("lectern.list.apply")
+    line("proxy.list.memory").mb("held", held).tell();
+    line("proxy.list.apply")
         .ms("cpu", &each(9, |_| desk.apply(Part::Servers { age: 0, list: copies.pop().unwrap_or_default() })))
         .tell();
     desk.apply(Part::Fronts(turned(size.limiters, 0)));
     let mut turns: Vec<Part> = (1..10).map(|n| Part::Fronts(turned(size.limiters, n))).collect();
-    line("lectern.fronts.apply")
+    line("proxy.fronts.apply")
         .ms("cpu", &each(9, |_| desk.apply(turns.pop().unwrap_or(Part::Fronts(Vec::new())))))
         .tell();
 }
@@ -95,7 +95,7 @@
     }
     // A thread that is kept waiting beats less often than it should: its share is of the beats that are due.
     let (spent, of) = (cpu_ms() - before, beats.len() as f64);
-    let line = Line::of("lectern.beat").with("servers", size.servers).with("limiters", size.limiters);
+    let line = Line::of("proxy.beat").with("servers", size.servers).with("limiters", size.limiters);
     let line = line.with("cold", cold).with("beats", beats.len());
     line.ms("beat", &Samples::of(beats)).number("core_share", spent / of / BEAT_MS).tell();
 }
@@ -135,9 +135,9 @@
     }
     let line = |name| Line::of(name).with("servers", size.servers).with("services", size.services);
     let decided = Samples::of(decided);
-    let asked = line("lectern.query.decided").with("tenants", size.tenants).with("not_sent", lost);
+    let asked = line("proxy.query.decided").with("tenants", size.tenants).with("not_sent", lost);
     asked.ms("cpu", &decided).number("cpu_99_ms", decided.at(0.99)).tell();
-    line("lectern.query.ended").ms("cpu", &Samples::of(ended)).tell();
+    line("proxy.query.ended").ms("cpu", &Samples::of(ended)).tell();
 }
 
 /// Which queries must wait for another proxy's answer before anything is decided of them.
@@ -165,7 +165,7 @@
     let tenants = view.config.tenants.iter().flatten();
     let holder = |name: &str| calls.holder(digest(name.as_bytes()) & ((1 << 40) - 1)).and_then(region);
     let far = tenants.filter(|t| holder(&t.name).is_some_and(|r| r != home)).count();
-    let line = Line::of("lectern.query.counted").with("limiters", size.limiters);
+    let line = Line::of("proxy.query.counted").with("limiters", size.limiters);
     let line = line.with("asked", size.tenants.min(QUERIES)).with("decided_at_once", at_once);
     line.with("tenants", size.tenants).with("held_in_another_region", far).tell();
 }
@@ -207,7 +207,7 @@
                 }
             }
         }
-        let line = Line::of("lectern.stuck").with("services", services).with("dead_pool", dead);
+        let line = Line::of("proxy.stuck").with("services", services).with("dead_pool", dead);
         line.with("asked_pool", other).with("asked", 20).with("sent_at_once", sent).tell();
     }
 }
--- a/crates/aspendrum-capacity/src/hollow/fleet.rs
+++ b/crates/aspendrum-capacity/src/hollow/fleet.rs
@@ -124,7 +124,7 @@
 impl Fleet {
     /// Everything stands and is linked; no process has been started yet.
     pub async fn prepare(plan: &Plan, folder: &Path) -> Result<Fleet, String> {
-        build(&["aspendrum-lectern", "aspendrum-page", "aspendrum-vault"])?;
+        build(&["aspendrum-proxy", "aspendrum-page", "aspendrum-vault"])?;
         let member = |program: &str, name: String, settings: Value| {
             let at = folder.join(format!("{name}.json"));
             std::fs::write(&at, settings.to_string()).map_err(|e| format!("{name}: {e}"))?;
@@ -175,7 +175,7 @@
             let binds = json!({"front": whole_front(n),
                 "readyz": SocketAddrV4::new(own_ip, READYZ)});
             let settings = common(own, n, binds, ways);
-            whole.push(member("lectern", format!("lectern-{n}"), settings.clone())?);
+            whole.push(member("proxy", format!("proxy-{n}"), settings.clone())?);
             whole.push(member("page", format!("page-{n}"), settings)?);
         }
         Ok(Fleet { vaults, whole, between, behind })
--- a/crates/aspendrum-lectern/src/main.rs
+++ b/crates/aspendrum-proxy/src/main.rs
@@ -6,5 +6,5 @@
 
 fn main() -> ExitCode {
     let about = "The proxy of the system: carries clients' queries to servers";
-    daemon::run("lectern", about, || Settings::load().map(|s| s.host), aspendrum_lectern::serve)
+    daemon::run("aspendrum-proxy", about, || Settings::load().map(|s| s.host), aspendrum_proxy::serve)
 }
--- a/crates/aspendrum-lectern/tests/counts.rs
+++ b/crates/aspendrum-proxy/tests/counts.rs
@@ -1,6 +1,6 @@
 //! Counters inside proxies: no tenant is granted more than the terms allow, wherever its counter is.
 
-use aspendrum_lectern::counts::{Calls, Handed, Leave, Ledger, Quota};
+use aspendrum_proxy::counts::{Calls, Handed, Leave, Ledger, Quota};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
--- a/crates/aspendrum-lectern/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -1,13 +1,13 @@
 //! Whole exchanges on loopback: a client, the proxy, and servers that do all that servers in trouble do. What
 //! went over each wire is compared with an approved transcript.
 
-use aspendrum_lectern::{beat, query, Shop};
 use aspendrum_model::news::{Edition, Front, Mark, Part};
 use aspendrum_model::packed::pack;
 use aspendrum_model::servers::Server;
 use aspendrum_model::settings::Settings;
 use aspendrum_net::message::{request, Bounds, Parsed, Request};
 use aspendrum_net::ring::Ring;
+use aspendrum_proxy::{beat, query, Shop};
 use aspendrum_reconcile::Word;
 use std::collections::HashMap;
 use std::io::Write;
--- a/crates/aspendrum-lectern/tests/stacks.rs
+++ b/crates/aspendrum-proxy/tests/stacks.rs
@@ -1,8 +1,8 @@
 //! Which servers may be used: cold ones within the fleet's bound, none that drains, none of an evacuated zone.
 
 use aspendrum_core::api::{Health, Member, ServerId};
-use aspendrum_lectern::stacks::{Stacks, Terms, Warmth};
 use aspendrum_model::servers::Server;
+use aspendrum_proxy::stacks::{Stacks, Terms, Warmth};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 
--- a/crates/aspendrum-lectern/tests/trust.rs
+++ b/crates/aspendrum-proxy/tests/trust.rs
@@ -1,7 +1,7 @@
 //! Connections that a server may have forgotten: what goes over them, and for how long that is remembered.
 
-use aspendrum_lectern::trust::Trust;
 use aspendrum_net::pool::{Lines, Pool};
+use aspendrum_proxy::trust::Trust;
 use std::net::TcpListener;
 use std::time::Duration;
 
--- a/crates/aspendrum-rig/src/system/fleet.rs
+++ b/crates/aspendrum-rig/src/system/fleet.rs
@@ -33,8 +33,8 @@
 /// The programs of the system, built once in this process' life.
 pub fn programs() -> Result<[Start; 3], String> {
     static BUILT: OnceLock<Result<(), String>> = OnceLock::new();
-    BUILT.get_or_init(|| build(&["aspendrum-lectern", "aspendrum-page", "aspendrum-vault"])).clone()?;
-    Ok([Start::system("lectern")?, Start::system("page")?, Start::system("vault")?])
+    BUILT.get_or_init(|| build(&["aspendrum-proxy", "aspendrum-page", "aspendrum-vault"])).clone()?;
+    Ok([Start::system("aspendrum-proxy")?, Start::system("page")?, Start::system("vault")?])
 }
 
 /// One process: what it is, where its settings and its log are, and its life.
@@ -80,7 +80,7 @@
     /// Machines of control, spare ones behind the others.
     pub cores: Vec<tokio::sync::Mutex<Slot>>,
     /// By machine: the proxy and its agent.
-    pub lecterns: Vec<tokio::sync::Mutex<Slot>>,
+    pub proxies: Vec<tokio::sync::Mutex<Slot>>,
     pub pages: Vec<tokio::sync::Mutex<Slot>>,
     pub origins: Vec<Arc<Origin>>,
     pub record: Arc<Record>,
@@ -119,7 +119,7 @@
     /// Everything stands and is linked; no process of the system has been started yet.
     pub async fn prepare(scenario: &Scenario, folder: &Path) -> Result<Fleet, String> {
         let failed = |e: io::Error| format!("the fleet: {e}");
-        let [lectern, page, vault] = programs()?;
+        let [proxy, page, vault] = programs()?;
         std::fs::create_dir_all(folder).map_err(failed)?;
         let (net, claim) = claim().map_err(failed)?;
         let clock = Clock::start();
@@ -188,7 +188,7 @@
             cores: (0..s.machines())
                 .map(|n| slot(&vault, format!("core-{n}"), Some(folder.join(format!("disk-{n}")))))
                 .collect(),
-            lecterns: (0..s.edges).map(|n| slot(&lectern, format!("lectern-{n}"), None)).collect(),
+            proxies: (0..s.edges).map(|n| slot(&proxy, format!("proxy-{n}"), None)).collect(),
             pages: (0..s.edges).map(|n| slot(&page, format!("page-{n}"), None)).collect(),
             origins,
             record,
@@ -271,7 +271,7 @@
         for n in 0..self.scenario.edges {
             let agent = SocketAddr::from((ip(self.net, 102, n), AGENT));
             let text = |by| self.edge_settings(n, seeds, by).to_string();
-            put(&self.lecterns[n].lock().await.settings, &text(self.feeds[n].addr()))?;
+            put(&self.proxies[n].lock().await.settings, &text(self.feeds[n].addr()))?;
             put(&self.pages[n].lock().await.settings, &text(agent))?;
         }
         Ok(())
@@ -340,15 +340,15 @@
     pub fn slots(&self, who: Who) -> Vec<&tokio::sync::Mutex<Slot>> {
         match who {
             Who::Core(n) => vec![&self.cores[n]],
-            Who::Edge(n) => vec![&self.lecterns[n], &self.pages[n]],
-            Who::Lectern(n) => vec![&self.lecterns[n]],
+            Who::Edge(n) => vec![&self.proxies[n], &self.pages[n]],
+            Who::Proxy(n) => vec![&self.proxies[n]],
             Who::Page(n) => vec![&self.pages[n]],
             Who::Origin(_) => Vec::new(),
         }
     }
 
     pub async fn start(&self) -> Result<(), String> {
-        for slot in self.cores[..self.scenario.cores].iter().chain(&self.lecterns).chain(&self.pages) {
+        for slot in self.cores[..self.scenario.cores].iter().chain(&self.proxies).chain(&self.pages) {
             slot.lock().await.up().map_err(|e| format!("start: {e}"))?;
         }
         Ok(())
@@ -372,11 +372,9 @@
             all.extend([self.words.link(a, b), &self.loans[a][b].there, &self.loans[b][a].back]);
         }
         match (from, to) {
-            (Who::Edge(a) | Who::Lectern(a), Who::Edge(b) | Who::Lectern(b)) => {
-                all.push(self.counts.link(a, b))
-            }
-            (Who::Edge(a) | Who::Lectern(a), Who::Origin(b)) => all.push(&self.servers[a][b].there),
-            (Who::Origin(a), Who::Edge(b) | Who::Lectern(b)) => all.push(&self.servers[b][a].back),
+            (Who::Edge(a) | Who::Proxy(a), Who::Edge(b) | Who::Proxy(b)) => all.push(self.counts.link(a, b)),
+            (Who::Edge(a) | Who::Proxy(a), Who::Origin(b)) => all.push(&self.servers[a][b].there),
+            (Who::Origin(a), Who::Edge(b) | Who::Proxy(b)) => all.push(&self.servers[b][a].back),
             _ => {}
         }
         all
@@ -386,7 +384,7 @@
     pub fn tamper(&self, who: Who, how: Option<How>) {
         match who {
             Who::Page(n) => self.pushes[n].iter().for_each(|t| t.set(how)),
-            Who::Lectern(n) => self.feeds[n].set(how),
+            Who::Proxy(n) => self.feeds[n].set(how),
             _ => {}
         }
     }
--- a/crates/aspendrum-rig/src/system/scenario.rs
+++ b/crates/aspendrum-rig/src/system/scenario.rs
@@ -106,7 +106,7 @@
 pub struct Step {
     pub at_s: f64,
     pub what: What,
-    /// Machines or processes: `core 0`, `edge 1-3`, `lectern 2`, `page 2`; servers: `origin 0-3`.
+    /// Machines or processes: `core 0`, `edge 1-3`, `proxy 2`, `page 2`; servers: `origin 0-3`.
     #[serde(default)]
     pub of: String,
     /// The other side of a cut; left out, all others.
@@ -178,7 +178,7 @@
     Replace,
     Freeze,
     Cut,
-    /// Configurations go wrong on their way: to an agent (`page 1`), or from it to its proxy (`lectern 1`).
+    /// Configurations go wrong on their way: to an agent (`page 1`), or from it to its proxy (`proxy 1`).
     Tamper,
     /// The settings name other seeds, and SIGHUP.
     Seeds,
@@ -232,7 +232,7 @@
 pub enum Who {
     Core(usize),
     Edge(usize),
-    Lectern(usize),
+    Proxy(usize),
     Page(usize),
     Origin(usize),
 }
@@ -290,7 +290,7 @@
             let (of, many): (fn(usize) -> Who, usize) = match kind {
                 "core" => (Who::Core, self.machines()),
                 "edge" => (Who::Edge, self.edges),
-                "lectern" => (Who::Lectern, self.edges),
+                "proxy" => (Who::Proxy, self.edges),
                 "page" => (Who::Page, self.edges),
                 "origin" => (Who::Origin, self.origins()),
                 _ => return Err(bad()),
