--- a/crates/aspendrum-page/src/main.rs
+++ b/crates/aspendrum-agent/src/main.rs
@@ -21,7 +21,7 @@
 
 fn main() -> ExitCode {
     let about = "The agent beside a proxy: keeps the link to control and feeds the proxy";
-    daemon::run("page", about, || Settings::load().map(|s| s.host), serve)
+    daemon::run("aspendrum-agent", about, || Settings::load().map(|s| s.host), serve)
 }
 
 fn serve() -> Result<(), String> {
--- a/crates/aspendrum-capacity/src/hollow/fleet.rs
+++ b/crates/aspendrum-capacity/src/hollow/fleet.rs
@@ -124,7 +124,7 @@
 impl Fleet {
     /// Everything stands and is linked; no process has been started yet.
     pub async fn prepare(plan: &Plan, folder: &Path) -> Result<Fleet, String> {
-        build(&["aspendrum-proxy", "aspendrum-page", "aspendrum-vault"])?;
+        build(&["aspendrum-proxy", "aspendrum-agent", "aspendrum-vault"])?;
         let member = |program: &str, name: String, settings: Value| {
             let at = folder.join(format!("{name}.json"));
             std::fs::write(&at, settings.to_string()).map_err(|e| format!("{name}: {e}"))?;
--- a/crates/aspendrum-rig/src/system/fleet.rs
+++ b/crates/aspendrum-rig/src/system/fleet.rs
@@ -33,8 +33,8 @@
 /// The programs of the system, built once in this process' life.
 pub fn programs() -> Result<[Start; 3], String> {
     static BUILT: OnceLock<Result<(), String>> = OnceLock::new();
-    BUILT.get_or_init(|| build(&["aspendrum-proxy", "aspendrum-page", "aspendrum-vault"])).clone()?;
-    Ok([Start::system("aspendrum-proxy")?, Start::system("page")?, Start::system("vault")?])
+    BUILT.get_or_init(|| build(&["aspendrum-proxy", "aspendrum-agent", "aspendrum-vault"])).clone()?;
+    Ok([Start::system("aspendrum-proxy")?, Start::system("aspendrum-agent")?, Start::system("vault")?])
 }
 
 /// One process: what it is, where its settings and its log are, and its life.
@@ -81,7 +81,7 @@
     pub cores: Vec<tokio::sync::Mutex<Slot>>,
     /// By machine: the proxy and its agent.
     pub proxies: Vec<tokio::sync::Mutex<Slot>>,
-    pub pages: Vec<tokio::sync::Mutex<Slot>>,
+    pub agents: Vec<tokio::sync::Mutex<Slot>>,
     pub origins: Vec<Arc<Origin>>,
     pub record: Arc<Record>,
     net: u8,
@@ -119,7 +119,7 @@
     /// Everything stands and is linked; no process of the system has been started yet.
     pub async fn prepare(scenario: &Scenario, folder: &Path) -> Result<Fleet, String> {
         let failed = |e: io::Error| format!("the fleet: {e}");
-        let [proxy, page, vault] = programs()?;
+        let [proxy, agent, vault] = programs()?;
         std::fs::create_dir_all(folder).map_err(failed)?;
         let (net, claim) = claim().map_err(failed)?;
         let clock = Clock::start();
@@ -189,7 +189,7 @@
                 .map(|n| slot(&vault, format!("core-{n}"), Some(folder.join(format!("disk-{n}")))))
                 .collect(),
             proxies: (0..s.edges).map(|n| slot(&proxy, format!("proxy-{n}"), None)).collect(),
-            pages: (0..s.edges).map(|n| slot(&page, format!("page-{n}"), None)).collect(),
+            agents: (0..s.edges).map(|n| slot(&agent, format!("agent-{n}"), None)).collect(),
             origins,
             record,
             net,
@@ -272,7 +272,7 @@
             let agent = SocketAddr::from((ip(self.net, 102, n), AGENT));
             let text = |by| self.edge_settings(n, seeds, by).to_string();
             put(&self.proxies[n].lock().await.settings, &text(self.feeds[n].addr()))?;
-            put(&self.pages[n].lock().await.settings, &text(agent))?;
+            put(&self.agents[n].lock().await.settings, &text(agent))?;
         }
         Ok(())
     }
@@ -340,15 +340,15 @@
     pub fn slots(&self, who: Who) -> Vec<&tokio::sync::Mutex<Slot>> {
         match who {
             Who::Core(n) => vec![&self.cores[n]],
-            Who::Edge(n) => vec![&self.proxies[n], &self.pages[n]],
+            Who::Edge(n) => vec![&self.proxies[n], &self.agents[n]],
             Who::Proxy(n) => vec![&self.proxies[n]],
-            Who::Page(n) => vec![&self.pages[n]],
+            Who::Agent(n) => vec![&self.agents[n]],
             Who::Origin(_) => Vec::new(),
         }
     }
 
     pub async fn start(&self) -> Result<(), String> {
-        for slot in self.cores[..self.scenario.cores].iter().chain(&self.proxies).chain(&self.pages) {
+        for slot in self.cores[..self.scenario.cores].iter().chain(&self.proxies).chain(&self.agents) {
             slot.lock().await.up().map_err(|e| format!("start: {e}"))?;
         }
         Ok(())
@@ -358,7 +358,7 @@
     fn links(&self, from: Who, to: Who) -> Vec<&Arc<Link>> {
         let dialler = |who| match who {
             Who::Core(n) => Some(n),
-            Who::Edge(n) | Who::Page(n) => Some(self.scenario.machines() + n),
+            Who::Edge(n) | Who::Agent(n) => Some(self.scenario.machines() + n),
             _ => None,
         };
         let mut all: Vec<&Arc<Link>> = Vec::new();
@@ -368,7 +368,7 @@
         if let (Who::Core(from), Some(d)) = (from, dialler(to)) {
             all.push(&self.controls[d][from].back);
         }
-        if let (Who::Edge(a) | Who::Page(a), Who::Edge(b) | Who::Page(b)) = (from, to) {
+        if let (Who::Edge(a) | Who::Agent(a), Who::Edge(b) | Who::Agent(b)) = (from, to) {
             all.extend([self.words.link(a, b), &self.loans[a][b].there, &self.loans[b][a].back]);
         }
         match (from, to) {
@@ -383,7 +383,7 @@
     /// What happens to configurations on their way to that agent or proxy.
     pub fn tamper(&self, who: Who, how: Option<How>) {
         match who {
-            Who::Page(n) => self.pushes[n].iter().for_each(|t| t.set(how)),
+            Who::Agent(n) => self.pushes[n].iter().for_each(|t| t.set(how)),
             Who::Proxy(n) => self.feeds[n].set(how),
             _ => {}
         }
--- a/crates/aspendrum-rig/src/system/play.rs
+++ b/crates/aspendrum-rig/src/system/play.rs
@@ -217,7 +217,7 @@
 async fn end(fleet: &Fleet, failures: &mut Vec<String>) {
     let named = |kind: &'static str, slots| (kind, slots);
     for (kind, slots) in
-        [named("proxy", &fleet.proxies), named("page", &fleet.pages), named("core", &fleet.cores)]
+        [named("proxy", &fleet.proxies), named("agent", &fleet.agents), named("core", &fleet.cores)]
     {
         for (n, slot) in slots.iter().enumerate() {
             let mut slot = slot.lock().await;
--- a/crates/aspendrum-rig/src/system/scenario.rs
+++ b/crates/aspendrum-rig/src/system/scenario.rs
@@ -106,7 +106,7 @@
 pub struct Step {
     pub at_s: f64,
     pub what: What,
-    /// Machines or processes: `core 0`, `edge 1-3`, `proxy 2`, `page 2`; servers: `origin 0-3`.
+    /// Machines or processes: `core 0`, `edge 1-3`, `proxy 2`, `agent 2`; servers: `origin 0-3`.
     #[serde(default)]
     pub of: String,
     /// The other side of a cut; left out, all others.
@@ -178,7 +178,7 @@
     Replace,
     Freeze,
     Cut,
-    /// Configurations go wrong on their way: to an agent (`page 1`), or from it to its proxy (`proxy 1`).
+    /// Configurations go wrong on their way: to an agent (`agent 1`), or from it to its proxy (`proxy 1`).
     Tamper,
     /// The settings name other seeds, and SIGHUP.
     Seeds,
@@ -233,7 +233,7 @@
     Core(usize),
     Edge(usize),
     Proxy(usize),
-    Page(usize),
+    Agent(usize),
     Origin(usize),
 }
 
@@ -291,7 +291,7 @@
                 "core" => (Who::Core, self.machines()),
                 "edge" => (Who::Edge, self.edges),
                 "proxy" => (Who::Proxy, self.edges),
-                "page" => (Who::Page, self.edges),
+                "agent" => (Who::Agent, self.edges),
                 "origin" => (Who::Origin, self.origins()),
                 _ => return Err(bad()),
             };
--- a/crates/aspendrum-rig/src/system/steps.rs
+++ b/crates/aspendrum-rig/src/system/steps.rs
@@ -183,7 +183,7 @@
         let from = self.now();
         let cores = of.iter().filter(|w| matches!(w, Who::Core(_))).count();
         let edges = of.iter().filter_map(|w| match w {
-            Who::Edge(n) | Who::Proxy(n) | Who::Page(n) => Some(Some(*n)),
+            Who::Edge(n) | Who::Proxy(n) | Who::Agent(n) => Some(Some(*n)),
             _ => None,
         });
         // Fewer than half of control must do no harm.
