--- a/crates/aspendrum-capacity/src/hollow/fleet.rs
+++ b/crates/aspendrum-capacity/src/hollow/fleet.rs
@@ -67,7 +67,7 @@
 }
 
 pub struct Fleet {
-    pub vaults: Vec<Member>,
+    pub controls: Vec<Member>,
     /// Proxies and agents of whole limiters, in turn.
     pub whole: Vec<Member>,
     /// By dialler, then by whom it dials.
@@ -124,7 +124,7 @@
 impl Fleet {
     /// Everything stands and is linked; no process has been started yet.
     pub async fn prepare(plan: &Plan, folder: &Path) -> Result<Fleet, String> {
-        build(&["aspendrum-proxy", "aspendrum-agent", "aspendrum-vault"])?;
+        build(&["aspendrum-proxy", "aspendrum-agent", "aspendrum-control"])?;
         let member = |program: &str, name: String, settings: Value| {
             let at = folder.join(format!("{name}.json"));
             std::fs::write(&at, settings.to_string()).map_err(|e| format!("{name}: {e}"))?;
@@ -134,7 +134,7 @@
         let common = |mut own: Value, at: usize, binds: Value, ways: Map<String, Value>| {
             own["az"] = zone(at).into();
             own["geo"] = region(at).into();
-            let seeds: Vec<SocketAddrV4> = (0..plan.vaults.min(3)).map(ctl).collect();
+            let seeds: Vec<SocketAddrV4> = (0..plan.controls.min(3)).map(ctl).collect();
             let zones = serde_json::to_value(sizes::regions()).unwrap_or_default();
             json!({
                 "self": own,
@@ -144,10 +144,10 @@
                     "ack-ms": 8000, "stretch-ms": 10000, "grace-s": 6, "ttl_max_s": 5}},
             })
         };
-        let (mut vaults, mut between) = (Vec::new(), Vec::new());
-        for n in 0..plan.vaults {
+        let (mut controls, mut between) = (Vec::new(), Vec::new());
+        for n in 0..plan.controls {
             let mut ways = Map::new();
-            for to in (0..plan.vaults).filter(|to| *to != n) {
+            for to in (0..plan.controls).filter(|to| *to != n) {
                 let link = relay(control(to), plan.delay_ms).await?;
                 ways.extend([way(control(to), link.addr())]);
                 between.push(link);
@@ -156,7 +156,7 @@
                 "init": true,
                 "datadir": folder.join(format!("disk-{n}"))});
             let settings = common(own, place(n), json!({"ctl": ctl(n), "dir": dir(n)}), ways);
-            vaults.push(member("vault", format!("core-{n}"), settings)?);
+            controls.push(member("control", format!("core-{n}"), settings)?);
         }
         let (mut whole, mut behind) = (Vec::new(), Vec::new());
         for n in 0..plan.whole {
@@ -164,7 +164,7 @@
             let agent = SocketAddr::from((Ipv4Addr::new(127, 60, 21, n as u8 + 1), AGENT));
             let mut ways = Map::new();
             ways.extend([way(SocketAddrV4::new(Ipv4Addr::LOCALHOST, AGENT), agent)]);
-            for to in 0..plan.vaults {
+            for to in 0..plan.controls {
                 let delay_ms = if plan.mbps > 0.0 { CHUNK * 8.0 / (plan.mbps * 1000.0) } else { 0.0 };
                 let link = relay(control(to), delay_ms).await?;
                 ways.extend([way(control(to), link.addr())]);
@@ -178,7 +178,7 @@
             whole.push(member("proxy", format!("proxy-{n}"), settings.clone())?);
             whole.push(member("page", format!("page-{n}"), settings)?);
         }
-        Ok(Fleet { vaults, whole, between, behind })
+        Ok(Fleet { controls, whole, between, behind })
     }
 
     /// Bytes that control said to control so far.
--- a/crates/aspendrum-capacity/src/hollow/mod.rs
+++ b/crates/aspendrum-capacity/src/hollow/mod.rs
@@ -24,8 +24,8 @@
 #[derive(Clone, Debug, Bpaf)]
 pub struct Plan {
     /// Processes of control
-    #[bpaf(long("vaults"), argument("N"), fallback(4))]
-    pub vaults: usize,
+    #[bpaf(long("controls"), argument("N"), fallback(4))]
+    pub controls: usize,
     /// Disks that may be lost at once, as settings tell control
     #[bpaf(long("losses"), argument("N"), fallback(1))]
     pub losses: usize,
@@ -150,7 +150,7 @@
         let servers = sizes::servers(&size, sizes::apart);
         let platform = Platform::open(fleet::platform_at(), servers, plan.rate, slow).map_err(failed)?;
         let counts = Arc::new(Counts::default());
-        let control: Vec<_> = (0..plan.vaults).map(fleet::control).collect();
+        let control: Vec<_> = (0..plan.controls).map(fleet::control).collect();
         let agents = agent::start(plan.agents, &control, &counts).map_err(failed)?;
         Ok(Stage { plan, fleet, agents, counts, platform, size, version: 0 })
     }
@@ -158,7 +158,7 @@
     fn line(&self, name: &str) -> Line {
         let p = self.plan;
         let line =
-            Line::of(name).with("vaults", p.vaults).with("agents", p.agents).with("servers", p.servers);
+            Line::of(name).with("controls", p.controls).with("agents", p.agents).with("servers", p.servers);
         line.with("routes", p.routes).with("tenants", p.tenants)
     }
 
@@ -167,7 +167,7 @@
         let p = &self.platform;
         Snapshot {
             at: Instant::now(),
-            cpu: self.fleet.vaults.iter().map(fleet::Member::cpu_s).collect(),
+            cpu: self.fleet.controls.iter().map(fleet::Member::cpu_s).collect(),
             whole: self.fleet.whole.iter().map(fleet::Member::cpu_s).collect(),
             down: c.down.iter().map(|n| n.load(Relaxed)).collect(),
             frames: c.frames.iter().map(|n| n.load(Relaxed)).collect(),
@@ -187,8 +187,8 @@
         let span = (now.at - since.at).as_secs_f64();
         let agents = self.plan.agents.max(1) as f64;
         let cpu: Vec<f64> = now.cpu.iter().zip(&since.cpu).map(|(a, b)| spent(*a, *b) / span).collect();
-        let all = |name: &str| self.fleet.vaults.iter().filter_map(|v| v.status(name)).max().unwrap_or(0);
-        let descriptors = self.fleet.vaults.iter().map(fleet::Member::descriptors).max().unwrap_or(0);
+        let all = |name: &str| self.fleet.controls.iter().filter_map(|v| v.status(name)).max().unwrap_or(0);
+        let descriptors = self.fleet.controls.iter().map(fleet::Member::descriptors).max().unwrap_or(0);
         let line = self
             .line(name)
             .number("span_s", span)
@@ -228,7 +228,7 @@
         let text = sizes::config(&self.size, self.plan.services, self.version);
         let (begun, mut calls) = (Instant::now(), 0);
         while begun.elapsed() < LIMIT {
-            let at = ctl((calls + self.version as usize) % self.plan.vaults);
+            let at = ctl((calls + self.version as usize) % self.plan.controls);
             calls += 1;
             let sent = Instant::now();
             let answer =
@@ -250,8 +250,8 @@
     }
 
     async fn all(mut self) -> Result<(), String> {
-        for vault in &mut self.fleet.vaults {
-            vault.up()?;
+        for control in &mut self.fleet.controls {
+            control.up()?;
         }
         self.guard();
         let first = self.set_config();
@@ -276,7 +276,7 @@
         self.changes();
         self.server();
         self.restart_one();
-        self.restart_vault().await?;
+        self.restart_control().await?;
         self.calm("hollow.calm_after");
         Ok(())
     }
@@ -284,7 +284,7 @@
     /// Ends all if control takes too many threads: others work on this machine.
     fn guard(&self) {
         let ids: Vec<i32> =
-            self.fleet.vaults.iter().filter_map(|v| v.process.as_ref().map(|p| p.id())).collect();
+            self.fleet.controls.iter().filter_map(|v| v.process.as_ref().map(|p| p.id())).collect();
         std::thread::spawn(move || loop {
             let threads: u64 = ids.iter().filter_map(|id| fleet::status(*id, "Threads")).sum();
             if threads > THREADS {
@@ -301,7 +301,7 @@
             let at = m.log.with_file_name(m.name.replace("core", "disk")).join("vault.redb");
             std::fs::metadata(at).map_or(0, |d| d.len())
         };
-        self.fleet.vaults.iter().map(of).max().unwrap_or(0)
+        self.fleet.controls.iter().map(of).max().unwrap_or(0)
     }
 
     /// These agents begin at once.
@@ -442,19 +442,19 @@
     }
 
     /// A machine of control is killed, and is back two seconds later.
-    async fn restart_vault(&mut self) -> Result<(), String> {
+    async fn restart_control(&mut self) -> Result<(), String> {
         let before = self.snapshot();
-        self.fleet.vaults[0].kill().await;
+        self.fleet.controls[0].kill().await;
         let moved = until(LIMIT, || self.all_linked());
         sleep(Duration::from_secs(2));
-        self.fleet.vaults[0].up()?;
+        self.fleet.controls[0].up()?;
         sleep(Duration::from_secs(2));
         let whole = until(LIMIT, || self.all_linked());
-        self.line("hollow.restart_vault")
+        self.line("hollow.restart_control")
             .with("all_linked_s", seconds(moved))
             .with("all_linked_after_s", seconds(whole))
             .tell();
-        self.spent("hollow.restart_vault.spent", &before);
+        self.spent("hollow.restart_control.spent", &before);
         Ok(())
     }
 }
--- a/crates/aspendrum-vault/src/main.rs
+++ b/crates/aspendrum-control/src/main.rs
@@ -39,7 +39,7 @@
 
 fn main() -> ExitCode {
     let about = "Control of the system: takes orders, keeps them on disk, knows servers and proxies, answers look-ups";
-    daemon::run("vault", about, || Settings::load().map(|s| s.host), serve)
+    daemon::run("aspendrum-control", about, || Settings::load().map(|s| s.host), serve)
 }
 
 fn serve() -> Result<(), String> {
--- a/crates/aspendrum-vault/tests/processes.rs
+++ b/crates/aspendrum-control/tests/processes.rs
@@ -31,7 +31,7 @@
 
 impl Control {
     fn start(net: u8) -> Control {
-        let folder = std::env::temp_dir().join(format!("aspendrum-vault-{}-{net}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("aspendrum-control-{}-{net}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         let mut control =
@@ -63,7 +63,7 @@
         );
         let file = self.folder.join(format!("settings-{n}.json"));
         std::fs::write(&file, settings).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_vault"))
+        let child = Command::new(env!("CARGO_BIN_EXE_aspendrum-control"))
             .arg("serve")
             .env("ASPENDRUM_SETTINGS", &file)
             .stderr(Stdio::null())
--- a/crates/aspendrum-known-red/tests/list.rs
+++ b/crates/aspendrum-known-red/tests/list.rs
@@ -3,12 +3,12 @@
 use aspendrum_known_red::*;
 use std::path::PathBuf;
 
-const GOOD: &str = "aspendrum-vault::processes a::b, voters are settled once, and never change, #42\n";
+const GOOD: &str = "aspendrum-control::processes a::b, voters are settled once, and never change, #42\n";
 
 #[test]
 fn a_line_is_a_test_a_cause_and_an_issue() {
     let [one] = &read(GOOD).unwrap()[..] else { panic!() };
-    assert_eq!((one.package.as_str(), one.program.as_str()), ("aspendrum-vault", "processes"));
+    assert_eq!((one.package.as_str(), one.program.as_str()), ("aspendrum-control", "processes"));
     assert_eq!((one.test.as_str(), one.issue), ("a::b", 42));
     assert_eq!(one.cause, "voters are settled once, and never change");
     assert_eq!(read(&format!("{one}\n\n")).unwrap(), std::slice::from_ref(one));
--- a/crates/aspendrum-rig/src/system/fleet.rs
+++ b/crates/aspendrum-rig/src/system/fleet.rs
@@ -33,8 +33,12 @@
 /// The programs of the system, built once in this process' life.
 pub fn programs() -> Result<[Start; 3], String> {
     static BUILT: OnceLock<Result<(), String>> = OnceLock::new();
-    BUILT.get_or_init(|| build(&["aspendrum-proxy", "aspendrum-agent", "aspendrum-vault"])).clone()?;
-    Ok([Start::system("aspendrum-proxy")?, Start::system("aspendrum-agent")?, Start::system("vault")?])
+    BUILT.get_or_init(|| build(&["aspendrum-proxy", "aspendrum-agent", "aspendrum-control"])).clone()?;
+    Ok([
+        Start::system("aspendrum-proxy")?,
+        Start::system("aspendrum-agent")?,
+        Start::system("aspendrum-control")?,
+    ])
 }
 
 /// One process: what it is, where its settings and its log are, and its life.
@@ -119,7 +123,7 @@
     /// Everything stands and is linked; no process of the system has been started yet.
     pub async fn prepare(scenario: &Scenario, folder: &Path) -> Result<Fleet, String> {
         let failed = |e: io::Error| format!("the fleet: {e}");
-        let [proxy, agent, vault] = programs()?;
+        let [proxy, agent, control] = programs()?;
         std::fs::create_dir_all(folder).map_err(failed)?;
         let (net, claim) = claim().map_err(failed)?;
         let clock = Clock::start();
@@ -186,7 +190,7 @@
             scenario: s.clone(),
             clock,
             cores: (0..s.machines())
-                .map(|n| slot(&vault, format!("core-{n}"), Some(folder.join(format!("disk-{n}")))))
+                .map(|n| slot(&control, format!("core-{n}"), Some(folder.join(format!("disk-{n}")))))
                 .collect(),
             proxies: (0..s.edges).map(|n| slot(&proxy, format!("proxy-{n}"), None)).collect(),
             agents: (0..s.edges).map(|n| slot(&agent, format!("agent-{n}"), None)).collect(),
