--- a/crates/aspendrum-registrar/src/main.rs
+++ b/crates/aspendrum-client/src/main.rs
@@ -89,7 +89,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(why) => {
-            eprintln!("registrar: {why}");
+            eprintln!("aspendrum-client: {why}");
             ExitCode::from(2)
         }
     }
--- a/crates/aspendrum-registrar/tests/transcripts.rs
+++ b/crates/aspendrum-client/tests/transcripts.rs
@@ -52,9 +52,9 @@
     port.expect("a port is free")
 }
 
-fn registrar(port: u16, arguments: &[&str]) -> (i32, String, String) {
+fn client(port: u16, arguments: &[&str]) -> (i32, String, String) {
     let at = format!("127.0.7.1:{port}");
-    let mut line = Command::new(env!("CARGO_BIN_EXE_registrar"));
+    let mut line = Command::new(env!("CARGO_BIN_EXE_aspendrum-client"));
     let Output { status, stdout, stderr } = line.args(["--at", &at]).args(arguments).output().unwrap();
     let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
     (status.code().unwrap(), text(stdout), text(stderr))
@@ -63,7 +63,7 @@
 #[test]
 fn an_operator_sees_which_node_applies_what() {
     let port = control();
-    let (code, out, _) = registrar(port, &["nodes"]);
+    let (code, out, _) = client(port, &["nodes"]);
     let approved = "\
 decided 00000007, evacuation orders 1, majority read 120 ms ago
 decided 00000007, evacuation orders 1, majority read never
@@ -72,13 +72,13 @@
 edge-b                   z1             00000004 behind         4200 routes                   7/9
 ";
     assert_eq!((code, out.as_str()), (1, approved), "one node differs");
-    let (code, out, _) = registrar(port, &["explain", "a.example", "/send/1"]);
+    let (code, out, _) = client(port, &["explain", "a.example", "/send/1"]);
     let approved = "\
 00000007 (1 nodes): \"r\" -> [{\"svc\":\"s\",\"wt\":1.0}]; \"lands once\"; 2 tries, 2000 ms
 00000004 (1 nodes): no route, 404
 ";
     assert_eq!((code, out.as_str()), (0, approved));
-    let (code, out, _) = registrar(port, &["--json", "nodes"]);
+    let (code, out, _) = client(port, &["--json", "nodes"]);
     assert!(
         code == 1
             && serde_json::from_str::<serde_json::Value>(&out).unwrap()[0]["nodes"][0]["host"] == "edge-b"
@@ -88,7 +88,7 @@
 #[test]
 fn an_operator_puts_checks_and_evacuates() {
     let port = control();
-    let folder = std::env::temp_dir().join(format!("registrar-{}-{port}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("client-{}-{port}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let file = |name: &str, text: &str| {
         let path = folder.join(name);
@@ -97,23 +97,23 @@
     };
     let both = format!("127.0.7.2:{port}");
     let good = file("good.json", CONFIG);
-    assert_eq!(registrar(port, &["check", &good]).1, "version 00000007: 1 routes, 2 services, 1 tenants\n");
+    assert_eq!(client(port, &["check", &good]).1, "version 00000007: 1 routes, 2 services, 1 tenants\n");
     // The first machine has no majority; the next one named is asked.
-    let (code, out, _) = registrar(port, &["--at", &both, "put", &good]);
+    let (code, out, _) = client(port, &["--at", &both, "put", &good]);
     assert_eq!((code, out.as_str()), (0, "version 00000007 is held by a majority of control's disks\n"));
-    let (code, out, _) = registrar(port, &["--at", &both, "evacuate", "begin", "z1"]);
+    let (code, out, _) = client(port, &["--at", &both, "evacuate", "begin", "z1"]);
     assert_eq!(
         (code, out.as_str()),
         (0, "the evacuation's begin in z1 is held by a majority of control's disks\n")
     );
-    assert_eq!(registrar(port, &["evacuate", "begin", "z9"]).0, 1, "no such zone");
+    assert_eq!(client(port, &["evacuate", "begin", "z9"]).0, 1, "no such zone");
     let bad = file("bad.json", &CONFIG.replace("\"svc\":\"s\"", "\"svc\":\"u\""));
-    let (code, _, told) = registrar(port, &["put", &bad]);
+    let (code, _, told) = client(port, &["put", &bad]);
     assert!(code == 1 && told.ends_with("route r names the service u, which is not there\n"), "{told}");
-    assert_eq!(registrar(port, &["diff", &good]).0, 0);
+    assert_eq!(client(port, &["diff", &good]).0, 0);
     let moved = CONFIG.replace("\"svc\":\"s\"", "\"svc\":\"t\"").replace("00000007", "00000009");
     let moved = moved.replace("\"k1\",", "");
-    let (code, out, _) = registrar(port, &["diff", &file("moved.json", &moved)]);
+    let (code, out, _) = client(port, &["diff", &file("moved.json", &moved)]);
     assert!(code == 1 && out.starts_with("~ a.example/send/, goes elsewhere: "), "{out}");
     assert!(out.ends_with("~ keys: 0 given, 1 taken away\n~ version: 00000007 -> 00000009\n"), "{out}");
     assert!(!out.contains("k1"), "keys are secrets");
