--- a/crates/aspendrum-rig/src/lib.rs
+++ b/crates/aspendrum-rig/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clients;
 pub mod config;
 pub mod days;
+pub mod drawn;
 pub mod library;
 pub mod pass_through;
 pub mod process;
--- a/crates/aspendrum-rig/src/main.rs
+++ b/crates/aspendrum-rig/src/main.rs
@@ -4,6 +4,7 @@
 use aspendrum_rig::scenario::Scenario;
 use aspendrum_rig::{bench, days, library, pass_through, report, run, sweep, system};
 use clap::{Parser, Subcommand};
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -74,9 +75,15 @@
         /// Only the first seed of each
         #[arg(long)]
         first: bool,
-        /// Cores that the bench may use
+        /// Cores that one play may use
         #[arg(long)]
         jobs: Option<usize>,
+        /// How many plays go on at once
+        #[arg(long, default_value_t = 1)]
+        at_once: usize,
+        /// Instead of the folder's days those that are drawn from these seeds, as 1-40; the sites of --only in turn
+        #[arg(long, value_parser = seeds)]
+        drawn: Option<RangeInclusive<u64>>,
         /// Where the bench's words and reports go
         #[arg(long, default_value = "found/days")]
         out: PathBuf,
@@ -98,6 +105,13 @@
     },
 }
 
+/// Seeds from the first to the last, as 1-40.
+fn seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
+    let read = |n: &str| n.parse::<u64>().map_err(|_| format!("{n} is no seed"));
+    let (first, last) = text.split_once('-').unwrap_or((text, text));
+    Ok(read(first)?..=read(last)?)
+}
+
 fn main() -> ExitCode {
     let line = Line::parse();
     let done = match line.command {
@@ -125,9 +139,15 @@
             all.iter().for_each(|d| println!("{:<20} {}", d.name, d.about));
             true
         }),
-        Command::Days { days, bench, sites, only, first, jobs, out } => {
+        Command::Days { days, bench, sites, only, first, jobs, at_once, drawn, out } => {
             let bench = bench.ok_or("name the bench's program with --bench".to_string());
-            bench.and_then(|bench| days::play(&days::How { bench, sites, days, only, first, jobs, out }))
+            bench.and_then(|bench| {
+                let how = days::How { bench, sites, days, only, first, jobs, at_once, out };
+                match drawn {
+                    Some(seeds) => days::play_drawn(&how, seeds),
+                    None => days::play(&how),
+                }
+            })
         }
         Command::PassThrough { config } => pass_through::serve(&config).map(|()| true),
         Command::Bench { seconds, rate } => bench::play(line.limiter, seconds, rate).map(|text| {
--- a/crates/aspendrum-rig/tests/days.rs
+++ b/crates/aspendrum-rig/tests/days.rs
@@ -1,6 +1,7 @@
 //! Days of our own for the users' bench: every file says what it aims at, and what a report says is told.
 
 use aspendrum_rig::days::{all, verdict, Day};
+use aspendrum_rig::drawn;
 use serde_json::json;
 
 #[test]
@@ -46,3 +47,25 @@
     // A report without what it should hold is no clean bill.
     assert!(!verdict(&json!({})).1);
 }
+
+/// Danger: a day that cannot be played again, or kinds that no day ever holds.
+#[test]
+fn a_seed_draws_one_day_and_many_seeds_draw_every_kind() {
+    let all = ["base", "health", "pool"].map(str::to_string);
+    assert_eq!(drawn::day("d", 7, &all), drawn::day("d", 7, &all));
+    assert!((0..400).all(|seed| !drawn::day("d", seed, &all[..1]).contains("srv_grey")));
+    let mut kinds = std::collections::BTreeSet::new();
+    for seed in 0..400 {
+        let day: toml::Table = toml::from_str(&drawn::day("d", seed, &all)).unwrap();
+        for list in ["plan", "faults"] {
+            for entry in day[list].as_array().unwrap() {
+                kinds.insert(entry["kind"].as_str().unwrap().to_string());
+            }
+        }
+    }
+    for kind in ["replace_core", "disk_slow", "disk_stall", "disk_full", "ack_lost", "zone_cut", "node_slow"]
+    {
+        assert!(kinds.contains(kind), "{kind}");
+    }
+    assert_eq!(kinds.len(), 44, "{kinds:?}");
+}
