A proxy that ends takes no request behind a bound, and finishes what it has

Cause: drain kept listening and taking requests until 0.4 s before the grace was over, then ended with whatever was in hand.

Change: requests are taken for the lesser of half of the grace and what is left of it behind the longest limit-ms of any route; then the listener closes, kept connections get 503 with Retry-After, a request that has begun to arrive is awaited, what is in hand is finished. The agent waits for its proxy's end. The tests' proxy on loopback moved to tests/common.

--- a/crates/aspendrum-agent/src/desk.rs
+++ b/crates/aspendrum-agent/src/desk.rs
@@ -13,6 +13,7 @@
 use aspendrum_net::frames::{self, Link};
 use aspendrum_net::mail::Inbox;
 use aspendrum_reconcile::{edition, Bounds, Mending, Section, Standing, Step, Verdict, Word};
+use crossbeam_channel::Sender;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,8 @@
 const MISSED_AGAIN: Ms = 1000.0;
 /// A proxy that said nothing for so long is not ready, whatever it said last.
 const PROXY_SILENT: Ms = 900.0;
+/// A proxy that is told to end together with its agent says so sooner.
+const PROXY_TOLD: Ms = 1000.0;
 /// Kinds of parts that an edition is of.
 const CONFIG: usize = 0;
 const EVACUATED: usize = 1;
@@ -58,6 +61,8 @@
     applied: Edition,
     mending: Mending,
     said: u64,
+    /// Its connection has ended.
+    gone: bool,
 }
 
 pub struct Desk {
@@ -81,6 +86,8 @@
     /// When control last answered on a link that is gone.
     lost: Ms,
     beat_at: Ms,
+    /// Whoever waits for the proxy to end, and since when.
+    leaving: Option<(Sender<()>, Ms)>,
     bounds: Bounds,
     circle: Circle,
     lender: Lender,
@@ -105,6 +112,7 @@
             last: 0,
             lost: f64::NEG_INFINITY,
             beat_at: f64::NEG_INFINITY,
+            leaving: None,
         }
     }
 
@@ -154,6 +162,7 @@
                     applied,
                     mending,
                     said: 0,
+                    gone: false,
                 });
             }
             Note::ProxySaid { id, said } => self.proxy_said(id, said),
@@ -161,11 +170,15 @@
                 if self.proxy.as_ref().is_some_and(|p| p.id == id) {
                     log::info!("event=proxy_lost");
                     if let Some(proxy) = &mut self.proxy {
-                        proxy.ready = false;
+                        (proxy.ready, proxy.gone) = (false, true);
                     }
                     self.beat();
                 }
             }
+            Note::Leave { done } => {
+                self.leaving = Some((done, now));
+                self.leave_if_done(now);
+            }
             Note::Neighbour { from, word } => {
                 let as_of = self.as_of.filter(|_| !self.alone(now));
                 let acts = self.circle.hear(now, from, word, &self.edition, as_of);
@@ -399,10 +412,21 @@
         }
     }
 
+    /// Lets the process end once its proxy has ended, or goes on taking queries and was not told to end.
+    fn leave_if_done(&self, now: Ms) {
+        let Some((done, since)) = &self.leaving else { return };
+        let goes_on = |p: &Proxy| p.ready && now - since >= PROXY_TOLD;
+        let needed = self.proxy.as_ref().is_some_and(|p| !p.gone && !goes_on(p));
+        if !needed {
+            let _ = done.try_send(());
+        }
+    }
+
     /// A sign of life to control, or the end of a link that is of no use.
     fn beat(&mut self) {
         let now = self.now();
         self.beat_at = now;
+        self.leave_if_done(now);
         let due = self.circle.beat(now, self.missed.is_some() || self.alone(now));
         self.act(due);
         let zone = self.settings.zone.clone();
--- a/crates/aspendrum-agent/src/main.rs
+++ b/crates/aspendrum-agent/src/main.rs
@@ -16,8 +16,11 @@
 use notes::Note;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 const NOTES: usize = 1024;
+/// Of the grace, how long it waits for its proxy's end.
+const LEAVE_SHARE: f64 = 0.95;
 
 fn main() -> ExitCode {
     let about = "The agent beside a proxy: keeps the link to control and feeds the proxy";
@@ -50,6 +53,10 @@
         notes.send(Note::Settings(settings), None);
         Ok(())
     };
-    // At its end the proxy goes on with what it knows; control and proxy find the next agent.
-    daemon::until_told(std::env::var(VARIABLE).unwrap_or_default(), reload)
+    daemon::until_told(std::env::var(VARIABLE).unwrap_or_default(), reload)?;
+    // A proxy that ends finishes what it has in hand, and needs to hear of servers and orders meanwhile.
+    let (done, left) = bounded(1);
+    notes.send(Note::Leave { done }, None);
+    let _ = left.recv_timeout(Duration::from_secs_f64(LEAVE_SHARE * settings.grace_s));
+    Ok(())
 }
--- a/crates/aspendrum-agent/src/notes.rs
+++ b/crates/aspendrum-agent/src/notes.rs
@@ -41,4 +41,8 @@
     /// Part of a neighbour's snapshot.
     Lent(Part),
     Settings(Box<Settings>),
+    /// The process is told to end; `done` hears when its proxy needs it no more.
+    Leave {
+        done: Sender<()>,
+    },
 }
--- a/crates/aspendrum-proxy/src/door.rs
+++ b/crates/aspendrum-proxy/src/door.rs
@@ -56,15 +56,19 @@
     }
 }
 
-/// Takes connections in for as long as the process lives.
-pub fn accept(shop: &Arc<Shop>, listener: &TcpListener) {
-    let _ = SockRef::from(listener).listen(BACKLOG);
+/// Takes connections in until the process ends or takes no more requests: then the listener is closed, and whoever
+/// comes is refused.
+pub fn accept(shop: &Arc<Shop>, listener: TcpListener) {
+    let _ = SockRef::from(&listener).listen(BACKLOG);
     let mut next = 0;
     loop {
         let Ok((stream, _)) = listener.accept() else {
             sleep(Duration::from_millis(10));
             continue;
         };
+        if !shop.takes_requests() {
+            return;
+        }
         next += 1;
         shop.accepted();
         let client = Arc::new(Client { stream: Arc::new(stream), busy: AtomicBool::new(false) });
@@ -98,10 +102,13 @@
             Parsed::Whole(request) => {
                 client.busy.store(true, Ordering::Release);
                 begun = None;
-                let answer = query::serve(shop, &request, Instant::now());
+                let answer = if shop.takes_requests() {
+                    query::serve(shop, &request, Instant::now())
+                } else {
+                    query::turn_away(&request)
+                };
                 let close = answer.close || shop.draining();
                 let written = (&**stream).write_all(&answer.bytes).is_ok();
-                client.busy.store(false, Ordering::Release);
                 if !written || close {
                     return linger(stream, LINGER, LINGER_BYTES);
                 }
@@ -113,6 +120,8 @@
             }
             Parsed::More => {
                 let idle = ring.is_empty();
+                // A request that has begun to arrive is awaited, also by a proxy that ends.
+                client.busy.store(!idle, Ordering::Release);
                 let wait =
                     Duration::from_secs_f64(if idle { caps.idle_ms } else { caps.hdr_ms }.max(1.0) / 1000.0);
                 if wait != limited {
--- a/crates/aspendrum-proxy/src/lib.rs
+++ b/crates/aspendrum-proxy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod counts;
 pub mod desk;
 pub mod door;
+pub mod drain;
 pub mod query;
 pub mod stacks;
 pub mod standing;
@@ -22,8 +23,9 @@
 use aspendrum_reconcile::{Standing, Word};
 use desk::{Desk, BEAT_MS};
 use door::Clients;
+use drain::Drain;
 use standing::Stand;
-use std::net::{IpAddr, SocketAddrV4, TcpListener, UdpSocket};
+use std::net::{IpAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -45,11 +47,10 @@
 /// Of the time in which a key that was taken away must be unknown everywhere, what a licence leaves for
 /// clocks that drift and threads that wake late.
 const LICENCE_MARGIN_MS: f64 = 250.0;
-/// After a SIGTERM: so long do idle connections stay open, and so long after the last newcomer it may end.
-const DRAIN_OPEN: Duration = Duration::from_millis(1200);
-const DRAIN_QUIET: Duration = Duration::from_millis(400);
-/// What is left of the grace when the process ends whatever is in hand.
-const DRAIN_LEFT_S: f64 = 0.4;
+/// Between two looks at how far a planned end has come.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+/// For the connection by which a proxy that ends wakes its own listener.
+const WAKE_WAIT: Duration = Duration::from_millis(200);
 
 /// What the proxy's threads share.
 pub struct Shop {
@@ -63,6 +64,8 @@
     pub connect_wait: Duration,
     begun: Instant,
     draining: AtomicBool,
+    /// Milliseconds since the start, from which on no new request is taken.
+    takes_until: AtomicU64,
     /// Milliseconds since the start, up to which keys are known to hold. Always, where none need be.
     licensed: AtomicU64,
     revoke_ms: Option<f64>,
@@ -85,6 +88,7 @@
             connect_wait: CONNECT_WAIT,
             begun: Instant::now(),
             draining: AtomicBool::new(false),
+            takes_until: AtomicU64::new(u64::MAX),
             licensed: AtomicU64::new(0),
             revoke_ms: settings.revoked.then_some(settings.revoke_ms),
             accepted: AtomicU64::new(0),
@@ -100,6 +104,20 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// New requests are taken: it does not end, or has only begun to.
+    pub fn takes_requests(&self) -> bool {
+        self.age() < self.takes_until.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned end. `grace`: the process is killed after that.
+    pub fn begin_drain(&self, grace: Duration) -> Drain {
+        let limits = self.desk.view().map(|v| v.config.routes.iter().map(|r| r.limit_ms).fold(0.0, f64::max));
+        let drain = Drain::new(grace.as_secs_f64() * 1000.0, limits.unwrap_or(0.0));
+        self.takes_until.store(self.age() + drain.takes_until as u64, Ordering::Release);
+        self.draining.store(true, Ordering::Release);
+        drain
+    }
+
     pub fn licensed(&self) -> bool {
         self.revoke_ms.is_none() || self.age() < self.licensed.load(Ordering::Acquire)
     }
@@ -182,7 +200,7 @@
     // Nothing in the settings that a proxy uses may change while it runs: seeds are its agent's.
     let reload = || Settings::load().map(|s| log::info!("event=settings_read host={}", s.host));
     daemon::until_told(std::env::var(VARIABLE).unwrap_or_default(), reload)?;
-    drain(&shop, settings.grace_s);
+    drain(&shop, front, Duration::from_secs_f64(settings.grace_s));
     log::info!("event=ended");
     Ok(())
 }
@@ -208,7 +226,7 @@
     match TcpListener::bind(at) {
         Ok(listener) => {
             log::info!("event=open front={at}");
-            door::accept(shop, &listener);
+            door::accept(shop, listener);
         }
         Err(e) => {
             log::error!("event=front_not_bound why=\"{e}\"");
@@ -258,21 +276,25 @@
     }
 }
 
-/// A planned end: clients are sent elsewhere, all that was read is answered, and nothing is given up before the
-/// grace is nearly over.
-fn drain(shop: &Shop, grace_s: f64) {
+/// A planned end: clients are sent elsewhere, after a while no request is taken any more, and what is in hand is
+/// finished.
+fn drain(shop: &Shop, front: SocketAddrV4, grace: Duration) {
     let begun = Instant::now();
-    let last = begun + Duration::from_secs_f64((grace_s - DRAIN_LEFT_S).max(0.5));
-    shop.draining.store(true, Ordering::Release);
-    log::info!("event=draining connections={}", shop.clients.count());
-    while Instant::now() < last {
-        sleep(Duration::from_millis(20));
-        if begun.elapsed() < DRAIN_OPEN {
-            continue;
+    let drain = shop.begin_drain(grace);
+    log::info!("event=draining connections={} takes_ms={}", shop.clients.count(), drain.takes_until);
+    let mut woken = false;
+    loop {
+        sleep(DRAIN_STEP);
+        let since = begun.elapsed().as_secs_f64() * 1000.0;
+        if drain.closes_idle(since) {
+            shop.clients.close_idle();
+        }
+        if !shop.takes_requests() && !std::mem::replace(&mut woken, true) {
+            // The listener closes with the next newcomer: whoever comes later is refused and goes elsewhere at once.
+            let _ = TcpStream::connect_timeout(&front.into(), WAKE_WAIT);
         }
-        shop.clients.close_idle();
-        let quiet = shop.age().saturating_sub(shop.accepted.load(Ordering::Acquire));
-        if shop.clients.count() == 0 && quiet >= DRAIN_QUIET.as_millis() as u64 {
+        let quiet = shop.age().saturating_sub(shop.accepted.load(Ordering::Acquire)) as f64;
+        if drain.ended(since, shop.clients.count(), quiet) {
             return;
         }
     }
--- a/crates/aspendrum-proxy/src/query.rs
+++ b/crates/aspendrum-proxy/src/query.rs
@@ -45,6 +45,12 @@
     failure: Option<Response>,
 }
 
+/// An answer for a request that is not taken: it has not run, and another proxy may.
+pub fn turn_away(request: &Request) -> Answer {
+    let id = wire::asked(request).map_or("", |asked| asked.id);
+    Answer { bytes: wire::own(503, id, Some(AGAIN_MS), true), close: true }
+}
+
 pub fn serve(shop: &Shop, request: &Request, at: Instant) -> Answer {
     let close = request.close || shop.draining() || shop.clients.crowded();
     let own = |status, id: &str, again| Answer { bytes: wire::own(status, id, again, close), close };
--- /dev/null
+++ b/crates/aspendrum-proxy/tests/common/mod.rs
@@ -0,0 +1,172 @@
+//! A proxy on loopback, with servers that answer as a test says.
+
+#![allow(dead_code)]
+
+use aspendrum_model::news::{Front, Part};
+use aspendrum_model::packed::pack;
+use aspendrum_model::servers::Server;
+use aspendrum_model::settings::Settings;
+use aspendrum_net::message::{request, Bounds, Parsed, Request};
+use aspendrum_net::ring::Ring;
+use aspendrum_proxy::{beat, query, Shop};
+use aspendrum_reconcile::Word;
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Instant;
+
+pub const BOUNDS: Bounds = Bounds { head: 16 << 10, body: 1 << 20 };
+pub const CONFIG: &str = r#"{"gen":"00000001","caps":{"hdr-bytes":16384,"body-bytes":65536,"hdr-ms":3000,"idle-ms":15000},
+"tenants":[{"name":"ann","keys":["k1"],"prio":0,"rate-s":0}],
+"ports":[{"vhost":"a.example","rules":[
+{"name":"read","type":"idem","goal-ms":800,"match":{"pfx":"/read/"},"action":{"svc":"s1","limit-ms":2000,"tries":3}},
+{"name":"send","type":"mutating","goal-ms":800,"match":{"pfx":"/send/"},"action":{"svc":"s1","limit-ms":2000,"tries":3}},
+{"name":"open","type":"idem","public":true,"goal-ms":800,"match":{"pfx":"/open/"},"action":{"svc":"s1","limit-ms":2000,"tries":3}}]}],
+"pools":[{"name":"s1","check":"/healthz","warmup-s":3.0,"warm-rate-s":10.0}]}"#;
+
+/// Says what a server sends for a request, by its number: text, where {id} is the request's. `None`: it closes.
+pub type Says = fn(usize) -> Option<&'static str>;
+
+/// Servers that answer in turn, and a proxy that knows them.
+pub struct Stage {
+    pub shop: Arc<Shop>,
+    pub seen: Arc<Mutex<Vec<String>>>,
+    /// How often each try ran.
+    pub ran: Arc<Mutex<HashMap<String, u32>>>,
+}
+
+pub fn stage(servers: usize, says: Says) -> Stage {
+    stage_of("\"retry-slack\":100", servers, says)
+}
+
+pub fn stage_of(bounds: &str, servers: usize, says: Says) -> Stage {
+    let settings = r#"{"self":{"host-name":"e1","ip":"127.0.0.1","az":"poa-a","geo":"poa"},"net":{"binds":{"front":"127.0.0.1:1"},
+        "port-range":[7600,7615],"zones":{"poa-a":"poa"}},"terms":{"bounds":{"apply-ms":600000,BOUNDS}}}"#;
+    let settings = Settings::read(settings.replace("BOUNDS", bounds).as_bytes());
+    let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let shop = Arc::new(Shop::new(&settings.unwrap(), socket));
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let (ran, count) = (Arc::new(Mutex::new(HashMap::new())), Arc::new(Mutex::new(0)));
+    let listeners: Vec<TcpListener> =
+        (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let list = listeners.iter().enumerate().map(|(n, l)| Server {
+        uid: format!("i-{n}"),
+        service: "s1".into(),
+        addr: l.local_addr().unwrap().to_string().parse().unwrap(),
+        zone: "poa-a".into(),
+        slots: 2,
+        draining: false,
+        warm_left_ms: 0,
+    });
+    let list = list.collect();
+    for (n, listener) in listeners.into_iter().enumerate() {
+        let (seen, ran, count) = (Arc::clone(&seen), Arc::clone(&ran), Arc::clone(&count));
+        thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let (seen, ran, count) = (seen.clone(), ran.clone(), count.clone());
+                thread::spawn(move || play(n, &stream, says, &seen, &ran, &count));
+            }
+        });
+    }
+    let front =
+        Front { addr: "127.0.0.1:1".parse().unwrap(), zone: "poa-a".into(), ready: true, current: true };
+    shop.desk.apply(Part::config(1, pack(CONFIG.as_bytes())));
+    shop.desk.apply(Part::Servers { age: 0, list });
+    // Danger: a proxy that knows of no other takes the whole of every quota for its part.
+    assert!(!shop.desk.knows());
+    shop.desk.apply(Part::Fronts(vec![front]));
+    assert!(shop.desk.knows() || servers == 0);
+    // As control would have it; no key is licensed by that where they bind.
+    shop.collate();
+    shop.stand.told(0.0, Some(Word { decided: shop.stand.edition(), as_of: 0.0 }), false);
+    let own = shop.clone();
+    thread::spawn(move || beat(&own));
+    Stage { shop, seen, ran }
+}
+
+pub fn play(
+    server: usize,
+    stream: &TcpStream,
+    says: Says,
+    seen: &Mutex<Vec<String>>,
+    ran: &Mutex<HashMap<String, u32>>,
+    count: &Mutex<usize>,
+) {
+    let mut ring = Ring::new(1024, 1 << 20);
+    loop {
+        match request(&mut ring, &BOUNDS) {
+            Parsed::More => match ring.fill(&mut &*stream) {
+                Ok(n) if n > 0 => {}
+                _ => return,
+            },
+            Parsed::Bad(status) => panic!("{status}"),
+            Parsed::Whole(asked) if asked.path == "/healthz" => {
+                let well = format!("HTTP/1.1 200 OK\r\nServer-Id: i-{server}\r\nContent-Length: 0\r\n\r\n");
+                if (&mut &*stream).write_all(well.as_bytes()).is_err() {
+                    return;
+                }
+            }
+            Parsed::Whole(asked) => {
+                let n = {
+                    let mut count = count.lock().unwrap();
+                    *count += 1;
+                    *count - 1
+                };
+                seen.lock().unwrap().push(shown(&asked));
+                let id = asked.headers.iter().find(|h| h.0 == "Try-Id").unwrap();
+                let id = String::from_utf8(id.1.clone()).unwrap();
+                let text = says(n);
+                if !text.is_some_and(|t| t.contains("Not-Run") || t.contains(" 421 ")) {
+                    *ran.lock().unwrap().entry(id.clone()).or_insert(0) += 1;
+                }
+                let Some(text) = text else { return };
+                let text = text.replace("{id}", &id);
+                let sent = (&mut &*stream).write_all(text.replace('\n', "\r\n").as_bytes());
+                if sent.is_err() || text.contains("(close)") {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// A request as a transcript has it; what differs from run to run is left out.
+pub fn shown(r: &Request) -> String {
+    let headers = r.headers.iter().map(|(name, value)| {
+        let value = String::from_utf8_lossy(value);
+        match name.as_str() {
+            "Budget-Ms" if value.parse::<u64>().unwrap() <= 2000 => format!("{name}: (left)"),
+            "Want-Server" => format!("{name}: (one)"),
+            _ => format!("{name}: {value}"),
+        }
+    });
+    let headers: Vec<String> = headers.collect();
+    format!("{} {} | {} | {}", r.method, r.path, headers.join("; "), String::from_utf8_lossy(&r.body))
+}
+
+impl Stage {
+    pub fn ask(&self, text: &str) -> String {
+        let mut ring = Ring::new(1024, 1 << 20);
+        ring.write_all(text.replace('\n', "\r\n").as_bytes()).unwrap();
+        let Parsed::Whole(asked) = request(&mut ring, &BOUNDS) else { panic!("{text}") };
+        let answer = query::serve(&self.shop, &asked, Instant::now());
+        String::from_utf8(answer.bytes).unwrap().replace("\r\n", "\n")
+    }
+
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+pub const READ: &str =
+    "GET /read/1?x=2 HTTP/1.1\nHost: a.example\nTry-Id: t1\nBudget-Ms: 2000\nCredential: k1\n\
+    Tenant: bob\nWant-Server: mine\nX-More: yes\nConnection: x-hop\nX-Hop: 1\n\n";
+pub const SEND: &str =
+    "POST /send/1 HTTP/1.1\nHost: a.example\nTry-Id: t2\nBudget-Ms: 2000\nCredential: k1\n\
+    Transfer-Encoding: chunked\n\n3\nabc\n0\n\n";
+pub const GOOD: &str =
+    "HTTP/1.1 200 OK\nTry-Id: {id}\nSeal: 3e1b.07\nServer-Load: 1,0,2\nContent-Length: 4\n\nbody";
+pub const GOOD_TO_T1: &str = "HTTP/1.1 200 OK\nTry-Id: t1\nSeal: 3e1b.07\nContent-Length: 4\n\nbody";
+pub const GOOD_TO_T2: &str = "HTTP/1.1 200 OK\nTry-Id: t2\nSeal: 3e1b.07\nContent-Length: 4\n\nbody";
--- a/crates/aspendrum-rig/src/system/library.rs
+++ b/crates/aspendrum-rig/src/system/library.rs
@@ -40,6 +40,7 @@
     "races-cut",
     "replaced-in-turn",
     "replaced-and-lost",
+    "drained-late",
 );
 
 library!(
--- a/crates/aspendrum-rig/tests/system.rs
+++ b/crates/aspendrum-rig/tests/system.rs
@@ -85,4 +85,6 @@
     /// Danger: a machine of control that is gone keeps its vote, and each one more takes a disk off the majority.
     every_machine_of_control_may_be_replaced = "replaced-in-turn";
     the_next_loss_may_come_once_a_successor_counts = "replaced-and-lost";
+    /// Danger: a proxy that ends takes queries until its grace is over, and then gives them up.
+    proxies_that_end_slowly_lose_nothing = "drained-late";
 }
