Look-ups stay in the client's region; agents that move stay known

Cause: a look-up named all regions' proxies where the client's had fewer than two ready; a machine of control that had just started answered from the one list that came first; an agent that went to another machine of control left its proxy on nobody's list until it was heard there.

Change: zone, else region (one is enough), else those of the region that drain; others' only after 3 s without any, for a second. Proxies say ready, draining or closed; agents say that they move; control that ends takes no more orders and finishes those it has. Control is a library with a program of a few lines; its directory's tests stand in a test file.

--- a/crates/aspendrum-agent/src/desk.rs
+++ b/crates/aspendrum-agent/src/desk.rs
@@ -6,7 +6,7 @@
 use crate::notes::Note;
 use aspendrum_gossip::{Act, Circle};
 use aspendrum_model::config::Config;
-use aspendrum_model::news::{Down, Edition, Part, Up, KINDS};
+use aspendrum_model::news::{Down, Edition, Part, Readiness, Up, KINDS};
 use aspendrum_model::packed::unpack;
 use aspendrum_model::servers::Roster;
 use aspendrum_model::settings::Settings;
@@ -50,13 +50,21 @@
     told: Option<SocketAddrV4>,
 }
 
+impl Control {
+    /// Ends the connection for another one: until the agent is heard there, its proxy stays where it is known.
+    fn leave(&self) {
+        self.link.say(&up(Up::Moving));
+        self.link.finish();
+    }
+}
+
 struct Proxy {
     id: u64,
     link: Link,
     host: String,
     front: Option<SocketAddrV4>,
     heard: Ms,
-    ready: bool,
+    readiness: Readiness,
     /// What is in force there, out of its tables.
     applied: Edition,
     mending: Mending,
@@ -158,7 +166,7 @@
                     host,
                     front,
                     heard: now,
-                    ready: false,
+                    readiness: Readiness::Closed,
                     applied,
                     mending,
                     said: 0,
@@ -170,7 +178,7 @@
                 if self.proxy.as_ref().is_some_and(|p| p.id == id) {
                     log::info!("event=proxy_lost");
                     if let Some(proxy) = &mut self.proxy {
-                        (proxy.ready, proxy.gone) = (false, true);
+                        (proxy.readiness, proxy.gone) = (Readiness::Closed, true);
                     }
                     self.beat();
                 }
@@ -232,7 +240,7 @@
                             "event=missed standing={} decided={new:08x} held={old:08x}",
                             standing.word()
                         );
-                        control.link.end();
+                        control.leave();
                     }
                 }
             }
@@ -337,7 +345,7 @@
                 let ends = |ip| control.iter().any(|c| c.ip == ip && !c.up) && control.iter().any(|c| c.up);
                 let leave = |c: &&Control| (first && !self.route.nearest(c.ip)) || ends(c.ip);
                 if let Some(left) = self.control.as_ref().filter(leave) {
-                    left.link.end();
+                    left.leave();
                 }
                 true
             }
@@ -387,10 +395,10 @@
                 (0..KINDS).for_each(|kind| self.feed(kind));
                 self.beat();
             }
-            Up::Beat { stamp, ready, applied } => {
+            Up::Beat { stamp, readiness, applied } => {
                 proxy.link.say(&Down::Beat { stamp, age, of, heard, deserted });
-                let turned = proxy.ready != ready;
-                (proxy.ready, proxy.applied) = (ready, applied);
+                let turned = proxy.readiness != readiness;
+                (proxy.readiness, proxy.applied) = (readiness, applied);
                 if turned {
                     self.beat();
                 }
@@ -402,7 +410,8 @@
                     control.link.say(&up(Up::Applied { number: self.last }));
                 }
             }
-            Up::Applied { .. } => {}
+            // Proxies have one agent.
+            Up::Applied { .. } | Up::Moving => {}
         }
     }
 
@@ -415,7 +424,7 @@
     /// Lets the process end once its proxy has ended, or goes on taking queries and was not told to end.
     fn leave_if_done(&self, now: Ms) {
         let Some((done, since)) = &self.leaving else { return };
-        let goes_on = |p: &Proxy| p.ready && now - since >= PROXY_TOLD;
+        let goes_on = |p: &Proxy| p.readiness == Readiness::Ready && now - since >= PROXY_TOLD;
         let needed = self.proxy.as_ref().is_some_and(|p| !p.gone && !goes_on(p));
         if !needed {
             let _ = done.try_send(());
@@ -434,7 +443,12 @@
         let stale = now - control.since > STALE && now - control.as_of.unwrap_or(0.0) > STALE;
         if now - control.answered > SILENT || stale {
             log::info!("event=control_left stale={stale}");
-            control.link.end();
+            // Whoever does not answer will not read a last word either.
+            if stale {
+                control.leave();
+            } else {
+                control.link.end();
+            }
             self.route.shun(control.ip);
             return self.leave();
         }
@@ -444,8 +458,9 @@
             control.link.say(&up(Up::Hello { host: proxy.host.clone(), front, zone }));
         }
         if proxy.front.is_some() {
-            let ready = proxy.ready && now - proxy.heard <= PROXY_SILENT;
-            control.link.say(&up(Up::Beat { stamp: now as u64, ready, applied: proxy.applied }));
+            let heard = now - proxy.heard <= PROXY_SILENT;
+            let readiness = if heard { proxy.readiness } else { Readiness::Closed };
+            control.link.say(&up(Up::Beat { stamp: now as u64, readiness, applied: proxy.applied }));
         }
     }
 }
--- a/crates/aspendrum-capacity/src/cores/finding.rs
+++ b/crates/aspendrum-capacity/src/cores/finding.rs
@@ -1,13 +1,9 @@
-//! Look-ups, out of control's own directory. Control is a program without a library: its core is read as it
-//! stands.
-
-#[allow(dead_code)]
-#[path = "../../../aspendrum-control/src/directory.rs"]
-mod own;
+//! Look-ups, out of control's own directory.
 
 use crate::measure::{batches, each, memory, Line};
 use crate::sizes;
-use own::{union, Directory};
+use aspendrum_control::directory::{union, Directory, KnownFront, HELD};
+use aspendrum_model::news::Front;
 
 const LIMITERS: [usize; 5] = [30, 100, 200, 430, 1_000];
 const CONTROL: usize = 4;
@@ -17,16 +13,23 @@
     for limiters in LIMITERS {
         let line = |name| Line::of(name).with("limiters", limiters);
         let fronts = sizes::fronts(limiters);
-        let tables: Vec<_> = fronts.chunks(limiters.div_ceil(CONTROL)).map(<[_]>::to_vec).collect();
+        let known = |f: &Front| KnownFront { front: f.clone(), connected: true };
+        let tables = fronts.chunks(limiters.div_ceil(CONTROL)).map(|t| t.iter().map(known).collect());
+        let tables: Vec<Vec<KnownFront>> = tables.collect();
         line("finding.union").ms("cpu", &each(25, |_| union(tables.iter()))).tell();
-        line("finding.rebuild").ms("cpu", &each(25, |_| Directory::new(&fronts, &regions))).tell();
-        let (directory, held, _) = memory(|| Directory::new(&fronts, &regions));
+        let build = || {
+            let mut directory = Directory::new(0.0, &regions);
+            directory.update(0.0, &fronts);
+            directory
+        };
+        line("finding.rebuild").ms("cpu", &each(25, |_| build())).tell();
+        let (directory, held, _) = memory(build);
         line("finding.memory").mb("held", held).tell();
         let zone = |n: usize| (sizes::region(n), sizes::zone(n));
-        let asked = batches(25, 200, |n| directory.look_up(&zone(n).0, &zone(n).1));
-        let there = directory.look_up(&zone(0).0, &zone(0).1).len();
+        let asked = batches(25, 200, |n| directory.look_up(HELD, &zone(n).0, &zone(n).1, 5.0));
+        let there = directory.look_up(HELD, &zone(0).0, &zone(0).1, 5.0).addresses.len();
         line("finding.look_up").with("where", "zone").with("addresses", there).ms("cpu", &asked).tell();
-        let anywhere = batches(25, 200, |_| directory.look_up("nowhere", "nowhere"));
+        let anywhere = batches(25, 200, |_| directory.look_up(HELD, "nowhere", "nowhere", 5.0));
         line("finding.look_up").with("where", "anywhere").ms("cpu", &anywhere).tell();
     }
 }
--- a/crates/aspendrum-capacity/src/cores/model.rs
+++ b/crates/aspendrum-capacity/src/cores/model.rs
@@ -3,7 +3,7 @@
 use crate::measure::{batches, each, memory, Line};
 use crate::sizes::{self, Size, GRADES};
 use aspendrum_model::config::Config;
-use aspendrum_model::news::{Down, Edition, Part, Up, Word};
+use aspendrum_model::news::{Down, Edition, Part, Readiness, Up, Word};
 use aspendrum_model::packed::{pack, unpack};
 use aspendrum_model::servers::{page, Roster, Server};
 use aspendrum_net::frames::frame;
@@ -74,7 +74,8 @@
         Line::of("lists.fronts.bytes").with("limiters", size.limiters).with("frame", told.len()).tell();
     }
     let edition = Edition { digests: [u64::MAX; 4], ..Edition::default() };
-    let up = frame(&Word::<()>::Up(Up::Beat { stamp: 86_400_000, ready: true, applied: edition }));
+    let up =
+        frame(&Word::<()>::Up(Up::Beat { stamp: 86_400_000, readiness: Readiness::Ready, applied: edition }));
     let age = Some(400);
     let beat = Down::Beat { stamp: 86_400_000, age, of: edition, heard: true, deserted: false };
     Line::of("lists.beat.bytes").with("up", up.len()).with("down", frame(&beat).len()).tell();
--- a/crates/aspendrum-capacity/src/cores/proxy.rs
+++ b/crates/aspendrum-capacity/src/cores/proxy.rs
@@ -6,7 +6,7 @@
 use aspendrum_core::api::{Load, Outcome};
 use aspendrum_model::config::Config;
 use aspendrum_model::hash::digest;
-use aspendrum_model::news::{Front, Part};
+use aspendrum_model::news::{Front, Part, Readiness};
 use aspendrum_model::packed::pack;
 use aspendrum_model::settings::Settings;
 use aspendrum_net::mail;
@@ -45,7 +45,7 @@
 fn turned(limiters: usize, n: usize) -> Vec<Front> {
     let mut fronts = sizes::fronts(limiters);
     if let Some(front) = fronts.get_mut(n % limiters) {
-        front.ready = n == 0;
+        front.readiness = if n == 0 { Readiness::Ready } else { Readiness::Closed };
     }
     fronts
 }
--- a/crates/aspendrum-capacity/src/hollow/agent.rs
+++ b/crates/aspendrum-capacity/src/hollow/agent.rs
@@ -2,7 +2,7 @@
 //! once. Nothing stands behind them: no proxy, no neighbours. They leave a machine of control as agents do.
 
 use crate::sizes::{front_at, zone};
-use aspendrum_model::news::{Down, Edition, Part, Up, Word, KINDS};
+use aspendrum_model::news::{Down, Edition, Part, Readiness, Up, Word, KINDS};
 use aspendrum_net::frames;
 use aspendrum_net::hands::{lock, spawn};
 use std::io::{self, BufReader, Read, Write};
@@ -169,7 +169,7 @@
                         (state.held.draining, state.held.at[1]) = (draining, Some(now));
                     }
                     Part::Fronts(fronts) => {
-                        let ready = fronts.iter().filter(|f| f.ready).count();
+                        let ready = fronts.iter().filter(|f| f.ready()).count();
                         (state.held.ready, state.held.at[2]) = (ready, Some(now));
                     }
                     _ => {}
@@ -218,7 +218,7 @@
             state.beaten = Some(now);
             ((now - self.begun).as_millis() as u64, state.applied)
         };
-        self.say(counts, Up::Beat { stamp, ready: true, applied });
+        self.say(counts, Up::Beat { stamp, readiness: Readiness::Ready, applied });
     }
 }
 
--- a/crates/aspendrum-capacity/src/sizes.rs
+++ b/crates/aspendrum-capacity/src/sizes.rs
@@ -1,7 +1,7 @@
 //! Configurations, lists of servers and of proxies, of any size, shaped as the protocol's examples are. The
 //! same numbers give the same texts.
 
-use aspendrum_model::news::Front;
+use aspendrum_model::news::{Front, Readiness};
 use aspendrum_model::servers::Server;
 use fastrand::Rng;
 use std::collections::BTreeMap;
@@ -128,7 +128,7 @@
 }
 
 pub fn fronts(limiters: usize) -> Vec<Front> {
-    let of = |n| Front { addr: front_at(n), zone: zone(n), ready: true, current: true };
+    let of = |n| Front { addr: front_at(n), zone: zone(n), readiness: Readiness::Ready, current: true };
     (0..limiters).map(of).collect()
 }
 
--- a/crates/aspendrum-control/src/agents.rs
+++ b/crates/aspendrum-control/src/agents.rs
@@ -1,11 +1,11 @@
 //! Agents and their proxies: what each was told, how it stands to what was decided, and which proxies clients may be
 //! sent to.
 
-use crate::directory::{union, Directory};
+use crate::directory::{union, KnownFront};
 use crate::peer_message::PeerMessage;
 use crate::report::{self, Membership, Node};
 use crate::server::{Ms, Server};
-use aspendrum_model::news::{Down, Edition, Front, Part, Up, KINDS};
+use aspendrum_model::news::{Down, Edition, Front, Part, Readiness, Up, KINDS};
 use aspendrum_model::servers::Server as Origin;
 use aspendrum_net::frames::Link;
 use aspendrum_reconcile::{Standing, Verdict, Word};
@@ -13,6 +13,8 @@
 use std::collections::HashMap;
 
 const AGENT_SILENT: Ms = 1000.0;
+/// An agent that goes to another machine of control is heard there within this time.
+const MOVES: Ms = 1200.0;
 /// A majority was read so lately that its news of proxies are the fleet's.
 const SURE: Ms = 1200.0;
 /// Of the time in which a change must be in force, how long a proxy may lack it before clients are sent elsewhere.
@@ -32,6 +34,8 @@
     edition: Edition,
     standing: Standing,
     off: Option<Ms>,
+    /// It has said that it goes to another machine of control.
+    moving: bool,
 }
 
 impl Session {
@@ -47,6 +51,7 @@
             edition: Edition::default(),
             standing: Standing::Behind,
             off: None,
+            moving: false,
         }
     }
 
@@ -68,13 +73,18 @@
 #[derive(Default)]
 pub struct Agents {
     sessions: HashMap<u64, Session>,
+    /// Proxies whose agents have gone to another machine of control, and until when they are believed to be there.
+    moved: Vec<(Front, Ms)>,
     all_fronts: Vec<Front>,
 }
 
 impl Agents {
-    /// The proxies whose agents are connected here.
-    pub fn fronts(&self) -> Vec<Front> {
-        self.sessions.values().filter_map(|s| s.front.clone()).collect()
+    /// The proxies whose agents are connected here, and those whose agents have just gone to another machine.
+    pub fn fronts(&self) -> Vec<KnownFront> {
+        let connected = self.sessions.values().filter_map(|s| s.front.clone());
+        let connected = connected.map(|front| KnownFront { front, connected: true });
+        let moved = self.moved.iter().map(|m| KnownFront { front: m.0.clone(), connected: false });
+        connected.chain(moved).collect()
     }
 }
 
@@ -85,10 +95,14 @@
     }
 
     pub(crate) fn agent_gone(&mut self, id: u64) {
-        if let Some(front) = self.agents.sessions.remove(&id).and_then(|s| s.front) {
-            log::info!("event=agent_gone front={}", front.addr);
-            self.own_fronts_changed();
+        let Some(session) = self.agents.sessions.remove(&id) else { return };
+        let Some(front) = session.front else { return };
+        log::info!("event=agent_gone front={} moving={}", front.addr, session.moving);
+        if session.moving {
+            let until = self.now() + MOVES;
+            self.agents.moved.push((front, until));
         }
+        self.own_fronts_changed();
     }
 
     pub(crate) fn agent_said(&mut self, id: u64, message: Up) {
@@ -99,16 +113,18 @@
             Up::Hello { host, front, zone } => {
                 log::info!("event=agent_came host={host} front={front} zone={zone}");
                 session.host = host;
-                session.front = Some(Front { addr: front, zone, ready: false, current: true });
+                let readiness = Readiness::Closed;
+                session.front = Some(Front { addr: front, zone, readiness, current: true });
                 self.own_fronts_changed();
                 self.tell_agents();
             }
-            Up::Beat { stamp, ready, applied } => self.agent_beat(id, stamp, ready, applied),
+            Up::Beat { stamp, readiness, applied } => self.agent_beat(id, stamp, readiness, applied),
+            Up::Moving => session.moving = true,
             Up::Applied { number } => session.applied = session.applied.max(number),
         }
     }
 
-    fn agent_beat(&mut self, id: u64, stamp: u64, ready: bool, applied: Edition) {
+    fn agent_beat(&mut self, id: u64, stamp: u64, readiness: Readiness, applied: Edition) {
         let now = self.now();
         let age = self.replica.as_of().map(|at| (now - at).max(0.0).ceil() as u32);
         let (of, deserted) = (self.decided, false);
@@ -125,26 +141,28 @@
         // News that are on their way are no reason to send clients elsewhere.
         let current = session.off.is_none_or(|at| now - at < OFF_SHARE * self.settings.apply_ms);
         let standing = session.standing.word();
-        let turned = session.front.as_mut().filter(|f| (f.ready, f.current) != (ready, current));
+        let turned = session.front.as_mut().filter(|f| (f.readiness, f.current) != (readiness, current));
         let Some(front) = turned else { return };
-        if front.ready != ready {
-            let is = if ready { "ready" } else { "not_ready" };
-            log::info!("event=front_{is} front={}", front.addr);
+        if front.readiness != readiness {
+            let is = if readiness == Readiness::Ready { "ready" } else { "not_ready" };
+            log::info!("event=front_{is} front={} is={readiness:?}", front.addr);
         }
         if front.current != current {
             log::info!("event=front_standing front={} is={standing}", front.addr);
         }
-        (front.ready, front.current) = (ready, current);
+        (front.readiness, front.current) = (readiness, current);
         self.own_fronts_changed();
     }
 
     /// An agent that is not heard of is frozen, cut off or without power, and its proxy with it.
     pub(crate) fn drop_silent_agents(&mut self, now: Ms) {
-        let gone =
-            |s: &&mut Session| now - s.heard > AGENT_SILENT && s.front.as_ref().is_some_and(|f| f.ready);
-        let mut silent = false;
+        let open = |f: &Front| f.readiness != Readiness::Closed;
+        let gone = |s: &&mut Session| now - s.heard > AGENT_SILENT && s.front.as_ref().is_some_and(open);
+        let moved = self.agents.moved.len();
+        self.agents.moved.retain(|m| now < m.1);
+        let mut silent = self.agents.moved.len() != moved;
         for front in self.agents.sessions.values_mut().filter(gone).filter_map(|s| s.front.as_mut()) {
-            (front.ready, silent) = (false, true);
+            (front.readiness, silent) = (Readiness::Closed, true);
             log::info!("event=front_silent front={}", front.addr);
         }
         if silent {
@@ -167,8 +185,9 @@
             return;
         }
         self.agents.all_fronts = all;
-        let directory = Directory::new(&self.agents.all_fronts, &self.settings.zones);
-        *self.directory.write().unwrap_or_else(|e| e.into_inner()) = directory;
+        let mut directory = self.directory.write().unwrap_or_else(|e| e.into_inner());
+        directory.update(now, &self.agents.all_fronts);
+        drop(directory);
         self.tell_agents();
     }
 
@@ -210,7 +229,7 @@
                 host: s.host.clone(),
                 front: front.addr.to_string(),
                 zone: front.zone.clone(),
-                ready: front.ready,
+                ready: front.ready(),
                 standing: s.standing,
                 off_ms: s.off.map_or(0, |at| (now - at).max(0.0) as u64),
                 applied: s.edition,
--- a/crates/aspendrum-control/src/api.rs
+++ b/crates/aspendrum-control/src/api.rs
@@ -1,6 +1,6 @@
 //! The calls that operators and clients make: orders, reading the configuration, and look-ups.
 
-use crate::directory::Directory;
+use crate::directory::{Directory, Ms};
 use crate::event::Event;
 use aspendrum_consensus::{Order, Outcome};
 use aspendrum_model::config::Config;
@@ -125,16 +125,24 @@
 }
 
 /// Answers a look-up: `ips` and `ttl-s`.
-pub fn look_up(directory: &RwLock<Directory>, tree: &[Node<Call>], request: &Request, ttl: f64) -> Reply {
+pub fn look_up(
+    directory: &RwLock<Directory>,
+    tree: &[Node<Call>],
+    request: &Request,
+    now: Ms,
+    ttl_s: f64,
+) -> Reply {
     match find(tree, &request.method, &request.path) {
         Found::Call(Call::LookUp, _, query) => {
             let told = |name| argument(query, name).unwrap_or("");
-            let ips = directory.read().unwrap_or_else(|e| e.into_inner()).look_up(told("geo"), told("az"));
-            if ips.is_empty() {
+            let directory = directory.read().unwrap_or_else(|e| e.into_inner());
+            let answer = directory.look_up(now, told("geo"), told("az"), ttl_s);
+            if answer.addresses.is_empty() {
                 return Reply::plain(503);
             }
-            let ips: Vec<String> = ips.iter().map(ToString::to_string).collect();
-            Reply::json(serde_json::json!({ "ips": ips, "ttl-s": ttl }).to_string().into_bytes())
+            let ips: Vec<String> = answer.addresses.iter().map(ToString::to_string).collect();
+            let body = serde_json::json!({ "ips": ips, "ttl-s": answer.ttl_s });
+            Reply::json(body.to_string().into_bytes())
         }
         Found::Call(..) | Found::Nothing => Reply::plain(404),
         Found::OtherMethod => Reply::plain(405),
--- a/crates/aspendrum-control/src/peer_message.rs
+++ b/crates/aspendrum-control/src/peer_message.rs
@@ -1,8 +1,8 @@
 //! What machines of control say to each other.
 
+use crate::directory::KnownFront;
 use aspendrum_consensus::membership::DiskId;
 use aspendrum_consensus::{Epoch, Message, Place};
-use aspendrum_model::news::Front;
 use aspendrum_model::servers::Server;
 use serde::{Deserialize, Serialize};
 
@@ -14,8 +14,8 @@
         polled: Option<u32>,
     },
     Consensus(Message),
-    /// The proxies whose agents are connected to the sender.
-    Fronts(Vec<Front>),
+    /// The proxies whose agents are connected to the sender, or were until a moment ago.
+    Fronts(Vec<KnownFront>),
     /// The platform's list, read that many milliseconds ago.
     Servers {
         age: u32,
--- a/crates/aspendrum-control/src/peers.rs
+++ b/crates/aspendrum-control/src/peers.rs
@@ -1,5 +1,6 @@
 //! The other machines of control: connections, signs of life, and what of them concerns who votes.
 
+use crate::directory::KnownFront;
 use crate::links;
 use crate::peer_message::{Hello, PeerMessage};
 use crate::server::{Ms, Server};
@@ -7,7 +8,7 @@
 use aspendrum_consensus::membership::DiskId;
 use aspendrum_consensus::reconfigure::Presence;
 use aspendrum_consensus::{Message, Place};
-use aspendrum_model::news::{ControlAddress, Front};
+use aspendrum_model::news::ControlAddress;
 use aspendrum_net::frames::Link;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -31,7 +32,7 @@
     named: Ms,
     heard: Option<Ms>,
     /// The proxies whose agents it serves.
-    pub fronts: Vec<Front>,
+    pub fronts: Vec<KnownFront>,
     /// Its connection is kept for as long as this is true.
     wanted: Arc<AtomicBool>,
 }
--- a/crates/aspendrum-control/src/server.rs
+++ b/crates/aspendrum-control/src/server.rs
@@ -46,6 +46,8 @@
 
 /// Where a machine of control begins.
 pub struct Start {
+    /// Its clock begins then.
+    pub begun: Instant,
     pub settings: Settings,
     pub replica: Replica,
     pub storage: Storage,
@@ -92,7 +94,7 @@
 
 impl Server {
     pub fn new(start: Start) -> Server {
-        let Start { settings, replica, storage, events, poll, directory } = start;
+        let Start { begun, settings, replica, storage, events, poll, directory } = start;
         let me = u32::from(settings.ip);
         let reconfigure = Reconfigure::new(me, rules(&settings), 0.0);
         Server {
@@ -104,7 +106,7 @@
             decided: edition(None, 0, &[]),
             versions: VecDeque::new(),
             me,
-            begun: Instant::now(),
+            begun,
             events,
             peers: Peers::default(),
             agents: Agents::default(),
@@ -185,6 +187,11 @@
             log::warn!("event=order_late");
             return;
         }
+        // Whoever ends finishes the orders that it has, and takes no others.
+        if self.is_leaving() {
+            let _ = answer.try_send(Outcome::NoMajority);
+            return;
+        }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         self.tickets.insert(ticket, answer);
@@ -379,7 +386,7 @@
             let present = self.presence();
             next_voters(&self.replica.epoch().voters, &present, &rules(&self.settings)).is_none()
         };
-        if handed_over || nobody || !self.replica.epoch().serves() {
+        if self.tickets.is_empty() && (handed_over || nobody || !self.replica.epoch().serves()) {
             log::info!("event=left handed_over={handed_over}");
             let _ = done.try_send(());
         }
--- a/crates/aspendrum-model/src/news.rs
+++ b/crates/aspendrum-model/src/news.rs
@@ -6,17 +6,34 @@
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+/// Whether clients may be sent to a proxy; what is better comes later.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Readiness {
+    /// It lacks something that requests need, or takes none any more.
+    #[default]
+    Closed,
+    /// It was told to end, and takes requests for a little longer.
+    Draining,
+    Ready,
+}
+
 /// A proxy that takes queries.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Front {
     pub addr: SocketAddrV4,
     pub zone: String,
-    /// New clients may be sent to it.
-    pub ready: bool,
+    pub readiness: Readiness,
     /// What it applied is what was decided, or was so a moment ago.
     pub current: bool,
 }
 
+impl Front {
+    /// New clients may be sent to it.
+    pub fn ready(&self) -> bool {
+        self.readiness == Readiness::Ready
+    }
+}
+
 /// How far orders have come: the version of the configuration, and the number of the last evacuation order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
@@ -133,7 +150,9 @@
     /// The first word: who speaks, and from where.
     Hello { host: String, front: SocketAddrV4, zone: String },
     /// `stamp` comes back with the answer. `applied`: what is in force at the proxy, out of its tables.
-    Beat { stamp: u64, ready: bool, applied: Edition },
+    Beat { stamp: u64, readiness: Readiness, applied: Edition },
+    /// The last word on this connection: the agent goes to another machine of control.
+    Moving,
     /// All news up to that number are in force.
     Applied { number: u64 },
 }
--- a/crates/aspendrum-net/src/frames.rs
+++ b/crates/aspendrum-net/src/frames.rs
@@ -7,6 +7,7 @@
 use socket2::SockRef;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddrV4, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +44,8 @@
 pub struct Link {
     post: Post<Vec<u8>>,
     stream: Arc<TcpStream>,
+    /// The writing side ends it, behind what is still to be written.
+    finished: AtomicBool,
 }
 
 impl Link {
@@ -61,7 +64,7 @@
                 let _ = own.shutdown(Shutdown::Both);
             })
         })?;
-        Ok(Link { post, stream })
+        Ok(Link { post, stream, finished: AtomicBool::new(false) })
     }
 
     pub fn dial(to: SocketAddrV4, wait: Duration) -> io::Result<Arc<TcpStream>> {
@@ -74,6 +77,15 @@
         }
     }
 
+    /// Ends the connection behind all that was said.
+    pub fn finish(&self) {
+        if self.post.offer(Vec::new()).is_ok() {
+            self.finished.store(true, Ordering::Release);
+        } else {
+            self.end();
+        }
+    }
+
     pub fn end(&self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
@@ -81,7 +93,9 @@
 
 impl Drop for Link {
     fn drop(&mut self) {
-        self.end();
+        if !self.finished.load(Ordering::Acquire) {
+            self.end();
+        }
         self.post.close();
     }
 }
--- a/crates/aspendrum-proxy/src/agent.rs
+++ b/crates/aspendrum-proxy/src/agent.rs
@@ -1,7 +1,7 @@
 //! The loopback connection to the agent on this machine: news come in and are applied, beats go out.
 
 use crate::Shop;
-use aspendrum_model::news::{Down, Edition, Part, Up};
+use aspendrum_model::news::{Down, Edition, Part, Readiness, Up};
 use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::{self, Link};
 use aspendrum_net::hands::{lock, spawn};
@@ -22,10 +22,10 @@
 
 impl Agent {
     /// A sign of life. The stamp comes back with the licence's age.
-    pub fn beat(&self, stamp: u64, ready: bool, applied: Edition) {
+    pub fn beat(&self, stamp: u64, readiness: Readiness, applied: Edition) {
         let link = lock(&self.0).clone();
         if let Some(link) = link {
-            link.say(&Up::Beat { stamp, ready, applied });
+            link.say(&Up::Beat { stamp, readiness, applied });
         }
     }
 }
--- a/crates/aspendrum-proxy/src/desk.rs
+++ b/crates/aspendrum-proxy/src/desk.rs
@@ -438,7 +438,7 @@
             ips
         };
         // Those that are about to be ready share too: after a start of all, nobody is ready yet.
-        let (all, ready) = (ips(&|_| true), ips(&|f| f.ready));
+        let (all, ready) = (ips(&|_| true), ips(&Front::ready));
         let mut inner = lock(&self.inner);
         inner.told_fronts = true;
         if let Some(lost) = inner.calls.holders(ready) {
--- a/crates/aspendrum-proxy/src/lib.rs
+++ b/crates/aspendrum-proxy/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod wire;
 
 use agent::Agent;
-use aspendrum_model::news::Edition;
+use aspendrum_model::news::{Edition, Readiness};
 use aspendrum_model::settings::{Settings, VARIABLE};
 use aspendrum_net::daemon;
 use aspendrum_net::hands::{lock, spawn, Hands};
@@ -160,8 +160,17 @@
         }
     }
 
+    /// Whether clients may be sent here.
+    fn readiness(&self) -> Readiness {
+        match (self.draining(), self.desk.knows() && self.licensed()) {
+            (false, true) => Readiness::Ready,
+            (true, true) if self.takes_requests() => Readiness::Draining,
+            _ => Readiness::Closed,
+        }
+    }
+
     fn ready(&self) -> bool {
-        !self.draining() && self.desk.knows() && self.licensed()
+        self.readiness() == Readiness::Ready
     }
 
     pub fn accepted(&self) {
@@ -250,7 +259,7 @@
 /// What is due, for as long as the process lives: the module's beat, probes, words to the agent.
 pub fn beat(shop: &Arc<Shop>) {
     let every = Duration::from_secs_f64(BEAT_MS / 1000.0);
-    let (mut told, mut swept, mut ready) = (Instant::now(), Instant::now(), false);
+    let (mut told, mut swept, mut last) = (Instant::now(), Instant::now(), Readiness::Closed);
     let mut collated = Instant::now();
     loop {
         sleep(every);
@@ -258,16 +267,17 @@
             let own = shop.clone();
             let _ = shop.hands.run(Box::new(move || query::probe(&own, server)));
         }
-        let turned = ready != shop.ready();
-        if turned || told.elapsed() >= if ready { AGENT_EVERY } else { AGENT_FIRST } {
-            (told, ready) = (Instant::now(), shop.ready());
+        let turned = last != shop.readiness();
+        let every = if last == Readiness::Ready { AGENT_EVERY } else { AGENT_FIRST };
+        if turned || told.elapsed() >= every {
+            (told, last) = (Instant::now(), shop.readiness());
             let silent = shop.age().saturating_sub(shop.heard_at.load(Ordering::Acquire));
             shop.desk.alone(silent > ALONE.as_millis() as u64);
             if collated.elapsed() >= COLLATE_EVERY {
                 collated = Instant::now();
                 shop.collate();
             }
-            shop.agent.beat(shop.age(), ready, shop.stand.edition());
+            shop.agent.beat(shop.age(), last, shop.stand.edition());
         }
         if swept.elapsed() >= SWEEP_EVERY {
             swept = Instant::now();
