proxy: a connection that waits for its first request is not idle

Symptom: 1 to 6 requests a shutdown end without an answer on a busy machine. Cause: from 1.2 s after SIGTERM on, each 20 ms, every connection without a request is shut down, also one that was accepted a moment ago and whose request is on its way.

--- a/crates/aspendrum-proxy/src/session.rs
+++ b/crates/aspendrum-proxy/src/session.rs
@@ -6,7 +6,11 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
+/// How long a new connection waits for its first request before it counts as idle: clients give a connection one second to come up,
+/// and on a busy machine the request arrives well behind it.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Connections that a proxy keeps open between requests without asking what for.
 const CROWDED: usize = 600;
 
@@ -16,6 +20,8 @@
     /// Whether the client is still there, and its request in flight.
     pub connection: ClientConnection,
     is_busy: AtomicBool,
+    has_had_request: AtomicBool,
+    opened_at: Instant,
 }
 
 impl ClientSession {
@@ -27,12 +33,24 @@
             stream,
             connection,
             is_busy: AtomicBool::new(false),
+            has_had_request: AtomicBool::new(false),
+            opened_at: Instant::now(),
         }
     }
 
     /// A request has begun to arrive, or has not been answered.
     pub(crate) fn set_busy(&self, is_busy: bool) {
         self.is_busy.store(is_busy, Ordering::Release);
+        if is_busy {
+            self.has_had_request.store(true, Ordering::Release);
+        }
+    }
+
+    /// Its client is not known to be about to send a request: it has had an answer, or has sent nothing for long.
+    fn is_idle(&self) -> bool {
+        let is_new = !self.has_had_request.load(Ordering::Acquire)
+            && self.opened_at.elapsed() < FIRST_REQUEST_TIMEOUT;
+        !is_new && !self.is_busy.load(Ordering::Acquire)
     }
 }
 
@@ -68,13 +86,11 @@
             .collect()
     }
 
-    /// Ends those without a request: only the side that is read, so that a request which has come by now is still read
+    /// Ends those that are idle: only the side that is read, so that a request which has come by now is still read
     /// and answered.
     pub fn close_idle(&self) {
         let open = lock(&self.open);
-        let idle = open
-            .values()
-            .filter(|session| !session.is_busy.load(Ordering::Acquire));
+        let idle = open.values().filter(|session| session.is_idle());
         idle.for_each(|session| session.connection.shut_down_if_idle());
     }
 
