proxy: the clients in the accept queue are answered before the listener closes

Symptom: a request on a new connection ends in a reset when a proxy that shuts down takes no more requests. Cause: the listener saw that it is to end only after it had accepted a connection, dropped that unread whoever had sent it, and closed with all that waited behind it.

--- a/crates/aspendrum-proxy/src/listener.rs
+++ b/crates/aspendrum-proxy/src/listener.rs
@@ -30,26 +30,46 @@
 /// The configuration's time-outs count for so much at least: a socket takes none of nothing.
 const MIN_TIMEOUT_MS: f64 = 1.0;
 
-/// Accepts connections until the process ends or takes no more requests: then the listener is closed, and a client that comes
-/// is refused.
+/// Accepts connections until the process takes no more requests. Then the clients that the system has accepted by now
+/// are answered too, and the listener is closed: a client that comes later is refused, and goes elsewhere at once.
 pub fn accept(state: &Arc<ProxyState>, listener: TcpListener) {
     let _ = SockRef::from(&listener).listen(BACKLOG);
-    let mut number = 0;
-    loop {
-        let Ok((stream, _)) = listener.accept() else {
-            sleep(ACCEPT_PAUSE);
-            continue;
-        };
-        if !state.accepts_requests() {
-            return;
+    let mut next_number = 1;
+    while state.accepts_requests() {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                state.record_accept();
+                start_session(state, &mut next_number, stream);
+            }
+            Err(_) => sleep(ACCEPT_PAUSE),
+        }
+    }
+    serve_accept_queue(state, &mut next_number, &listener);
+    drop(listener);
+    state.record_listener_closed();
+}
+
+/// Serves what waits in the system's accept queue: the requests are there, or on their way.
+fn serve_accept_queue(state: &Arc<ProxyState>, next_number: &mut u64, listener: &TcpListener) {
+    let mut waiting = 0;
+    if listener.set_nonblocking(true).is_ok() {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    waiting += 1;
+                    start_session(state, next_number, stream);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => sleep(ACCEPT_PAUSE),
+            }
         }
-        number += 1;
-        state.record_accept();
-        start_session(state, number, stream);
     }
+    log::info!("event=listener_closed accept_queue={waiting}");
 }
 
-fn start_session(state: &Arc<ProxyState>, number: u64, stream: TcpStream) {
+fn start_session(state: &Arc<ProxyState>, next_number: &mut u64, stream: TcpStream) {
+    let number = *next_number;
+    *next_number += 1;
     let session = Arc::new(ClientSession::new(stream));
     state.sessions.insert(number, session.clone());
     let own_state = state.clone();
--- a/crates/aspendrum-proxy/src/process.rs
+++ b/crates/aspendrum-proxy/src/process.rs
@@ -136,6 +136,7 @@
     while !state.is_ready() {
         sleep(READY_POLL);
     }
+    state.record_listening();
     match TcpListener::bind(address) {
         Ok(listener) => {
             log::info!("event=open proxy={address}");
--- a/crates/aspendrum-proxy/src/state.rs
+++ b/crates/aspendrum-proxy/src/state.rs
@@ -53,6 +53,8 @@
     idle_limit: Mutex<IdleConnectionLimit>,
     started_at: Instant,
     is_draining: AtomicBool,
+    /// Clients can connect, or will be able to in a moment.
+    is_listening: AtomicBool,
     /// From then on no new request is taken, in milliseconds of uptime.
     accepts_until: AtomicU64,
     /// How long a revoked credential may be believed; `None`: credentials need no lease.
@@ -84,6 +86,7 @@
             idle_limit: Mutex::default(),
             started_at: Instant::now(),
             is_draining: AtomicBool::new(false),
+            is_listening: AtomicBool::new(false),
             accepts_until: AtomicU64::new(u64::MAX),
             revocation_ms: settings
                 .enforces_revocation
@@ -121,6 +124,27 @@
         schedule
     }
 
+    /// No new request is taken from now on.
+    pub(crate) fn stop_accepting(&self) {
+        self.accepts_until
+            .fetch_min(self.uptime_ms(), Ordering::AcqRel);
+    }
+
+    /// Clients will be able to connect in a moment.
+    pub(crate) fn record_listening(&self) {
+        self.is_listening.store(true, Ordering::Release);
+    }
+
+    /// Clients cannot connect any more, and those that did have sessions.
+    pub(crate) fn record_listener_closed(&self) {
+        self.is_listening.store(false, Ordering::Release);
+    }
+
+    /// Clients cannot connect.
+    pub(crate) fn is_closed(&self) -> bool {
+        !self.is_listening.load(Ordering::Acquire)
+    }
+
     /// Credentials may be believed: none of them has been revoked without this proxy's knowledge.
     pub fn credentials_are_valid(&self) -> bool {
         let valid_until = || self.credentials_valid_until.load(Ordering::Acquire);
