proxy: kept connections stay open while a draining proxy takes requests

Symptom: a request on a kept connection may cross the proxy's close 1.2 s after SIGTERM, which a client of a once-only request cannot tell from a lost one. Cause: idle connections were closed long before requests were refused. Change: until requests are refused, a kept connection learns of the end by its next answer; only what is idle then is closed. Found while the idle close was traced; its size was not measured.

--- a/crates/aspendrum-proxy/src/drain.rs
+++ b/crates/aspendrum-proxy/src/drain.rs
@@ -4,8 +4,8 @@
 
 use aspendrum_core::api::Millis;
 
-/// How long idle connections stay open: their clients learn of the shutdown with their next answer.
-const KEEPS_IDLE: Millis = 1200.0;
+/// The process does not end sooner: clients hold old answers of the directory.
+const MIN_DRAIN: Millis = 1200.0;
 /// After the last new connection it may end once no connection is open.
 const QUIET: Millis = 400.0;
 /// What is left of the grace period when the process ends whatever is in flight.
@@ -18,8 +18,8 @@
 pub struct DrainSchedule {
     /// From then on no new request is taken.
     pub accepts_until: Millis,
-    /// From then on idle connections are closed.
-    pub keeps_idle_until: Millis,
+    /// The process does not end before.
+    pub ends_after: Millis,
     /// Then the process ends.
     pub ends_at: Millis,
 }
@@ -34,19 +34,20 @@
             .min(grace_period / 2.0);
         DrainSchedule {
             accepts_until,
-            keeps_idle_until: KEEPS_IDLE.min(accepts_until),
+            ends_after: MIN_DRAIN.min(accepts_until),
             ends_at,
         }
     }
 
-    /// Idle connections are to be closed.
+    /// Idle connections are to be closed. While requests are taken their clients learn of the shutdown with their next answer,
+    /// which is the last one: a connection that is closed instead may cross the next request on it.
     pub fn closes_idle(&self, elapsed: Millis) -> bool {
-        elapsed >= self.keeps_idle_until
+        elapsed >= self.accepts_until
     }
 
     /// The process may end. `open_connections`: of clients; `quiet_for`: since the last new connection.
     pub fn is_finished(&self, elapsed: Millis, open_connections: usize, quiet_for: Millis) -> bool {
-        let is_drained = open_connections == 0 && self.closes_idle(elapsed) && quiet_for >= QUIET;
+        let is_drained = open_connections == 0 && elapsed >= self.ends_after && quiet_for >= QUIET;
         is_drained || elapsed >= self.ends_at
     }
 }
--- a/crates/aspendrum-proxy/tests/drain.rs
+++ b/crates/aspendrum-proxy/tests/drain.rs
@@ -45,6 +45,15 @@
     assert!(drain.is_finished(5600.0, 1, 0.0));
 }
 
+/// Danger: a draining proxy closes a kept connection while the next request on it is under way. An answer that announces
+/// the end crosses nothing.
+#[test]
+fn kept_connections_stay_open_while_requests_are_taken() {
+    let drain = DrainSchedule::new(6000.0, 2000.0);
+    assert!(!drain.closes_idle(drain.accepts_until - 1.0));
+    assert!(drain.closes_idle(drain.accepts_until));
+}
+
 fn answer(stream: &mut TcpStream, text: &str) -> String {
     stream
         .write_all(text.replace('\n', "\r\n").as_bytes())
