control, agent: a timer that is due comes before messages that wait

Cause, found by reading: both loops took the next message as long as there was one; under a storm a control node then reads no majority and an agent sends no heartbeat, and others take it for dead. Change: a loop that also has a timer receives by recv_until_due.

--- a/crates/aspendrum-agent/src/coordinator/mod.rs
+++ b/crates/aspendrum-agent/src/coordinator/mod.rs
@@ -107,7 +107,7 @@
             };
             let due_ms = self.heartbeat_at.unwrap_or(0.0) + every;
             let due = self.started_at + Duration::from_secs_f64(due_ms / 1000.0);
-            match events.recv_deadline(Some(due)) {
+            match events.recv_until_due(due) {
                 Ok(event) => self.handle(event),
                 Err(_) => self.heartbeat(),
             }
--- a/crates/aspendrum-control/src/node.rs
+++ b/crates/aspendrum-control/src/node.rs
@@ -126,7 +126,7 @@
         self.connect_peers();
         let mut next_tick = Instant::now();
         loop {
-            match events.recv_deadline(Some(next_tick)) {
+            match events.recv_until_due(next_tick) {
                 Ok(event) => self.handle(event),
                 Err(_) => {
                     next_tick = Instant::now() + TICK_INTERVAL;
--- a/crates/aspendrum-net/src/mailbox.rs
+++ b/crates/aspendrum-net/src/mailbox.rs
@@ -77,6 +77,18 @@
             }
         }
     }
+
+    /// Waits for the next message until a timer is due, for a thread that also has something to do at that time. Messages
+    /// do not hold up the timer: once it is due, none is received, even if some wait.
+    ///
+    /// # Errors
+    /// [`RecvError`]: the timer is due, or all senders are gone.
+    pub fn recv_until_due(&self, due: Instant) -> Result<T, RecvError> {
+        if Instant::now() >= due {
+            return Err(RecvError::TimedOut);
+        }
+        self.recv_deadline(Some(due))
+    }
 }
 
 impl<T> MailboxSender<T> {
