control, agent: updates are paced by what their receiver has applied

Symptom (CONFIG): in a storm of 300 changes with 600 routes the last proxy had a change 3.05 s after its acknowledgement. Cause: each version was pushed whole to each agent and by it to its proxy, whatever these had applied; 0.1 cores and 2 Mbit/s fell behind, queues filled, connections closed, everything came anew; and each proxy counted as outdated, as it always lacked the last version. Change: reconcile::UpdateStream keeps one update of a kind unacknowledged on each link, the newest replaces what waits; control publishes a change at once, then one state a tenth of apply-ms; a heartbeat's answer names what was sent on its link and as of when that was the newest; a proxy is outdated by the first version that it lacks. An agent acknowledges also what it does not pass on (the process test expects that now).

--- a/crates/aspendrum-agent/src/coordinator/control_session.rs
+++ b/crates/aspendrum-agent/src/coordinator/control_session.rs
@@ -30,6 +30,9 @@
     as_of: Option<Millis>,
     /// The proxy's address, as last sent to this node.
     announced: Option<SocketAddrV4>,
+    /// The numbers of the last update that came, and of the last one that was acknowledged.
+    last_update: u64,
+    acknowledged_update: u64,
 }
 
 impl ControlSession {
@@ -43,6 +46,8 @@
             connected_at: now,
             as_of,
             announced,
+            last_update: 0,
+            acknowledged_update: 0,
         }
     }
 
@@ -78,9 +83,19 @@
         self.link.finish();
     }
 
-    /// All updates up to that number are in force at the proxy.
-    pub(super) fn acknowledge(&self, number: u64) {
-        self.send(ToControl::Applied { number });
+    /// An update has come.
+    pub(super) fn record_update(&mut self, number: u64) {
+        self.last_update = number;
+    }
+
+    /// All updates that have come are in force at the proxy. The node sends the next ones after that.
+    pub(super) fn acknowledge(&mut self) {
+        if self.acknowledged_update < self.last_update {
+            self.acknowledged_update = self.last_update;
+            self.send(ToControl::Applied {
+                number: self.last_update,
+            });
+        }
     }
 
     /// Sends a heartbeat for the proxy, behind its address if the node does not know that.
--- a/crates/aspendrum-agent/src/coordinator/majority.rs
+++ b/crates/aspendrum-agent/src/coordinator/majority.rs
@@ -23,11 +23,6 @@
         self.as_of
     }
 
-    /// How long ago that was, in whole milliseconds.
-    pub(super) fn age(&self, now: Millis) -> Option<u32> {
-        self.as_of.map(|as_of| (now - as_of).max(0.0).ceil() as u32)
-    }
-
     /// No report has come for too long.
     pub(super) fn is_stale(&self, now: Millis) -> bool {
         self.as_of.is_none_or(|as_of| now - as_of > STALE_AFTER)
--- a/crates/aspendrum-agent/src/coordinator/mod.rs
+++ b/crates/aspendrum-agent/src/coordinator/mod.rs
@@ -54,8 +54,6 @@
     desired: DesiredState,
     majority: MajorityStatus,
     report_validity: ReportValidity,
-    /// The number of the last update on the present connection to control.
-    last_update: u64,
     /// When control last sent anything on a connection that has ended.
     control_last_received_at: Option<Millis>,
     heartbeat_at: Option<Millis>,
@@ -85,7 +83,6 @@
             proxy: None,
             desired: DesiredState::default(),
             majority: MajorityStatus::default(),
-            last_update: 0,
             control_last_received_at: None,
             heartbeat_at: None,
             shutdown: None,
@@ -157,7 +154,6 @@
     fn control_connected(&mut self, id: u64, ip: Ipv4Addr, link: Link) {
         log::info!("event=control_reached ip={ip}");
         self.control = Some(ControlSession::new(id, ip, link, self.now()));
-        self.last_update = 0;
         self.heartbeat();
     }
 
@@ -179,8 +175,11 @@
                 self.control_report(now, of, as_of);
             }
             FromControl::Update { number, section } => {
-                self.last_update = number;
+                if let Some(control) = &mut self.control {
+                    control.record_update(number);
+                }
                 self.update(section, Source::Control);
+                self.acknowledge_applied();
             }
             // Only proxies are asked to resynchronize.
             FromControl::Resync => {}
@@ -259,12 +258,40 @@
     fn send_to_proxy(&mut self, kind: usize) {
         let now = self.now();
         if let (Some(proxy), Some(section)) = (&mut self.proxy, self.desired.section(kind, now)) {
-            proxy.send_update(section);
+            proxy.offer(now, section);
         }
+        self.record_offered();
     }
 
     fn send_all_to_proxy(&mut self) {
-        DesiredState::kinds().for_each(|kind| self.send_to_proxy(kind));
+        let now = self.now();
+        if let Some(proxy) = &mut self.proxy {
+            let sections = DesiredState::kinds().filter_map(|kind| self.desired.section(kind, now));
+            sections.for_each(|section| proxy.offer(now, section));
+        }
+        self.record_offered();
+    }
+
+    fn record_offered(&mut self) {
+        let Some(as_of) = self.majority.as_of() else {
+            return;
+        };
+        let decided = self.desired.digest();
+        if let Some(proxy) = &mut self.proxy {
+            proxy.record_offered(MajorityReport { decided, as_of });
+        }
+    }
+
+    /// Lets control send its next updates once those before are in force, or no proxy can be waited for.
+    fn acknowledge_applied(&mut self) {
+        let now = self.now();
+        let is_waited_for = |proxy: &ProxySession| !proxy.needs_no_update(now);
+        if self.proxy.as_ref().is_some_and(is_waited_for) {
+            return;
+        }
+        if let Some(control) = &mut self.control {
+            control.acknowledge();
+        }
     }
 
     fn proxy_message(&mut self, id: u64, message: ToControl) {
@@ -289,34 +316,42 @@
                 applied,
             } => {
                 let has_changed = proxy.record_heartbeat(readiness, applied);
+                if proxy.has_waiting_updates() {
+                    self.send_all_to_proxy();
+                }
                 self.answer_heartbeat(now, sent_at_ms);
                 if has_changed {
                     self.heartbeat();
                 }
                 self.repair_proxy(now);
             }
-            // All that the proxy was sent is in force there, and so is all that control sent.
-            ToControl::Applied { number } if number == proxy.last_sequence => {
-                if let Some(control) = &self.control {
-                    control.acknowledge(self.last_update);
+            ToControl::Applied { number } => {
+                proxy.acknowledge(number);
+                if proxy.has_waiting_updates() {
+                    self.send_all_to_proxy();
                 }
+                self.acknowledge_applied();
             }
             // Proxies have one agent.
-            ToControl::Applied { .. } | ToControl::Disconnecting => {}
+            ToControl::Disconnecting => {}
         }
     }
 
-    fn answer_heartbeat(&self, now: Millis, sent_at_ms: u64) {
-        let Some(proxy) = &self.proxy else { return };
+    fn answer_heartbeat(&mut self, now: Millis, sent_at_ms: u64) {
         let last_received_at = self
             .control
             .as_ref()
             .map(|control| control.last_received_at);
         let last_received_at = last_received_at.or(self.control_last_received_at);
+        let decided = self.desired.digest();
+        let newest = self.majority.as_of();
+        let newest = newest.map(|as_of| MajorityReport { decided, as_of });
+        let Some(proxy) = &mut self.proxy else { return };
+        let report = newest.map(|newest| proxy.report(newest));
         proxy.link.send(&FromControl::Heartbeat {
             sent_at_ms,
-            majority_age: self.majority.age(now),
-            decided: self.desired.digest(),
+            majority_age: report.map(|report| (now - report.as_of).max(0.0).ceil() as u32),
+            decided: report.map_or(decided, |report| report.decided),
             control_reachable: last_received_at
                 .is_some_and(|last_received_at| now - last_received_at <= CONTROL_SILENT_AFTER),
             most_agents_isolated: self.gossip.most_agents_isolated(now),
@@ -331,10 +366,11 @@
         if repair.resyncs {
             proxy.link.send(&FromControl::Resync);
         }
-        repair
-            .kinds
-            .into_iter()
-            .for_each(|kind| self.send_to_proxy(kind));
+        for kind in repair.kinds {
+            if let Some(section) = self.desired.section(kind, now) {
+                proxy.resend(now, section);
+            }
+        }
     }
 
     fn proxy_disconnected(&mut self, id: u64) {
@@ -416,6 +452,7 @@
         let now = self.now();
         self.heartbeat_at = Some(now);
         self.finish_shutdown();
+        self.acknowledge_applied();
         let asks_peers = self.majority.has_gap() || self.majority.is_stale(now);
         let actions = self.gossip.tick(now, asks_peers);
         self.carry_out(actions);
--- a/crates/aspendrum-agent/src/coordinator/proxy_session.rs
+++ b/crates/aspendrum-agent/src/coordinator/proxy_session.rs
@@ -5,7 +5,7 @@
 use aspendrum_net::frames::Link;
 use aspendrum_reconcile::{
     state_digest, MajorityReport, Millis, Repair, RepairStep, ReportValidity, Section,
-    SyncAssessment,
+    SyncAssessment, UpdateStream,
 };
 use std::net::SocketAddrV4;
 
@@ -29,8 +29,8 @@
     pub(super) last_received_at: Millis,
     /// What is in force there, computed from its tables.
     pub(super) applied: StateDigest,
-    /// The number of the last update that was sent.
-    pub(super) last_sequence: u64,
+    /// The updates on this connection.
+    updates: UpdateStream,
     pub(super) is_disconnected: bool,
     readiness: Readiness,
     repair: Repair,
@@ -53,24 +53,61 @@
             identity: None,
             last_received_at: now,
             applied: state_digest(None, 0, &[]),
-            last_sequence: 0,
+            updates: UpdateStream::default(),
             is_disconnected: false,
             readiness: Readiness::Closed,
             repair: Repair::default(),
         }
     }
 
-    /// Sends one section of what is held.
-    pub(super) fn send_update(&mut self, section: StateSection) {
+    /// Sends a section that is held, unless the proxy has it, or has not applied the one before of its kind.
+    pub(super) fn offer(&mut self, now: Millis, section: StateSection) {
         if self.identity.is_some() {
-            self.last_sequence += 1;
-            self.link.send(&FromControl::Update {
-                number: self.last_sequence,
-                section,
-            });
+            if let Some(number) = self.updates.offer(now, &section) {
+                self.link.send(&FromControl::Update { number, section });
+            }
         }
     }
 
+    /// Sends a section whatever was sent before.
+    pub(super) fn resend(&mut self, now: Millis, section: StateSection) {
+        if self.identity.is_some() {
+            let number = self.updates.resend(now, &section);
+            self.link.send(&FromControl::Update { number, section });
+        }
+    }
+
+    /// All sections of what is held have been offered, of which that is known.
+    pub(super) fn record_offered(&mut self, report: MajorityReport) {
+        if self.identity.is_some() {
+            self.updates.record_offered(report);
+        }
+    }
+
+    /// What the proxy is to be told of `newest`: nothing that runs ahead of the updates.
+    pub(super) fn report(&mut self, newest: MajorityReport) -> MajorityReport {
+        self.updates.report(newest)
+    }
+
+    /// The proxy has applied all updates up to that number.
+    pub(super) fn acknowledge(&mut self, number: u64) {
+        self.updates.acknowledge(number);
+    }
+
+    /// Whether sections wait until the proxy has applied others.
+    pub(super) fn has_waiting_updates(&self) -> bool {
+        self.updates.is_waiting()
+    }
+
+    /// Whether the proxy has applied everything that is held, or cannot be waited for: it has ended, or has fallen silent.
+    pub(super) fn needs_no_update(&self, now: Millis) -> bool {
+        self.is_disconnected || self.is_silent(now) || self.updates.is_applied()
+    }
+
+    fn is_silent(&self, now: Millis) -> bool {
+        now - self.last_received_at > SILENT_AFTER
+    }
+
     /// Returns whether the proxy's readiness has changed.
     pub(super) fn record_heartbeat(&mut self, readiness: Readiness, applied: StateDigest) -> bool {
         self.applied = applied;
@@ -83,10 +120,10 @@
 
     /// The proxy's readiness as control is to know it.
     pub(super) fn readiness_at(&self, now: Millis) -> Readiness {
-        if now - self.last_received_at <= SILENT_AFTER {
-            self.readiness
-        } else {
+        if self.is_silent(now) {
             Readiness::Closed
+        } else {
+            self.readiness
         }
     }
 
@@ -102,7 +139,9 @@
         held: &StateDigest,
         validity: &ReportValidity,
     ) -> RepairActions {
-        if self.identity.is_none() {
+        // Updates on their way are no difference, unless they stay there.
+        let is_updating = !self.updates.is_applied() && !self.updates.is_stalled(now);
+        if self.identity.is_none() || is_updating {
             return RepairActions::default();
         }
         let report = MajorityReport {
--- a/crates/aspendrum-agent/tests/process.rs
+++ b/crates/aspendrum-agent/tests/process.rs
@@ -195,6 +195,11 @@
     for (number, section) in (15..).zip([config, corrupt, older, newer.clone()]) {
         send(&mut control, &FromControl::Update { number, section });
     }
+    // What is not passed on is acknowledged at once: control may send the next.
+    for number in 15..=17 {
+        let acknowledged = next_to_control(&mut control, decided);
+        assert_eq!(acknowledged, ToControl::Applied { number });
+    }
     assert_eq!(next_update(&mut proxy), (5, newer.clone()));
 
     // Other agents get all that this one holds.
--- a/crates/aspendrum-control/src/agents.rs
+++ b/crates/aspendrum-control/src/agents.rs
@@ -1,17 +1,18 @@
 //! The agents that are connected to this control node: the updates that each was sent, the state that its proxy has
 //! applied, and whether clients may be sent to that proxy.
 
-use crate::decided::MAX_MAJORITY_AGE;
+use crate::decided::DecidedState;
 use crate::event::ConnectionId;
 use crate::proxy_table::ProxyEntry;
 use crate::report::NodeReport;
 use aspendrum_consensus::Millis;
 use aspendrum_model::message::{
-    FromControl, ProxyEndpoint, Readiness, StateDigest, StateSection, ToControl, SECTION_KINDS,
+    FromControl, ProxyEndpoint, Readiness, StateDigest, StateSection, ToControl,
 };
-use aspendrum_model::servers::ServerInstance;
 use aspendrum_net::frames::Link;
-use aspendrum_reconcile::{MajorityReport, ReportValidity, SyncAssessment, SyncStatus};
+use aspendrum_reconcile::{
+    MajorityReport, ReportValidity, SyncAssessment, SyncStatus, UpdateStream,
+};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
@@ -22,11 +23,11 @@
 
 /// This node's view of the decided state, with which it answers agents' heartbeats and assesses their proxies.
 #[derive(Clone, Copy)]
-pub struct MajorityView {
-    /// The digest of the decided state, as far as this node knows.
-    pub decided: StateDigest,
-    /// How long ago, in milliseconds, a majority held nothing newer; none if no read has succeeded yet.
-    pub age: Option<Millis>,
+pub struct MajorityView<'a> {
+    /// The decided state, as far as this node has published it.
+    pub decided: &'a DecidedState,
+    /// Whether a majority was read lately. Without that this node may be the one that is behind.
+    pub is_recent: bool,
     /// How long such a reading of a majority remains valid.
     pub report_validity: ReportValidity,
     /// How long a proxy may lack the decided state before clients are sent elsewhere.
@@ -50,13 +51,10 @@
     host: String,
     /// None until the agent has introduced itself.
     proxy: Option<ProxyEndpoint>,
+    connected_at: Millis,
     last_received: Millis,
-    /// The number of the last update that was sent.
-    sent_update: u64,
-    /// The number of the last update that the agent has acknowledged as applied.
-    acknowledged_update: u64,
-    /// The section of each kind that was sent last.
-    sent_sections: [Option<StateSection>; SECTION_KINDS],
+    /// The updates on this connection.
+    updates: UpdateStream,
     /// The digest of the state that the proxy has applied.
     applied: StateDigest,
     /// How `applied` compares with the decided state.
@@ -73,10 +71,9 @@
             link,
             host: String::new(),
             proxy: None,
+            connected_at: now,
             last_received: now,
-            sent_update: 0,
-            acknowledged_update: 0,
-            sent_sections: [const { None }; SECTION_KINDS],
+            updates: UpdateStream::default(),
             applied: StateDigest::default(),
             status: SyncStatus::Behind,
             not_current_since: None,
@@ -96,19 +93,23 @@
         });
     }
 
-    /// Sends the sections that the agent does not have yet.
-    fn send_updates(&mut self, sections: &[StateSection]) {
+    /// Sends the sections that the agent does not have yet, as far as it has acknowledged those before.
+    fn send_updates(
+        &mut self,
+        now: Millis,
+        sections: &[StateSection],
+        report: Option<MajorityReport>,
+    ) {
         for section in sections {
-            let sent = &mut self.sent_sections[section.kind()];
-            if sent.as_ref().is_some_and(|sent| is_covered(sent, section)) {
-                continue;
+            if let Some(number) = self.updates.offer(now, section) {
+                self.link.send(&FromControl::Update {
+                    number,
+                    section: section.clone(),
+                });
             }
-            self.sent_update += 1;
-            self.link.send(&FromControl::Update {
-                number: self.sent_update,
-                section: section.clone(),
-            });
-            *sent = Some(section.clone());
+        }
+        if let Some(report) = report {
+            self.updates.record_offered(report);
         }
     }
 
@@ -118,32 +119,40 @@
         now: Millis,
         sent_at_ms: u64,
         applied: StateDigest,
-        view: &MajorityView,
+        view: &MajorityView<'_>,
     ) {
-        let majority_age = view.age.map(|age| age.ceil() as u32);
+        let report = view.decided.report();
+        let report = report.map(|newest| self.updates.report(newest));
         self.link.send(&FromControl::Heartbeat {
             sent_at_ms,
-            majority_age,
-            decided: view.decided,
+            majority_age: report.map(|report| (now - report.as_of).max(0.0).ceil() as u32),
+            decided: report.map_or(view.decided.digest(), |report| report.decided),
             control_reachable: true,
             most_agents_isolated: false,
         });
         self.applied = applied;
-        // Without a recent majority this node may be the one that is behind.
-        if majority_age.is_some_and(|age| Millis::from(age) <= MAX_MAJORITY_AGE) {
-            let report = MajorityReport {
-                decided: view.decided,
-                as_of: now,
-            };
-            self.status =
-                SyncAssessment::new(&applied, Some(&report), false, &view.report_validity).status;
-            self.not_current_since = match self.status {
-                SyncStatus::Current => None,
-                _ => Some(self.not_current_since.unwrap_or(now)),
-            };
+        if view.is_recent {
+            self.assess(now, view);
         }
     }
 
+    /// Compares what the proxy has applied with what is decided.
+    fn assess(&mut self, now: Millis, view: &MajorityView<'_>) {
+        let report = MajorityReport {
+            decided: view.decided.digest(),
+            as_of: now,
+        };
+        self.status =
+            SyncAssessment::new(&self.applied, Some(&report), false, &view.report_validity).status;
+        let lacking_since = view.decided.lacking_since(&self.applied.revision);
+        self.not_current_since = match (self.status, lacking_since) {
+            (SyncStatus::Current, _) => None,
+            // In a storm of changes a proxy always lacks the last ones: what counts is for how long it lacks the first.
+            (SyncStatus::Behind, Some(since)) => Some(since.max(self.connected_at)),
+            _ => Some(self.not_current_since.unwrap_or(now)),
+        };
+    }
+
     /// Records the proxy's readiness and whether it is current. Returns whether either has changed.
     fn update_proxy(&mut self, now: Millis, readiness: Readiness, max_lag: Millis) -> bool {
         // A proxy that lacks an update for less than `max_lag` still counts as current.
@@ -183,8 +192,8 @@
             status: self.status,
             not_current_ms: not_current.max(0.0) as u64,
             applied: self.applied,
-            sent_update: self.sent_update,
-            acknowledged_update: self.acknowledged_update,
+            sent_update: self.updates.last_number(),
+            acknowledged_update: self.updates.acknowledged(),
         })
     }
 }
@@ -252,7 +261,7 @@
         now: Millis,
         id: ConnectionId,
         message: ToControl,
-        view: &MajorityView,
+        view: &MajorityView<'_>,
     ) -> AgentChange {
         let Some(session) = self.sessions.get_mut(&id) else {
             return AgentChange::Unchanged;
@@ -284,7 +293,7 @@
                 AgentChange::Unchanged
             }
             ToControl::Applied { number } => {
-                session.acknowledged_update = session.acknowledged_update.max(number);
+                session.updates.acknowledge(number);
                 AgentChange::Unchanged
             }
         }
@@ -308,17 +317,30 @@
         has_changed
     }
 
-    /// Sends every agent the sections that it does not have yet.
-    pub fn send_updates(&mut self, sections: &[StateSection]) {
+    /// Sends every agent the sections that it does not have yet, as far as it has acknowledged those before. `report`: the
+    /// decided state that the sections hold.
+    pub fn send_updates(
+        &mut self,
+        now: Millis,
+        sections: &[StateSection],
+        report: Option<MajorityReport>,
+    ) {
         let introduced = self
             .sessions
             .values_mut()
             .filter(|session| session.proxy.is_some());
         for session in introduced {
-            session.send_updates(sections);
+            session.send_updates(now, sections, report);
         }
     }
 
+    /// Whether sections wait for an agent's acknowledgement.
+    pub fn has_waiting_updates(&self) -> bool {
+        self.sessions
+            .values()
+            .any(|session| session.updates.is_waiting())
+    }
+
     /// The nodes whose agents are connected here, by host name.
     pub fn report(&self, now: Millis) -> Vec<NodeReport> {
         let reports = self
@@ -330,35 +352,3 @@
         reports
     }
 }
-
-/// Whether an agent that was sent `sent` need not be sent `section`.
-fn is_covered(sent: &StateSection, section: &StateSection) -> bool {
-    match (sent, section) {
-        (
-            StateSection::Config {
-                version: sent_version,
-                checksum: sent_checksum,
-                ..
-            },
-            StateSection::Config {
-                version, checksum, ..
-            },
-        ) => (sent_version, sent_checksum) == (version, checksum),
-        (StateSection::Servers { list: sent, .. }, StateSection::Servers { list, .. }) => {
-            let mut pairs = sent.iter().zip(list);
-            sent.len() == list.len() && pairs.all(|(sent, server)| is_same_server(sent, server))
-        }
-        (sent, section) => sent == section,
-    }
-}
-
-/// Whether the two entries differ at most in that a slow start has progressed: agents count its remaining time down
-/// themselves. A slow start that begins is a difference.
-fn is_same_server(sent: &ServerInstance, server: &ServerInstance) -> bool {
-    let without_slow_start = |server: &ServerInstance| ServerInstance {
-        slow_start_left_ms: 0,
-        ..server.clone()
-    };
-    server.slow_start_left_ms <= sent.slow_start_left_ms
-        && without_slow_start(sent) == without_slow_start(server)
-}
--- a/crates/aspendrum-control/src/node.rs
+++ b/crates/aspendrum-control/src/node.rs
@@ -7,7 +7,7 @@
 
 use crate::agents::{AgentChange, AgentSessions, MajorityView};
 use crate::clock::Clock;
-use crate::decided::DecidedState;
+use crate::decided::{DecidedState, MAX_MAJORITY_AGE};
 use crate::directory::Directory;
 use crate::event::{ConnectionId, Event, ReportQuery};
 use crate::membership::{self, Membership};
@@ -103,7 +103,7 @@
             clock,
             replica,
             membership: Membership::new(local_node, &settings, 0.0),
-            decided: DecidedState::unknown(),
+            decided: DecidedState::unknown(settings.apply_deadline_ms),
             report_validity: ReportValidity::from_limits(
                 settings.apply_deadline_ms,
                 settings.unsettled_extension_ms,
@@ -186,6 +186,7 @@
         self.process_outputs();
         self.propose_voters_if_due(now);
         self.read_if_due(now);
+        self.publish_if_due();
         if is_due(now, self.last_heartbeat, HEARTBEAT_INTERVAL) {
             self.last_heartbeat = Some(now);
             self.heartbeat(now);
@@ -200,6 +201,9 @@
             self.has_gathered = true;
             self.update_agents();
         }
+        if self.agents.has_waiting_updates() {
+            self.update_agents();
+        }
         self.poll_server_list_if_due(now);
         self.replica.retry_disk();
         self.finish_shutdown_if_ready();
@@ -235,13 +239,24 @@
 
     fn on_committed_advanced(&mut self) {
         let committed = self.replica.replica().committed();
-        self.decided.update(committed);
         let version = committed.config.version;
         let zones = committed.evacuated_zones().zones;
         log::info!("event=committed version={version:08x} evacuated={zones:?}");
         let notice = PeerMessage::Consensus(Message::CommitNotice);
         self.peers.broadcast(&notice);
-        self.update_agents();
+        self.publish_if_due();
+    }
+
+    /// Publishes what is committed to the agents, unless something was published a moment ago.
+    fn publish_if_due(&mut self) {
+        let replica = self.replica.replica();
+        let (committed, as_of) = (replica.committed(), replica.committed_as_of());
+        if self
+            .decided
+            .publish_if_due(self.clock.now(), committed, as_of)
+        {
+            self.update_agents();
+        }
     }
 
     fn on_epoch_changed(&mut self) {
@@ -289,6 +304,7 @@
     /// Sends agents the committed state once a majority has been read for the first time: before, it may be outdated.
     fn update_agents_after_first_read(&mut self, had_read: bool) {
         if !had_read && self.has_read_majority() {
+            self.publish_if_due();
             self.update_agents();
         }
     }
@@ -430,9 +446,10 @@
 
     fn on_agent_message(&mut self, id: ConnectionId, message: ToControl) {
         let now = self.clock.now();
+        let majority_age = self.replica.majority_age(now);
         let view = MajorityView {
-            decided: self.decided.digest(),
-            age: self.replica.majority_age(now),
+            decided: &self.decided,
+            is_recent: majority_age.is_some_and(|age| age <= MAX_MAJORITY_AGE),
             report_validity: self.report_validity,
             max_lag: MAX_LAG_SHARE * self.settings.apply_deadline_ms,
         };
@@ -465,14 +482,16 @@
     fn update_agents(&mut self) {
         let now = self.clock.now();
         let sources = SectionSources {
-            committed: self.replica.replica().committed(),
+            committed: self.decided.state(),
             majority_age: self.replica.majority_age(now),
             servers: self.server_list.section(now),
             has_gathered: now >= GATHERING_TIME,
             proxies: self.proxies.proxies(),
             control: self.control_addresses(now),
         };
-        self.agents.send_updates(&sources.sections());
+        let sections = sources.sections();
+        self.agents
+            .send_updates(now, &sections, self.decided.report());
     }
 
     /// Where the control nodes are, this one first.
--- a/crates/aspendrum-control/src/sections.rs
+++ b/crates/aspendrum-control/src/sections.rs
@@ -6,7 +6,7 @@
 
 /// The sources of the sections.
 pub struct SectionSources<'a> {
-    /// What is committed, as far as this node knows.
+    /// What is committed, as far as this node has published it.
     pub committed: &'a ReplicatedState,
     /// How long ago a majority was known to hold nothing newer; none if it was never read.
     pub majority_age: Option<Millis>,
--- a/crates/aspendrum-control/tests/processes.rs
+++ b/crates/aspendrum-control/tests/processes.rs
@@ -384,7 +384,7 @@
 #[test]
 fn an_agent_that_acknowledges_nothing_is_sent_few_of_many_changes() {
     const CHANGES: u32 = 20;
-    let cluster = Cluster::start(4);
+    let cluster = Cluster::start(5);
     cluster.set_config(0, &config(1));
     let started = Instant::now();
     let mut agent = Agent::connect(&cluster, 1);
--- a/crates/aspendrum-model/src/message.rs
+++ b/crates/aspendrum-model/src/message.rs
@@ -139,6 +139,14 @@
         }
     }
 
+    /// Whether the section is decided by operators' commands, and part of the [`StateDigest`].
+    pub fn is_decided(&self) -> bool {
+        matches!(
+            self,
+            StateSection::Config { .. } | StateSection::Evacuated { .. }
+        )
+    }
+
     /// The position of the section's kind, below [`SECTION_KINDS`].
     pub fn kind(&self) -> usize {
         match self {
