--- a/crates/aspendrum-proxy/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -5,9 +5,11 @@
 
 use aspendrum_model::compression::compress;
 use aspendrum_model::message::{Revision, StateDigest, StateSection};
-use aspendrum_proxy::ProxyState;
+use aspendrum_proxy::{listener, ProxyState};
 use aspendrum_reconcile::MajorityReport;
 use common::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -176,6 +178,73 @@
     assert!(!proxy.received()[0].contains("Tenant"));
 }
 
+/// A proxy that lacks a change, or has not heard for long that it lacks none, refuses by an old table what has been allowed
+/// since: a client does not come again after 401 or 404.
+///
+/// Storm day of issue 60: "CONFIG at 31.721 s: refused with 404 as an older version says; version 828 was acked more than
+/// 3000 ms before". The refusal came from whatever table was in force, however old.
+#[test]
+fn a_proxy_that_may_be_outdated_sends_elsewhere_what_its_table_does_not_allow() {
+    let proxy = test_proxy(1, |_| Some(GOOD));
+    let refused = [
+        READ.replace("/read/", "/added/"),
+        READ.replace("k1", "k2"),
+        READ.replace("Credential: k1\n", ""),
+    ];
+    let report = |version, as_of| {
+        let mut decided = proxy.state.consistency.applied();
+        decided.revision.config = version;
+        let consistency = &proxy.state.consistency;
+        consistency.record_report(as_of, Some(MajorityReport { decided, as_of }), false);
+    };
+    report(2, 1.0);
+    for request in &refused {
+        let answer = proxy.request(request);
+        assert!(
+            answer.starts_with("HTTP/1.1 503 ") && answer.contains("Retry-After: "),
+            "{answer}"
+        );
+    }
+    assert_eq!(proxy.request(READ), GOOD_TO_T1, "it may be repeated");
+    report(1, 2.0);
+    let statuses = refused.map(|request| proxy.request(&request)[9..12].to_string());
+    assert_eq!(statuses, ["404", "401", "401"]);
+}
+
+/// Danger: the operator has raised a limit, and a proxy that has not heard of it refuses what is allowed now.
+#[test]
+fn a_proxy_that_may_be_outdated_sends_elsewhere_what_is_beyond_its_limits() {
+    let proxy = test_proxy(1, |_| Some(GOOD));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let own = proxy.state.clone();
+    thread::spawn(move || listener::accept(&own, listener));
+    let statuses = || {
+        let large_body = READ.replace("\n\n", "\nContent-Length: 70000\n\n");
+        let large_head = READ.replace("\n\n", &format!("\nX-Large: {}\n\n", "x".repeat(20_000)));
+        [large_body, large_head].map(|request| {
+            let mut client = TcpStream::connect(address).unwrap();
+            client
+                .set_read_timeout(Some(Duration::from_secs(20)))
+                .unwrap();
+            let request = request.replace('\n', "\r\n");
+            client.write_all(request.as_bytes()).unwrap();
+            let mut status = [0; 12];
+            client.read_exact(&mut status).unwrap();
+            String::from_utf8_lossy(&status[9..]).to_string()
+        })
+    };
+    assert_eq!(statuses(), ["413", "431"]);
+    let mut decided = proxy.state.consistency.applied();
+    decided.revision.config = 2;
+    let report = Some(MajorityReport {
+        decided,
+        as_of: 1.0,
+    });
+    proxy.state.consistency.record_report(1.0, report, false);
+    assert_eq!(statuses(), ["503", "503"]);
+}
+
 /// A request that no server can take is rejected while its client can still be served elsewhere.
 #[test]
 fn without_any_server_a_request_is_rejected_in_time() {
