proxy: nothing is refused for good by a table that may be outdated

Cause: the table in force answered, however old. Change: such an answer is given only while what is in force is known to be what was decided (the assessment that once-only requests have); otherwise 503, so that the client goes elsewhere. A service without a pool, which a valid configuration cannot have, is 503 as well.

--- a/crates/aspendrum-net/src/http1.rs
+++ b/crates/aspendrum-net/src/http1.rs
@@ -8,7 +8,7 @@
 mod header;
 mod parse;
 mod parsed;
-mod status;
+pub mod status;
 
 pub use body::{body_length, parse_chunked, BodyLength, FramingError, ParsedBody};
 pub use encode::{encode_response, reason_phrase};
--- a/crates/aspendrum-proxy/src/consistency.rs
+++ b/crates/aspendrum-proxy/src/consistency.rs
@@ -77,8 +77,8 @@
         lock(&self.state).applied
     }
 
-    /// Whether a request that must run at most once may leave for a server now.
-    pub fn allows_once_only(&self, now: Millis) -> bool {
+    /// Whether what is in force is what was decided, by a report that still counts.
+    pub fn is_current(&self, now: Millis) -> bool {
         lock(&self.state).assessment.allows_non_idempotent(now)
     }
 }
--- a/crates/aspendrum-proxy/src/listener.rs
+++ b/crates/aspendrum-proxy/src/listener.rs
@@ -2,10 +2,12 @@
 //! its answer.
 
 use crate::request;
+use crate::response::ClientResponse;
 use crate::session::ClientSession;
 use crate::state::ProxyState;
 use aspendrum_model::config::RequestLimits;
 use aspendrum_net::connection::lingering_close;
+use aspendrum_net::http1::status::{CONTENT_TOO_LARGE, HEADER_FIELDS_TOO_LARGE};
 use aspendrum_net::http1::{self, MessageLimits, Parsed, Request};
 use aspendrum_net::ring_buffer::{is_timeout, RingBuffer};
 use socket2::SockRef;
@@ -107,7 +109,7 @@
             Parsed::Complete(request) => {
                 serve_request(state, session, &request, !buffer.is_empty())
             }
-            Parsed::Invalid(status) => reject(stream, status),
+            Parsed::Invalid(status) => reject_invalid(state, stream, status),
             Parsed::Incomplete => buffer.receive(session, &limits),
         };
         match step {
@@ -151,6 +153,18 @@
     Step::Continue
 }
 
+/// Answers a request that is not well-formed, or beyond the limits. By limits that may be outdated nothing is refused for
+/// good.
+fn reject_invalid(state: &ProxyState, mut stream: &TcpStream, status: u16) -> Step {
+    let is_by_limits = matches!(status, CONTENT_TOO_LARGE | HEADER_FIELDS_TOO_LARGE);
+    if !is_by_limits || state.is_current() {
+        return reject(stream, status);
+    }
+    let response = ClientResponse::send_elsewhere("");
+    let _ = stream.write_all(&response.encode(true));
+    Step::Linger
+}
+
 /// Answers a request that cannot be read, and closes the connection.
 fn reject(mut stream: &TcpStream, status: u16) -> Step {
     let _ = stream.write_all(&http1::encode_response(status, &[], true, b""));
--- a/crates/aspendrum-proxy/src/request/context.rs
+++ b/crates/aspendrum-proxy/src/request/context.rs
@@ -107,7 +107,7 @@
             Arc::ptr_eq(&current, &self.upstream.target.snapshot)
                 || self.finds_same_target(&current)
         };
-        self.upstream.state.allows_once_only() && current.is_some_and(is_same_target)
+        self.upstream.state.is_current() && current.is_some_and(is_same_target)
     }
 
     fn finds_same_target(&self, current: &ConfigSnapshot) -> bool {
--- a/crates/aspendrum-proxy/src/request/filter.rs
+++ b/crates/aspendrum-proxy/src/request/filter.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// Finds where a request goes, or the answer that rejects it.
+/// Finds where a request goes, or the answer that rejects it: by a table that may be outdated nothing is refused for good.
 pub(super) fn request_filter<'r>(
     state: &ProxyState,
     request: &'r Request,
@@ -51,25 +51,34 @@
     };
     let refuse = |status, try_id: &str| ClientResponse::generated(status, try_id, None, policy);
     let head = RequestHead::parse(request).ok_or_else(|| refuse(400, ""))?;
+    // What an outdated table does not allow may have been allowed since, and a client does not come again after these.
+    let refuse_if_current = |status| {
+        if state.is_current() {
+            refuse(status, head.try_id)
+        } else {
+            ClientResponse::send_elsewhere(head.try_id)
+        }
+    };
     let has_path = request.path.starts_with('/');
     let snapshot = state.dispatcher.snapshot().filter(|_| has_path);
     let snapshot = snapshot.ok_or_else(|| ClientResponse::send_elsewhere(head.try_id))?;
     let route = snapshot.config.route(head.host, &request.path);
-    let route = route.ok_or_else(|| refuse(404, head.try_id))?;
+    let route = route.ok_or_else(|| refuse_if_current(404))?;
     let rule = &snapshot.config.routes[route];
     let tenant = find_tenant(&snapshot, rule, head.credential);
-    let tenant = tenant.map_err(|Unauthorized| refuse(401, head.try_id))?;
+    let tenant = tenant.map_err(|Unauthorized| refuse_if_current(401))?;
     // A credential may have been revoked without this proxy's knowledge: the lease says that none was, up to now.
     let is_authentic = tenant.is_none() || state.credentials_are_valid();
     // A request may belong elsewhere by now, and another proxy knows where. One that may be repeated goes on.
-    let may_run = || rule.idempotent || state.allows_once_only();
+    let may_run = || rule.idempotent || state.is_current();
     if !is_authentic || !may_run() {
         return Err(ClientResponse::send_elsewhere(head.try_id));
     }
     let tenant_regions = tenant.map_or(u64::MAX, |tenant| snapshot.tenant_regions[tenant]);
     let regions = snapshot.route_regions[route] & tenant_regions;
     let pool = snapshot.pools.get(rule.service(fastrand::f64())).copied();
-    let pool = pool.ok_or_else(|| refuse(404, head.try_id))?;
+    // Each service of a configuration has a pool.
+    let pool = pool.ok_or_else(|| ClientResponse::send_elsewhere(head.try_id))?;
     Ok(RequestTarget {
         head,
         snapshot,
--- a/crates/aspendrum-proxy/src/state.rs
+++ b/crates/aspendrum-proxy/src/state.rs
@@ -186,10 +186,10 @@
             .record_applied(self.uptime_ms() as f64, self.dispatcher.applied());
     }
 
-    /// Whether a request that must run at most once may leave for a server now: only while what is in force is what was
-    /// decided.
-    pub fn allows_once_only(&self) -> bool {
-        self.consistency.allows_once_only(self.uptime_ms() as f64)
+    /// Whether what is in force is known to be what was decided, up to the time that a change may take. Only then may a
+    /// request that must run at most once leave for a server, and may one be refused for good by what is in force.
+    pub fn is_current(&self) -> bool {
+        self.consistency.is_current(self.uptime_ms() as f64)
     }
 
     /// How long a connection may have been idle for a request that must run at most once.
--- a/crates/aspendrum-proxy/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -425,8 +425,8 @@
     // The report is as old as it may be: nothing had to come for that.
     let last = 600_000.0;
     assert!(
-        proxy.state.consistency.allows_once_only(last - 251.0)
-            && !proxy.state.consistency.allows_once_only(last - 250.0)
+        proxy.state.consistency.is_current(last - 251.0)
+            && !proxy.state.consistency.is_current(last - 250.0)
     );
     assert_eq!(
         proxy
@@ -484,5 +484,5 @@
         1,
         "it left once, by the route of that time"
     );
-    assert!(proxy.state.allows_once_only());
+    assert!(proxy.state.is_current());
 }
