Test: absurd numbers of a server or a configuration cost clients their answers

The second shows more: when a worker panics, its client's connection stays open without an answer, as the session stays in the registry.

--- a/crates/aspendrum-proxy/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -245,6 +245,60 @@
     assert_eq!(statuses(), ["503", "503"]);
 }
 
+/// Danger: a server names a keep-alive time that no duration holds, the worker panics behind the exchange, and the client's
+/// connection ends without the answer that had come.
+///
+/// Found by reading: `Duration::from_secs_f64` panics on an infinite or absurdly large number.
+#[test]
+fn an_absurd_keep_alive_time_of_a_server_costs_no_answer() {
+    let proxy = test_proxy(1, |n| {
+        Some(match n {
+            0 => "HTTP/1.1 200 OK\nTry-Id: {id}\nKeep-Alive: timeout=inf\nContent-Length: 4\n\ngood",
+            _ => "HTTP/1.1 200 OK\nTry-Id: {id}\nKeep-Alive: timeout=1e300\nContent-Length: 4\n\ngood",
+        })
+    });
+    for _ in 0..2 {
+        assert!(proxy.request(READ).starts_with("HTTP/1.1 200 "));
+    }
+}
+
+/// Danger: the same by a number in a configuration: it is valid, and each client's connection ends unread.
+#[test]
+fn absurd_limits_in_a_configuration_cost_no_request() {
+    let proxy = test_proxy(1, |_| Some(GOOD));
+    let absurd = CONFIG
+        .replace("00000001", "00000002")
+        .replace(
+            "\"hdr-ms\":3000,\"idle-ms\":15000",
+            "\"hdr-ms\":1e300,\"idle-ms\":1e300",
+        )
+        .replace(
+            "\"hdr-bytes\":16384,\"body-bytes\":65536",
+            "\"hdr-bytes\":18446744073709551615,\"body-bytes\":18446744073709551615",
+        )
+        .replace("\"goal-ms\":800", "\"goal-ms\":1e299")
+        .replace("\"limit-ms\":2000", "\"limit-ms\":1e300");
+    proxy
+        .state
+        .dispatcher
+        .apply(StateSection::config(2, compress(absurd.as_bytes())));
+    assert_eq!(proxy.state.dispatcher.applied().revision.config, 2);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let own = proxy.state.clone();
+    thread::spawn(move || listener::accept(&own, listener));
+    let mut client = TcpStream::connect(address).unwrap();
+    client
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    client
+        .write_all(READ.replace('\n', "\r\n").as_bytes())
+        .unwrap();
+    let mut status = [0; 12];
+    client.read_exact(&mut status).unwrap();
+    assert_eq!(&status[9..], b"200");
+}
+
 /// A request that no server can take is rejected while its client can still be served elsewhere.
 #[test]
 fn without_any_server_a_request_is_rejected_in_time() {
