proxy: no number that others name panics a worker, and a panic costs no answer

Symptom: a server that sends Keep-Alive: timeout=inf, or a configuration with absurd times or sizes, panics the worker behind a client's request; the connection then stayed open without an answer, as its session was never removed. Cause: Duration::from_secs_f64, Instant + Duration and usize + usize with numbers of others; no guard on the session. Change: time::duration_from_millis, saturating sums, a registration that ends with its thread, and a panic in a request gives 502 and frees the request in the dispatcher.

--- a/crates/aspendrum-agent/src/process.rs
+++ b/crates/aspendrum-agent/src/process.rs
@@ -8,6 +8,7 @@
 use crate::snapshot::{self, SnapshotClient};
 use crate::{control_connection, proxy_listener};
 use aspendrum_model::settings::{Settings, SettingsError, SETTINGS_VARIABLE};
+use aspendrum_model::time::duration_from_millis;
 use aspendrum_net::mailbox::{self, MailboxSender};
 use aspendrum_net::process_signals::ProcessSignals;
 use aspendrum_net::threads::spawn;
@@ -57,7 +58,7 @@
         .map_err(AgentError::Signals)?;
     wait_for_proxy(
         &events,
-        Duration::from_secs_f64(WAIT_FOR_PROXY_SHARE * settings.shutdown_grace_s),
+        duration_from_millis(WAIT_FOR_PROXY_SHARE * settings.shutdown_grace_s * 1000.0),
     );
     Ok(())
 }
--- a/crates/aspendrum-control/src/startup.rs
+++ b/crates/aspendrum-control/src/startup.rs
@@ -14,6 +14,7 @@
 use crate::store::Store;
 use aspendrum_consensus::{Effect, NodeId, Replica, ReplicaOptions};
 use aspendrum_model::settings::{Settings, SettingsError, SETTINGS_VARIABLE};
+use aspendrum_model::time::duration_from_millis;
 use aspendrum_net::daemon;
 use aspendrum_net::http1::MessageLimits;
 use aspendrum_net::http_client::HttpClient;
@@ -76,7 +77,7 @@
     // Acknowledged commands are on disks already. All that remains to do is to hand over this node's vote.
     let (ready, shutdown_ready) = bounded(1);
     events.send(Event::ShutdownRequested { ready }, None);
-    let timeout = Duration::from_secs_f64(HANDOVER_SHARE * settings.shutdown_grace_s);
+    let timeout = duration_from_millis(HANDOVER_SHARE * settings.shutdown_grace_s * 1000.0);
     let _ = shutdown_ready.recv_timeout(timeout);
     Ok(())
 }
--- a/crates/aspendrum-net/src/http1/status.rs
+++ b/crates/aspendrum-net/src/http1/status.rs
@@ -8,4 +8,5 @@
 pub const CONTENT_TOO_LARGE: u16 = 413;
 /// The head is longer than allowed.
 pub const HEADER_FIELDS_TOO_LARGE: u16 = 431;
-pub(super) const BAD_GATEWAY: u16 = 502;
+/// No valid answer came from a server.
+pub const BAD_GATEWAY: u16 = 502;
--- a/crates/aspendrum-proxy/src/listener.rs
+++ b/crates/aspendrum-proxy/src/listener.rs
@@ -2,17 +2,19 @@
 //! its answer.
 
 use crate::request;
-use crate::response::ClientResponse;
+use crate::response::{ClientResponse, ConnectionPolicy};
 use crate::session::ClientSession;
 use crate::state::ProxyState;
 use aspendrum_model::config::RequestLimits;
+use aspendrum_model::time::duration_from_millis;
 use aspendrum_net::connection::lingering_close;
-use aspendrum_net::http1::status::{CONTENT_TOO_LARGE, HEADER_FIELDS_TOO_LARGE};
+use aspendrum_net::http1::status::{BAD_GATEWAY, CONTENT_TOO_LARGE, HEADER_FIELDS_TOO_LARGE};
 use aspendrum_net::http1::{self, MessageLimits, Parsed, Request};
 use aspendrum_net::ring_buffer::{is_timeout, RingBuffer};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, Write};
 use std::net::{TcpListener, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -74,14 +76,24 @@
     *next_number += 1;
     let session = Arc::new(ClientSession::new(stream));
     state.sessions.insert(number, session.clone());
-    let own_state = state.clone();
-    let job = move || {
-        serve_connection(&own_state, &session);
-        own_state.sessions.remove(number);
+    let registration = SessionRegistration {
+        state: state.clone(),
+        number,
     };
-    if state.workers.run(Box::new(job)).is_err() {
-        // No thread is free: closed unread, its client goes to another proxy.
-        state.sessions.remove(number);
+    let job = move || serve_connection(&registration.state, &session);
+    // Without a free thread the job is dropped, and with it the connection: its client goes to another proxy.
+    drop(state.workers.run(Box::new(job)));
+}
+
+/// Removes a session from the registry when its thread is done with it, also by a panic: the connection closes with it.
+struct SessionRegistration {
+    state: Arc<ProxyState>,
+    number: u64,
+}
+
+impl Drop for SessionRegistration {
+    fn drop(&mut self) {
+        self.state.sessions.remove(self.number);
     }
 }
 
@@ -134,7 +146,7 @@
 ) -> Step {
     session.set_busy(true);
     let response = if state.accepts_requests() {
-        request::handle(state, session, request, Instant::now())
+        handle_request(state, session, request)
     } else {
         request::reject(request)
     };
@@ -153,6 +165,23 @@
     Step::Continue
 }
 
+/// A panic must leave neither the client without an answer nor the dispatcher with the request.
+fn handle_request(
+    state: &ProxyState,
+    session: &ClientSession,
+    request: &Request,
+) -> ClientResponse {
+    let handle = || request::handle(state, session, request, Instant::now());
+    catch_unwind(AssertUnwindSafe(handle)).unwrap_or_else(|_| {
+        log::error!("event=request_failed path={:?}", request.path);
+        if let Some(id) = session.connection.request() {
+            state.dispatcher.finish_request(id);
+            session.connection.end_request();
+        }
+        ClientResponse::generated(BAD_GATEWAY, "", None, ConnectionPolicy::Close)
+    })
+}
+
 /// Answers a request that is not well-formed, or beyond the limits. By limits that may be outdated nothing is refused for
 /// good.
 fn reject_invalid(state: &ProxyState, mut stream: &TcpStream, status: u16) -> Step {
@@ -184,7 +213,10 @@
             head_bytes: limits.header_bytes as usize,
             body_bytes: limits.body_bytes as usize,
         };
-        let max_bytes = bounds.head_bytes + bounds.body_bytes + SPARE_BUFFER_BYTES;
+        let max_bytes = bounds
+            .head_bytes
+            .saturating_add(bounds.body_bytes)
+            .saturating_add(SPARE_BUFFER_BYTES);
         let buffer = self
             .buffer
             .get_or_insert_with(|| RingBuffer::new(INITIAL_BUFFER_BYTES, max_bytes));
@@ -223,7 +255,7 @@
 
     /// Setting it again for each read would cost a system call.
     fn set_read_timeout(&mut self, stream: &TcpStream, timeout_ms: f64) {
-        let timeout = Duration::from_secs_f64(timeout_ms.max(MIN_TIMEOUT_MS) / 1000.0);
+        let timeout = duration_from_millis(timeout_ms.max(MIN_TIMEOUT_MS));
         if timeout != self.read_timeout {
             let _ = stream.set_read_timeout(Some(timeout));
             self.read_timeout = timeout;
--- a/crates/aspendrum-proxy/src/process.rs
+++ b/crates/aspendrum-proxy/src/process.rs
@@ -4,6 +4,7 @@
 use crate::state::{ProxyState, STACK_BYTES};
 use crate::{agent, listener, periodic, shutdown};
 use aspendrum_model::settings::{Settings, SETTINGS_VARIABLE};
+use aspendrum_model::time::duration_from_millis;
 use aspendrum_net::http1::{MessageLimits, Request};
 use aspendrum_net::http_server::{self, Reply, ServerOptions};
 use aspendrum_net::process_signals::ProcessSignals;
@@ -46,7 +47,7 @@
     shutdown::drain(
         &state,
         listen_address,
-        Duration::from_secs_f64(settings.shutdown_grace_s),
+        duration_from_millis(settings.shutdown_grace_s * 1000.0),
     );
     log::info!("event=ended");
     Ok(())
--- a/crates/aspendrum-proxy/src/request/context.rs
+++ b/crates/aspendrum-proxy/src/request/context.rs
@@ -7,6 +7,7 @@
 use crate::response::{ClientResponse, ConnectionPolicy, DEFAULT_RETRY_AFTER};
 use crate::wire::{self, ResponseClass};
 use aspendrum_core::api::{Millis, Outcome, RequestId, ServerId};
+use aspendrum_model::time::duration_from_millis;
 use aspendrum_net::http1::Response;
 use aspendrum_net::mailbox::{self, MailboxReceiver, MailboxSender};
 use std::sync::Arc;
@@ -91,7 +92,7 @@
         decisions: &MailboxReceiver<RequestDecision>,
     ) -> Option<RequestDecision> {
         let goal_ms = self.upstream.target.rule().latency_target_ms;
-        let max_queued = Duration::from_secs_f64(goal_ms * MAX_QUEUED_SHARE / 1000.0);
+        let max_queued = duration_from_millis(goal_ms * MAX_QUEUED_SHARE);
         let until = (Instant::now() + max_queued).min(self.upstream.deadline + DECISION_OVERDUE);
         decisions.recv_deadline(Some(until)).ok()
     }
--- a/crates/aspendrum-proxy/src/request/upstream.rs
+++ b/crates/aspendrum-proxy/src/request/upstream.rs
@@ -5,6 +5,7 @@
 use crate::state::ProxyState;
 use crate::wire::{self, ResponseClass};
 use aspendrum_core::api::{Millis, Outcome, ServerId};
+use aspendrum_model::time::duration_from_millis;
 use aspendrum_net::connection::Connection;
 use aspendrum_net::forward::{ForwardHandle, ForwardStage, RequestKind};
 use aspendrum_net::http1::{self, Request, Response};
@@ -77,7 +78,7 @@
             .budget
             .unwrap_or(rule.timeout_ms)
             .min(rule.timeout_ms);
-        let budget = Duration::from_secs_f64(budget.clamp(0.0, MAX_BUDGET) / 1000.0);
+        let budget = duration_from_millis(budget.min(MAX_BUDGET));
         let kind = if rule.idempotent {
             RequestKind::Idempotent
         } else {
@@ -234,7 +235,7 @@
     /// Keeps a connection for the next attempt, for less than the server keeps it.
     fn keep_connection(&self, server: ServerId, mut connection: Connection, response: &Response) {
         if let Some(seconds) = wire::keep_alive_s(response) {
-            let keep_alive = Duration::from_secs_f64(seconds * KEEP_ALIVE_SHARE);
+            let keep_alive = duration_from_millis(seconds * 1000.0 * KEEP_ALIVE_SHARE);
             connection.idle_timeout = keep_alive.min(MAX_KEEP_ALIVE);
         }
         self.state.server_pool.release(server, connection);
--- a/crates/aspendrum-proxy/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -253,12 +253,13 @@
 fn an_absurd_keep_alive_time_of_a_server_costs_no_answer() {
     let proxy = test_proxy(1, |n| {
         Some(match n {
-            0 => "HTTP/1.1 200 OK\nTry-Id: {id}\nKeep-Alive: timeout=inf\nContent-Length: 4\n\ngood",
-            _ => "HTTP/1.1 200 OK\nTry-Id: {id}\nKeep-Alive: timeout=1e300\nContent-Length: 4\n\ngood",
+            0 => "HTTP/1.1 200 OK\nTry-Id: {id}\nSeal: 3e1b.07\nKeep-Alive: timeout=inf\nContent-Length: 4\n\ngood",
+            _ => "HTTP/1.1 200 OK\nTry-Id: {id}\nSeal: 3e1b.07\nKeep-Alive: timeout=1e300\nContent-Length: 4\n\ngood",
         })
     });
     for _ in 0..2 {
-        assert!(proxy.request(READ).starts_with("HTTP/1.1 200 "));
+        let answer = proxy.request(READ);
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
     }
 }
 
