--- a/crates/aspendrum-core/tests/pools.rs
+++ b/crates/aspendrum-core/tests/pools.rs
@@ -180,3 +180,16 @@
     harness.engine.configure(&s.groups, &[plan]);
     assert!(forwarded(&harness.ask(0, u64::MAX, 1.0)).is_none());
 }
+
+/// Danger: a request whose zones hold no usable server leads its pool's queue, and none of the pool's other requests is
+/// sent until it is given up: they wait for a server that is free.
+///
+/// Found by reading: a request without a server marked its whole pool as without a server for that round.
+#[test]
+fn a_request_without_a_server_in_its_zones_does_not_hold_up_its_pool() {
+    let mut harness = Harness::new(false, 0.0);
+    harness.servers(&[(3, 1, 1), (4, 1, 3)]);
+    assert_eq!(forwarded(&harness.ask(1, 1 << 2, 2.0)), None);
+    assert_eq!(forwarded(&harness.ask(1, 1 << 1, 2.0)), Some(3));
+    assert_eq!(forwarded(&harness.ask(1, 1 << 3 | 1 << 2, 2.0)), Some(4));
+}
