core: a request without a server in its zones does not hold up its pool

Symptom: while such a request leads the queue, no other request of its pool is sent until it is given up. Cause: a request without a usable server marked its pool for that round of the queue, whatever its zones. Change: what is marked is the pool with the zones, and it covers requests whose zones are among these.

--- a/crates/aspendrum-core/src/engine.rs
+++ b/crates/aspendrum-core/src/engine.rs
@@ -88,6 +88,8 @@
     requests: Slab<Request>,
     /// Requests that wait for a server, in the order in which they came to wait.
     queue: Vec<usize>,
+    /// Where no server can take a request in this round of the queue; kept for its allocation.
+    without_server: Vec<dispatch::ServerScope>,
     /// All requests that are remembered, in the order in which they came.
     open_requests: Vec<usize>,
     /// By endpoint group.
@@ -131,6 +133,7 @@
             tenants: Slab::default(),
             requests: Slab::default(),
             queue: Vec::new(),
+            without_server: Vec::new(),
             open_requests: Vec::new(),
             latency_baselines: params
                 .groups
--- a/crates/aspendrum-core/src/engine/dispatch.rs
+++ b/crates/aspendrum-core/src/engine/dispatch.rs
@@ -1,6 +1,5 @@
 //! The queue of requests that wait for a server, and their attempts.
 
-use super::endpoint_selection::has_bit;
 use super::DecisionEngine;
 use crate::api::{Action, LoadReport, Millis, Outcome, RequestId};
 use crate::state::request::{ExecutionStatus, Request, RequestStage};
@@ -9,6 +8,26 @@
 /// is free.
 const FREE_SHARE_BEYOND_QUOTA: f64 = 0.5;
 
+/// The servers that a request may be sent to.
+pub(super) struct ServerScope {
+    pool: u16,
+    zones: u64,
+}
+
+impl ServerScope {
+    fn of(request: &Request) -> ServerScope {
+        ServerScope {
+            pool: request.pool,
+            zones: request.zones,
+        }
+    }
+
+    /// Whether all servers of the other one are among these.
+    fn covers(&self, other: &ServerScope) -> bool {
+        self.pool == other.pool && other.zones & !self.zones == 0
+    }
+}
+
 /// How an attempt ended.
 pub(super) struct AttemptResult {
     pub(super) outcome: Outcome,
@@ -28,29 +47,32 @@
 
     /// Sends queued requests for as long as servers have room.
     pub(super) fn dispatch(&mut self) {
-        let mut pools_without_server = 0_u64;
-        while let Some(position) = self.next_in_queue(pools_without_server) {
+        self.without_server.clear();
+        while let Some(position) = self.next_in_queue() {
             let slot = self.queue[position];
             match self.select_server(slot) {
                 Some(server) => {
                     self.queue.remove(position);
                     self.send(slot, server);
                 }
-                None => pools_without_server |= 1 << (self.requests[slot].pool & 63),
+                None => self
+                    .without_server
+                    .push(ServerScope::of(&self.requests[slot])),
             }
         }
     }
 
     /// The request to send next, by its position in the queue: the one of highest priority, of
     /// equals the one with least time left.
-    fn next_in_queue(&self, pools_without_server: u64) -> Option<usize> {
+    fn next_in_queue(&self) -> Option<usize> {
         let mut next: Option<(f64, Millis, usize)> = None;
         let mut last_free_share: Option<(u16, f64)> = None;
         for (position, &slot) in self.queue.iter().enumerate() {
             let request = &self.requests[slot];
             let rank = (request.priority, -request.target_at);
             let is_first = next.is_none_or(|(priority, urgency, _)| rank > (priority, urgency));
-            let is_stuck = has_bit(pools_without_server, request.pool);
+            let scope = ServerScope::of(request);
+            let is_stuck = self.without_server.iter().any(|stuck| stuck.covers(&scope));
             if !is_first || is_stuck || self.awaits_tenants_turn(request) {
                 continue;
             }
