checker: DENIED, refusals by an outdated configuration, going back, invalid texts

Need: the testbed's record showed none of what the operators saw as DENIED, and of CONFIG only what ran.

--- a/crates/aspendrum-checker/src/system.rs
+++ b/crates/aspendrum-checker/src/system.rs
@@ -10,6 +10,7 @@
 mod executions;
 mod quota;
 mod record;
+mod refusals;
 mod verdict;
 
 pub use breach::Breach;
@@ -18,6 +19,6 @@
 pub use evacuations::{known_zone_states, KnownZoneState};
 pub use record::{
     Attempt, AttemptOutcome, ConfigText, ConfigVersion, ControlCall, Evacuation, Execution,
-    OperatorCall, ProxyFault, Quota, Record, RouteRule, RuleBounds, TenantRule,
+    OperatorCall, ProxyFault, ProxyRestart, Quota, Record, RouteRule, RuleBounds, TenantRule,
 };
 pub use verdict::{check, ServedCount, Verdict};
--- a/crates/aspendrum-checker/src/system/configurations.rs
+++ b/crates/aspendrum-checker/src/system/configurations.rs
@@ -69,7 +69,7 @@
             text,
             call,
         }),
-        OperatorCall::Show(_) => None,
+        OperatorCall::SetInvalid { .. } | OperatorCall::Show(_) => None,
     })
 }
 
@@ -79,7 +79,7 @@
             shown: shown.as_ref(),
             call,
         }),
-        OperatorCall::Set { .. } => None,
+        OperatorCall::Set { .. } | OperatorCall::SetInvalid { .. } => None,
     })
 }
 
@@ -90,6 +90,7 @@
         read: read_texts(&record.calls).collect(),
     };
     breaches.extend(calls.check_acknowledged_texts());
+    breaches.extend(record.calls.iter().filter_map(check_invalid));
     for sent in calls.distinct_refused() {
         breaches.extend(calls.check_refusal(sent));
     }
@@ -99,6 +100,19 @@
     }
 }
 
+/// A text that is not valid is never acknowledged.
+fn check_invalid(call: &ControlCall) -> Option<Breach> {
+    let OperatorCall::SetInvalid { number, .. } = &call.call else {
+        return None;
+    };
+    let description = format!(
+        "an invalid text under {number:08x} is acknowledged by core {}",
+        call.control_node
+    );
+    call.is_acknowledged()
+        .then(|| breach(call.ended_at, description))
+}
+
 struct OperatorCalls<'a> {
     sent: Vec<SentText<'a>>,
     read: Vec<ReadText<'a>>,
--- a/crates/aspendrum-checker/src/system/record.rs
+++ b/crates/aspendrum-checker/src/system/record.rs
@@ -111,6 +111,11 @@
         self.tenants.get(tenant).is_some_and(|rule| rule.has_key)
     }
 
+    /// Whether it knows the attempt's route and credential.
+    pub(super) fn has(&self, attempt: &Attempt) -> bool {
+        self.routes.get(attempt.route).is_some() && self.admits(attempt.tenant)
+    }
+
     /// Whether an attempt may run at that service.
     pub(super) fn allows(&self, attempt: &Attempt, service: &str) -> bool {
         let route = self.routes.get(attempt.route);
@@ -128,6 +133,13 @@
         /// Its text.
         text: Arc<str>,
     },
+    /// Sends a text that is not valid.
+    SetInvalid {
+        /// Its version number.
+        number: u32,
+        /// Its text.
+        text: Arc<str>,
+    },
     /// Reads the newest configuration: what came with a 200; `None`: nothing that can be read.
     Show(Option<ConfigText>),
 }
@@ -205,6 +217,15 @@
     }
 }
 
+/// A proxy's process was started again.
+#[derive(Clone, Copy, Debug)]
+pub struct ProxyRestart {
+    /// The proxy.
+    pub proxy: usize,
+    /// When it was told to end, or was killed.
+    pub at: Millis,
+}
+
 /// A tenant's quota.
 #[derive(Clone, Copy, Debug)]
 pub struct Quota {
@@ -258,6 +279,8 @@
     pub calls: Vec<ControlCall>,
     /// All faults of proxies.
     pub faults: Vec<ProxyFault>,
+    /// All restarts of proxies.
+    pub restarts: Vec<ProxyRestart>,
     /// The version that the operator read in the end, if there was an answer.
     pub final_version: Option<u32>,
 }
@@ -281,7 +304,7 @@
         self.versions
             .iter()
             .filter(may_be_in_force)
-            .all(|version| version.admits(attempt.tenant))
+            .all(|version| version.has(attempt))
     }
 
     /// Whether every configuration says that requests of the route may run once only.
--- a/crates/aspendrum-checker/src/system/verdict.rs
+++ b/crates/aspendrum-checker/src/system/verdict.rs
@@ -7,7 +7,8 @@
 use super::evacuations::{check_finished_evacuations, known_zone_states};
 use super::executions::{check_execution, InForce};
 use super::quota::check_quotas;
-use super::record::{Attempt, AttemptOutcome, Record};
+use super::record::{Attempt, AttemptOutcome, ConfigVersion, Record};
+use super::refusals::check_refusals;
 use std::collections::{HashMap, HashSet};
 
 /// Requests, and those of them that were served.
@@ -62,7 +63,9 @@
 pub fn check(record: &Record) -> Verdict {
     let mut breaches = Vec::new();
     let attempts: HashMap<u64, &Attempt> = record.attempts.iter().map(|a| (a.id, a)).collect();
-    check_executions(record, &attempts, &mut breaches);
+    let versions = versions_that_may_be_in_force(record);
+    check_executions(record, &versions, &attempts, &mut breaches);
+    check_refusals(record, &versions, &mut breaches);
     let executions = executions_by_attempt(record);
     for attempt in &record.attempts {
         let count = executions.get(&attempt.id).copied().unwrap_or(0);
@@ -83,17 +86,24 @@
     }
 }
 
+/// The configurations that were sent, but for those that were refused or lost against another text.
+fn versions_that_may_be_in_force(record: &Record) -> Vec<&ConfigVersion> {
+    let texts = ValidTexts::of(&record.calls);
+    let versions = record.versions.iter();
+    versions
+        .filter(|version| texts.may_be_in_force(version.number, &version.text))
+        .collect()
+}
+
 fn check_executions(
     record: &Record,
+    versions: &[&ConfigVersion],
     attempts: &HashMap<u64, &Attempt>,
     breaches: &mut Vec<Breach>,
 ) {
-    let texts = ValidTexts::of(&record.calls);
-    let versions = record.versions.iter();
-    let versions = versions.filter(|version| texts.may_be_in_force(version.number, &version.text));
     let states = known_zone_states(&record.evacuations).into_iter();
     let in_force = InForce {
-        versions: versions.collect(),
+        versions: versions.to_vec(),
         evacuated: states.filter(|state| state.is_evacuated).collect(),
     };
     for execution in &record.executions {
--- a/crates/aspendrum-checker/tests/disconnects.rs
+++ b/crates/aspendrum-checker/tests/disconnects.rs
@@ -71,6 +71,7 @@
         evacuations: Vec::new(),
         calls: Vec::new(),
         faults: Vec::new(),
+        restarts: Vec::new(),
         final_version: Some(1),
     }
 }
--- a/crates/aspendrum-checker/tests/operators.rs
+++ b/crates/aspendrum-checker/tests/operators.rs
@@ -64,6 +64,7 @@
         evacuations: Vec::new(),
         calls,
         faults: Vec::new(),
+        restarts: Vec::new(),
         final_version: None,
     }
 }
--- a/crates/aspendrum-checker/tests/system.rs
+++ b/crates/aspendrum-checker/tests/system.rs
@@ -85,6 +85,7 @@
         evacuations: Vec::new(),
         calls: Vec::new(),
         faults: Vec::new(),
+        restarts: Vec::new(),
         final_version: Some(4),
     }
 }
--- a/crates/aspendrum-testbed/src/system/play.rs
+++ b/crates/aspendrum-testbed/src/system/play.rs
@@ -258,6 +258,7 @@
         evacuations,
         calls,
         faults: troubles,
+        restarts: Vec::new(),
         final_version: read_back,
     };
     let verdict = check(&record);
