--- a/crates/aspendrum-checker/src/system/record.rs
+++ b/crates/aspendrum-checker/src/system/record.rs
@@ -319,7 +319,7 @@
     }
 
     /// Whether the proxy was faulty at any time between those.
-    pub(super) fn is_faulty(&self, proxy: usize, from: Millis, to: Millis) -> bool {
+    pub fn is_faulty(&self, proxy: usize, from: Millis, to: Millis) -> bool {
         let concerns = |fault: &ProxyFault| fault.proxy.is_none_or(|faulty| faulty == proxy);
         self.faults
             .iter()
--- a/crates/aspendrum-testbed/src/main.rs
+++ b/crates/aspendrum-testbed/src/main.rs
@@ -2,7 +2,7 @@
 
 use aspendrum_testbed::program::Program;
 use aspendrum_testbed::scenario::Scenario;
-use aspendrum_testbed::system::soak::{soak, Size};
+use aspendrum_testbed::system::soak::{soak, Size, SoakKind};
 use aspendrum_testbed::{bench, days, library, pass_through, report, run, sweep, system};
 use clap::{Parser, Subcommand};
 use std::ops::RangeInclusive;
@@ -79,6 +79,9 @@
         /// Of traffic
         #[arg(long, default_value_t = 16.0)]
         seconds: f64,
+        /// Configuration storms among faults, instead of faults of all kinds
+        #[arg(long)]
+        storms: bool,
         /// How many are played side by side
         #[arg(long, default_value_t = 1)]
         at_once: usize,
@@ -179,9 +182,15 @@
             cores,
             edges,
             seconds,
+            storms,
             at_once,
             out,
         } => Ok(soaked(
+            if storms {
+                SoakKind::Storms
+            } else {
+                SoakKind::Faults
+            },
             seeds,
             Size {
                 cores,
@@ -247,7 +256,13 @@
 }
 
 /// Plays these seeds, so many side by side, and prints each one's line when it is done.
-fn soaked(seeds: RangeInclusive<u64>, size: Size, at_once: usize, out: &std::path::Path) -> bool {
+fn soaked(
+    kind: SoakKind,
+    seeds: RangeInclusive<u64>,
+    size: Size,
+    at_once: usize,
+    out: &std::path::Path,
+) -> bool {
     let waiting = Mutex::new(seeds);
     let kept = AtomicBool::new(true);
     let next = || {
@@ -260,8 +275,12 @@
         for _ in 0..at_once.max(1) {
             scope.spawn(|| {
                 while let Some(seed) = next() {
-                    let (line, well) =
-                        soak(seed, size, &out.join(format!("{seed}-{}", size.edges)));
+                    let (line, well) = soak(
+                        kind,
+                        seed,
+                        size,
+                        &out.join(format!("{seed}-{}", size.edges)),
+                    );
                     println!("{line}");
                     kept.fetch_and(well, Ordering::Relaxed);
                 }
--- a/crates/aspendrum-testbed/src/process.rs
+++ b/crates/aspendrum-testbed/src/process.rs
@@ -95,11 +95,20 @@
 
     /// Its resident memory now, in KiB, shared pages included.
     pub fn resident_memory_kb(&self) -> Option<u64> {
+        self.status_kb("VmRSS:")
+    }
+
+    fn status_kb(&self, key: &str) -> Option<u64> {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid)).ok()?;
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let line = text.lines().find_map(|line| line.strip_prefix(key))?;
         line.trim().strip_suffix("kB")?.trim().parse().ok()
     }
 
+    /// The most resident memory that it has had, in KiB.
+    pub fn peak_memory_kb(&self) -> Option<u64> {
+        self.status_kb("VmHWM:")
+    }
+
     /// The processor time that it has used, in seconds.
     pub fn cpu_seconds(&self) -> Option<f64> {
         let text = std::fs::read_to_string(format!("/proc/{}/stat", self.pid)).ok()?;
--- a/crates/aspendrum-testbed/src/system/clients.rs
+++ b/crates/aspendrum-testbed/src/system/clients.rs
@@ -1,6 +1,7 @@
 //! Clients and the operator, as `PROTOCOL` words them: look-ups that are held, tries by chance among the answers,
 //! further tries only where they may be made.
 
+use super::configuration::{path, KEYS};
 use super::fleet::{region, zone, Fleet};
 use aspendrum_checker::system::{Attempt, AttemptOutcome};
 use aspendrum_checker::Millis;
@@ -98,7 +99,8 @@
     }
 }
 
-pub struct Crowd {
+/// The clients of a run.
+pub struct Clients {
     fleet: Arc<Fleet>,
     ids: AtomicU64,
     /// By zone: what a look-up said, and until when that is held.
@@ -107,14 +109,10 @@
     tries: Mutex<Vec<Attempt>>,
 }
 
-/// Keys of the tenants, by their number.
-pub const KEYS: [&str; 2] = ["ann-key", "bob-key"];
-pub const PATHS: [&str; 2] = ["/quote/", "/send/"];
-
-impl Crowd {
-    pub fn new(fleet: Arc<Fleet>) -> Crowd {
+impl Clients {
+    pub fn new(fleet: Arc<Fleet>) -> Clients {
         let ids = AtomicU64::new(1);
-        Crowd {
+        Clients {
             fleet,
             ids,
             lists: Mutex::default(),
@@ -239,6 +237,39 @@
         Some((at, self.fleet.edge_at(at)?, open))
     }
 
+    /// Asks one proxy for a route that may be repeated, once: how that ended, and when.
+    pub async fn probe(&self, proxy: usize, route: usize) -> (AttemptOutcome, Millis) {
+        let wish = Wish {
+            route,
+            once: false,
+            tenant: 0,
+            zone: 0,
+            kept: true,
+            stubborn: false,
+            faithful: false,
+            ahead: false,
+            leaves: None,
+        };
+        let (at, id) = (
+            self.fleet.front(proxy),
+            self.ids.fetch_add(1, Ordering::Relaxed),
+        );
+        let (sent, until) = (self.now(), Instant::now() + DEADLINE);
+        let exchange = self.exchange((at, self.kept(at)), (id, None), wish, until);
+        let came = timeout_at(until + PATIENCE, exchange).await;
+        let outcome = came.map_or(AttemptOutcome::Silent, |came| came.end);
+        let ended_at = self.now();
+        self.note(Attempt {
+            id,
+            request: id,
+            proxy,
+            ended_at,
+            outcome,
+            ..blank(wish, sent)
+        });
+        (outcome, ended_at)
+    }
+
     fn note(&self, t: Attempt) {
         let ended = t.ended_at.max(t.sent_at);
         lock(&self.tries).push(Attempt {
@@ -389,9 +420,9 @@
     };
     let left = until.saturating_duration_since(Instant::now()).as_millis();
     format!(
-        "{method} {}x HTTP/1.1\r\nHost: a.example\r\nTry-Id: {id:016x}\r\nBudget-Millis: {left}\r\n\
+        "{method} {}x HTTP/1.1\r\nHost: a.example\r\nTry-Id: {id:016x}\r\nBudget-Ms: {left}\r\n\
          Credential: {}\r\nContent-Length: {}\r\n\r\n{body}",
-        PATHS[wish.route],
+        path(wish.route),
         KEYS[wish.tenant],
         body.len()
     )
--- a/crates/aspendrum-testbed/src/system/fleet.rs
+++ b/crates/aspendrum-testbed/src/system/fleet.rs
@@ -505,6 +505,13 @@
         all
     }
 
+    /// Bytes that have gone from control nodes to agents so far.
+    pub fn bytes_to_agents(&self) -> u64 {
+        let agents = &self.controls[self.scenario.machines()..];
+        let links = agents.iter().flatten();
+        links.map(|relay| relay.backward.stats().bytes).sum()
+    }
+
     /// What happens to configurations on their way to that agent or proxy.
     pub fn tamper(&self, who: Who, how: Option<Tampering>) {
         match who {
--- a/crates/aspendrum-testbed/src/system/library.rs
+++ b/crates/aspendrum-testbed/src/system/library.rs
@@ -43,6 +43,7 @@
     "drained-late",
     "clients-leave",
     "frozen-for-twenty-seconds",
+    "config-storm",
 );
 
 library!(
@@ -50,8 +51,15 @@
     WAITING:
 );
 
+library!(
+    /// Scenarios of a deployment's full size: they take most of a machine, and are played by hand.
+    FULL_SIZE:
+    "config-storm-grown",
+    "config-storm-throttled",
+);
+
 fn all() -> Vec<(&'static str, &'static str)> {
-    [ALL, WAITING].concat()
+    [ALL, WAITING, FULL_SIZE].concat()
 }
 
 /// A scenario, by its name or from a file.
--- a/crates/aspendrum-testbed/src/system/mod.rs
+++ b/crates/aspendrum-testbed/src/system/mod.rs
@@ -2,12 +2,16 @@
 //! them that can be cut, stand-ins for servers, platform, operator and clients, and a judge of what those saw.
 
 pub mod clients;
+pub mod configuration;
 pub mod fleet;
 pub mod library;
 pub mod operator;
 pub mod play;
+pub mod probes;
 pub mod report;
 pub mod scenario;
 pub mod soak;
 pub mod steps;
 pub mod tamper;
+pub mod throttle;
+pub mod usage;
--- a/crates/aspendrum-testbed/src/system/operator.rs
+++ b/crates/aspendrum-testbed/src/system/operator.rs
@@ -97,6 +97,19 @@
         self.send_order(first, CONFIG_TIMEOUT, send).await
     }
 
+    /// Sends a text that is not valid to one control node. Returns the status of the answer, if there was one.
+    pub async fn send_invalid(&self, node: usize, number: u32, text: &Arc<str>) -> Option<u16> {
+        let sent_at = self.fleet.clock.now();
+        let answer = call(self.fleet.ctl(node), "POST", "/api/Cfg.Set", text, CALL).await;
+        let status = answer.map(|(status, _)| status);
+        let call = OperatorCall::SetInvalid {
+            number,
+            text: text.clone(),
+        };
+        self.record(node, sent_at, call, status);
+        status
+    }
+
     /// Begins or finishes an evacuation. It is sent again only for as long as an acknowledgement may take.
     pub async fn evacuate(&self, first: usize, zone: &str, begins: bool) -> OrderOutcome {
         let path = format!(
--- a/crates/aspendrum-testbed/src/system/play.rs
+++ b/crates/aspendrum-testbed/src/system/play.rs
@@ -1,9 +1,10 @@
 //! One run of a scenario: the system started, traffic, the steps at their times, the record and its verdict.
 
-use super::clients::{call, Crowd, Leave, Wish, CALL, MANNERS};
+use super::clients::{call, Clients, Leave, Wish, CALL, MANNERS};
 use super::fleet::Fleet;
 use super::scenario::{Habits, Scenario};
 use super::steps::{Book, Run};
+use super::usage::Usage;
 use aspendrum_checker::system::{
     check, Attempt, AttemptOutcome, Quota, Record, RuleBounds, Verdict,
 };
@@ -41,6 +42,10 @@
     pub ready: Millis,
     /// Violations of their own invariants that proxies have told.
     pub violations: u64,
+    /// Of each added route when it was acknowledged, and milliseconds until the last connected proxy served it.
+    pub in_force: Vec<(Millis, Millis)>,
+    /// What the processes used while the traffic went on.
+    pub used: Usage,
 }
 
 impl Outcome {
@@ -66,6 +71,15 @@
         took.fold((0, 0.0), |(n, most), took| (n + 1, most.max(took)))
     }
 
+    /// Milliseconds from the acknowledgement of an added route until the last connected proxy served it: the median and the
+    /// most.
+    pub fn times_in_force(&self) -> (Millis, Millis) {
+        let mut times: Vec<Millis> = self.in_force.iter().map(|(_, time)| *time).collect();
+        times.sort_by(f64::total_cmp);
+        let at = |index: usize| times.get(index).copied().unwrap_or(0.0);
+        (at(times.len() / 2), at(times.len().saturating_sub(1)))
+    }
+
     /// What went on for clients that had left.
     pub fn departed(&self) -> DisconnectCounts {
         let tries: HashMap<u64, &Attempt> =
@@ -125,6 +139,11 @@
                 self.violations
             )
         }));
+        let in_force = self.times_in_force().1;
+        let late = b.in_force_ms.filter(|most| in_force > *most);
+        all.extend(late.map(|most| {
+            format!("an added route was in force everywhere after {in_force:.0} ms, and {most:.0} are allowed")
+        }));
         let acked = self.acknowledged().1;
         let late = b.acked_ms.filter(|most| acked > *most);
         all.extend(
@@ -182,7 +201,14 @@
         "ready after {:.0} ms; traffic begins",
         from - begun
     ));
-    let crowd = Arc::new(Crowd::new(fleet.clone()));
+    let crowd = Arc::new(Clients::new(fleet.clone()));
+    let mut probes = JoinSet::new();
+    if s.steps.iter().any(|step| step.adds_route_every > 0) {
+        for proxy in 0..s.edges {
+            probes.spawn(run.probes.clone().run(crowd.clone(), proxy));
+        }
+    }
+    let used_before = Usage::of(&fleet).await;
     let (mut wishes, mut steps) = (JoinSet::new(), JoinSet::new());
     let start = Instant::now();
     for (number, step) in s.steps.iter().cloned().enumerate() {
@@ -213,12 +239,15 @@
         while wishes.try_join_next().is_some() {}
     }
     let to = fleet.clock.now();
+    let used = Usage::of(&fleet).await.since(&used_before);
     while wishes.join_next().await.is_some() {}
     let done = timeout(STEPS, async { while steps.join_next().await.is_some() {} }).await;
     if done.is_err() {
         run.note("steps were under way long after the traffic's end");
         steps.shutdown().await;
     }
+    run.probes.end();
+    while probes.join_next().await.is_some() {}
     let read_back = run.operator.final_version(fleet.after(0)).await;
     let calls = run.operator.calls();
     let mut book = run.book();
@@ -246,6 +275,7 @@
         evacuations,
         troubles,
         failures,
+        restarts,
     } = book;
     let (tries, runs) = (crowd.tries(), fleet.record.executions());
     let record = Record {
@@ -258,10 +288,11 @@
         evacuations,
         calls,
         faults: troubles,
-        restarts: Vec::new(),
+        restarts,
         final_version: read_back,
     };
     let verdict = check(&record);
+    let in_force = run.probes.times_to_last(&record);
     let served: HashSet<u64> = record
         .attempts
         .iter()
@@ -294,6 +325,8 @@
         failures,
         ready: from - begun,
         violations,
+        in_force,
+        used,
     })
 }
 
--- /dev/null
+++ b/crates/aspendrum-testbed/src/system/probes.rs
@@ -0,0 +1,121 @@
+//! Probes of added routes: each proxy is asked for the newest route that an operator was told is there, until it serves it,
+//! and for older ones after that. They show when a configuration is in force at each proxy, and that none goes back.
+
+use super::clients::Clients;
+use aspendrum_checker::system::{AttemptOutcome, Record};
+use aspendrum_checker::Millis;
+use aspendrum_fake_services::lock;
+use rand::Rng;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Between two probes of a proxy that does not serve the newest route yet.
+const UNSERVED_INTERVAL: Duration = Duration::from_millis(50);
+/// Between two probes of one that does.
+const SERVED_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A route that was added.
+#[derive(Clone, Copy, Debug)]
+pub struct AddedRoute {
+    /// Its number.
+    pub route: usize,
+    /// When the operator had the acknowledgement.
+    pub acknowledged_at: Millis,
+}
+
+/// A proxy serves an added route.
+#[derive(Clone, Copy, Debug)]
+pub struct InForce {
+    /// The proxy.
+    pub proxy: usize,
+    /// When the route was acknowledged.
+    pub acknowledged_at: Millis,
+    /// When the proxy served it, or a newer one, first.
+    pub served_at: Millis,
+}
+
+/// The added routes, and which proxies serve them since when.
+#[derive(Default)]
+pub struct Probes {
+    added: watch::Sender<Vec<AddedRoute>>,
+    in_force: Mutex<Vec<InForce>>,
+    is_over: AtomicBool,
+}
+
+impl Probes {
+    /// An operator was told that a route is there.
+    pub fn add(&self, added: AddedRoute) {
+        self.added.send_modify(|all| all.push(added));
+    }
+
+    /// No further probe is sent.
+    pub fn end(&self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+
+    /// Probes one proxy until the end.
+    pub async fn run(self: Arc<Probes>, clients: Arc<Clients>, proxy: usize) {
+        let (mut served, mut changes) = (0, self.added.subscribe());
+        while !self.is_over.load(Ordering::Relaxed) {
+            let added = changes.borrow_and_update().clone();
+            let is_served = served == added.len();
+            let next = match added.last() {
+                Some(newest) if !is_served => Some(*newest),
+                _ => choose(&added),
+            };
+            if let Some(AddedRoute { route, .. }) = next {
+                let (outcome, at) = clients.probe(proxy, route).await;
+                if outcome == AttemptOutcome::Answered && !is_served {
+                    self.record(proxy, &added[served..], at);
+                    served = added.len();
+                }
+            }
+            if served == added.len() {
+                let _ = timeout(SERVED_INTERVAL, changes.changed()).await;
+            } else {
+                sleep(UNSERVED_INTERVAL).await;
+            }
+        }
+    }
+
+    fn record(&self, proxy: usize, added: &[AddedRoute], served_at: Millis) {
+        let in_force = added.iter().map(|added| InForce {
+            proxy,
+            acknowledged_at: added.acknowledged_at,
+            served_at,
+        });
+        lock(&self.in_force).extend(in_force);
+    }
+
+    /// The time from each acknowledgement to the last connected proxy that serves the route, in milliseconds, in the order of
+    /// the acknowledgements.
+    pub fn times_to_last(&self, record: &Record) -> Vec<(Millis, Millis)> {
+        let in_force = lock(&self.in_force);
+        let contact = record.bounds.contact;
+        let is_connected = |one: &&InForce| {
+            !record.is_faulty(one.proxy, one.acknowledged_at - contact, one.served_at)
+        };
+        let times = self
+            .added
+            .borrow()
+            .iter()
+            .map(|added| {
+                let of_route = in_force
+                    .iter()
+                    .filter(|one| one.acknowledged_at == added.acknowledged_at)
+                    .filter(is_connected);
+                let last = of_route.map(|one| one.served_at - one.acknowledged_at);
+                (added.acknowledged_at, last.fold(0.0, Millis::max))
+            })
+            .collect();
+        times
+    }
+}
+
+fn choose(added: &[AddedRoute]) -> Option<AddedRoute> {
+    let at = rand::rng().random_range(0..added.len().max(1));
+    added.get(at).copied()
+}
--- a/crates/aspendrum-testbed/src/system/report.rs
+++ b/crates/aspendrum-testbed/src/system/report.rs
@@ -63,6 +63,25 @@
         format!("{}, {acked}", o.record.versions.len()),
     );
     line("the slowest acknowledgement, ms", format!("{slowest:.0}"));
+    if !o.in_force.is_empty() {
+        let (median, most) = o.times_in_force();
+        line(
+            "added routes in force at the last proxy, ms",
+            format!("{median:.0}, {most:.0}"),
+        );
+    }
+    let used = &o.used;
+    line(
+        "processor s of control, agents, proxies",
+        format!(
+            "{:.1}, {:.1}, {:.1}",
+            used.control_cpu_s, used.agents_cpu_s, used.proxies_cpu_s
+        ),
+    );
+    line(
+        "KB from control to agents, peak KB of control",
+        format!("{}, {}", used.bytes_to_agents / 1000, used.control_peak_kb),
+    );
     line(
         "refusals for a quota, 95th percentile, ms",
         format!("{:.1}", o.refusals()),
--- a/crates/aspendrum-testbed/src/system/scenario.rs
+++ b/crates/aspendrum-testbed/src/system/scenario.rs
@@ -33,6 +33,9 @@
     /// Disks that may be lost at once.
     #[serde(default = "one_disk")]
     pub losses: usize,
+    /// Routes in each configuration that nobody uses.
+    #[serde(default)]
+    pub filler_routes: usize,
     #[serde(default)]
     pub seed: u64,
     #[serde(default)]
@@ -160,6 +163,9 @@
     /// Changes, or races.
     #[serde(default = "once")]
     pub count: usize,
+    /// Of changes, each so many adds a route that all proxies are probed for; 0: none.
+    #[serde(default)]
+    pub adds_route_every: usize,
     /// How a cut looks to whoever it strikes.
     #[serde(default)]
     pub form: Form,
@@ -180,7 +186,7 @@
     pub zone: String,
     /// What is done to configurations.
     pub how: Option<Tampering>,
-    /// The share of requests that servers spoil.
+    /// The share of requests that servers spoil; the share of processor time that a throttled process has.
     #[serde(default)]
     pub share: f64,
     /// How many times as long servers take.
@@ -200,6 +206,7 @@
             for_s: None,
             gap_s: 0.0,
             count: once(),
+            adds_route_every: 0,
             form: Form::default(),
             killed: false,
             seeds: false,
@@ -224,6 +231,8 @@
     GiveKey,
     /// `count` changes, one each `gap_s` and eight under way at most, each sent until it is acknowledged.
     Changes,
+    /// `count` invalid texts, one each `gap_s`, each sent once.
+    InvalidChanges,
     /// Two texts under one number at once, to two machines of `of` or to one; `count` times. Whoever loses is told.
     Race,
     /// The last configuration again, as an operator who heard no answer sends it.
@@ -243,6 +252,8 @@
     /// A machine of control ends for good, and a spare one with an empty disk takes its place after `for_s`.
     Replace,
     Freeze,
+    /// Processes run for `share` of each tenth of a second, for `for_s`.
+    Throttle,
     Cut,
     /// Configurations go wrong on their way: to an agent (`agent 1`), or from it to its proxy (`proxy 1`).
     Tamper,
@@ -299,6 +310,8 @@
     pub violations: Option<u64>,
     /// Milliseconds until the slowest acknowledgement of a configuration is there.
     pub acked_ms: Option<Millis>,
+    /// Milliseconds from the acknowledgement of an added route until the last connected proxy serves it.
+    pub in_force_ms: Option<Millis>,
 }
 
 /// Who a step is about.
--- a/crates/aspendrum-testbed/src/system/soak.rs
+++ b/crates/aspendrum-testbed/src/system/soak.rs
@@ -51,6 +51,58 @@
         ahead: 0.1,
         ..Habits::default()
     };
+    Scenario {
+        habits,
+        steps,
+        ..draw_calm(seed, size)
+    }
+}
+
+/// Routes in each configuration of a storm that nobody uses.
+const FILLER_ROUTES: usize = 600;
+/// Of changes in a storm, each so many adds a route.
+const ADDS_ROUTE_EVERY: usize = 10;
+
+/// Draws a scenario of configuration storms: hundreds of changes, with added routes that are used at once, among races,
+/// invalid texts and credentials that come and go, on processes with little processor time that are killed, told to end,
+/// stopped, cut off and reset meanwhile.
+pub fn draw_storm(seed: u64, size: Size) -> Scenario {
+    let mut draw = Draw {
+        rng: SmallRng::seed_from_u64(seed),
+        size,
+        core_free_s: CALM_START_S,
+    };
+    let mut steps = draw.storm();
+    for _ in 0..draw.rng.random_range(0..2) {
+        steps.extend(draw.storm());
+    }
+    steps.extend(draw.contested_changes());
+    for _ in 0..draw.rng.random_range(1..4) {
+        steps.push(draw.throttled());
+    }
+    for _ in 0..draw.rng.random_range(3..8) {
+        steps.extend(draw.process_fault());
+    }
+    if draw.rng.random_bool(0.3) {
+        steps.push(draw.all_of_control_killed());
+    }
+    Scenario {
+        name: format!("storm-{seed}"),
+        filler_routes: FILLER_ROUTES,
+        habits: Habits {
+            leave: 0.1,
+            stubborn: 0.2,
+            faithful: 0.6,
+            ahead: 0.1,
+            ..Habits::default()
+        },
+        steps,
+        ..draw_calm(seed, size)
+    }
+}
+
+/// The system of that size, without any step.
+fn draw_calm(seed: u64, size: Size) -> Scenario {
     Scenario {
         name: format!("soak-{seed}"),
         about: format!("drawn from seed {seed}"),
@@ -64,11 +116,12 @@
         quota_per_s: 0.0,
         hot: 1.0,
         losses: 1,
+        filler_routes: 0,
         seed,
-        habits,
+        habits: Habits::default(),
         edge_links: size.edges <= LINKED_EDGES,
         terms: Terms::default(),
-        steps,
+        steps: Vec::new(),
         bounds: Bounds {
             served_last: Some(SERVED_LAST),
             violations: Some(0),
@@ -240,6 +293,73 @@
         }]
     }
 
+    /// Hundreds of changes, some of which add a route.
+    fn storm(&mut self) -> Vec<Step> {
+        let of = self.any_core();
+        let count = self.rng.random_range(40..200);
+        let gap_s = self.rng.random_range(0.02..0.1);
+        vec![Step {
+            count,
+            gap_s,
+            adds_route_every: ADDS_ROUTE_EVERY,
+            ..Step::new(self.at(count as f64 * gap_s + 2.0), What::Changes, of)
+        }]
+    }
+
+    /// Races, invalid texts, and a credential that is taken away and given back.
+    fn contested_changes(&mut self) -> Vec<Step> {
+        let all = format!("core 0-{}", self.size.cores - 1);
+        let race = Step {
+            count: self.rng.random_range(2..6),
+            gap_s: self.rng.random_range(0.1..0.6),
+            ..Step::new(self.at(5.0), What::Race, all)
+        };
+        let invalid = Step {
+            count: self.rng.random_range(5..15),
+            gap_s: self.rng.random_range(0.05..0.4),
+            ..Step::new(self.at(6.0), What::InvalidChanges, self.any_core())
+        };
+        let taken = Step::new(self.at(4.0), What::TakeKey, self.any_core());
+        let given = Step {
+            at_s: taken.at_s + self.rng.random_range(0.5..3.0),
+            ..Step::new(0.0, What::GiveKey, self.any_core())
+        };
+        vec![race, invalid, taken, given]
+    }
+
+    fn any_core(&mut self) -> String {
+        format!("core {}", self.rng.random_range(0..self.size.cores))
+    }
+
+    /// Machines at the edge, or one of control, with a part of their processor time.
+    fn throttled(&mut self) -> Step {
+        let of = match self.rng.random_range(0..4) {
+            0 => self.any_core(),
+            1 => self.edges(),
+            _ => format!("edge 0-{}", self.size.edges - 1),
+        };
+        Step {
+            share: self.rng.random_range(0.25..0.6),
+            ..self.lasting(What::Throttle, of, 6.0)
+        }
+    }
+
+    fn process_fault(&mut self) -> Vec<Step> {
+        match self.rng.random_range(0..6) {
+            0 => self.killed(),
+            1 => self.told_to_end(),
+            2 => self.told_to_reload(),
+            3 => self.frozen(),
+            4 => self.cut(),
+            _ => self.core(),
+        }
+    }
+
+    fn all_of_control_killed(&mut self) -> Step {
+        let all = format!("core 0-{}", self.size.cores - 1);
+        self.lasting(What::Kill, all, 1.5)
+    }
+
     fn slow_spell(&mut self) -> Step {
         let all = format!("origin 0-{}", 2 * ZONES * SERVERS - 1);
         Step {
@@ -270,9 +390,35 @@
     }
 }
 
+/// What is drawn from a seed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakKind {
+    /// Faults of all kinds: [`draw`].
+    Faults,
+    /// Configuration storms among faults: [`draw_storm`].
+    Storms,
+}
+
+impl SoakKind {
+    fn draw(self, seed: u64, size: Size) -> Scenario {
+        match self {
+            SoakKind::Faults => draw(seed, size),
+            SoakKind::Storms => draw_storm(seed, size),
+        }
+    }
+
+    /// The option of the command line that stands for it.
+    fn option(self) -> &'static str {
+        match self {
+            SoakKind::Faults => "",
+            SoakKind::Storms => " --storms",
+        }
+    }
+}
+
 /// Plays a seed. Its line, and whether all was kept; a seed that fails leaves its logs in `folder`.
-pub fn soak(seed: u64, size: Size, folder: &Path) -> (String, bool) {
-    let scenario = draw(seed, size);
+pub fn soak(kind: SoakKind, seed: u64, size: Size, folder: &Path) -> (String, bool) {
+    let scenario = kind.draw(seed, size);
     let _ = std::fs::remove_dir_all(folder);
     let begun = format!(
         "seed {seed}: {} cores, {} proxies, {} troubles",
@@ -281,7 +427,8 @@
         scenario.steps.len()
     );
     let again = format!(
-        "play it again: aspendrum-testbed soak --seeds {seed} --cores {} --edges {} --seconds {}; its logs: {}",
+        "play it again: aspendrum-testbed soak{} --seeds {seed} --cores {} --edges {} --seconds {}; its logs: {}",
+        kind.option(),
         size.cores,
         size.edges,
         size.seconds,
@@ -309,8 +456,13 @@
 
 fn told(outcome: &Outcome) -> String {
     let gone = outcome.departed();
+    let (median, most) = outcome.times_in_force();
+    let in_force = match outcome.in_force.len() {
+        0 => String::new(),
+        added => format!("; {added} routes added, in force in {median:.0}, {most:.0} ms"),
+    };
     format!(
-        "{} tries, served {:.2}, {} left, {} sent late, {} of {} runs went on",
+        "{} tries, served {:.2}, {} left, {} sent late, {} of {} runs went on{in_force}",
         outcome.record.attempts.len(),
         outcome.verdict.all.share(),
         gone.disconnected,
--- a/crates/aspendrum-testbed/src/system/steps.rs
+++ b/crates/aspendrum-testbed/src/system/steps.rs
@@ -1,15 +1,16 @@
 //! What happens in a run, step by step: the operator's orders, and the troubles.
 
-use super::clients::{KEYS, PATHS};
+use super::configuration::{self, CONFIG_FAULTS};
 use super::fleet::{Fleet, Slot, SERVICES};
 use super::operator::{Operator, OrderOutcome};
-use super::scenario::{Scenario, Step, What, Who};
+use super::probes::{AddedRoute, Probes};
+use super::scenario::{Step, What, Who};
+use super::throttle::throttle;
 use aspendrum_checker::system::Evacuation;
-use aspendrum_checker::system::{ConfigVersion, ProxyFault, RouteRule, TenantRule};
+use aspendrum_checker::system::{ConfigVersion, ProxyFault, ProxyRestart, RouteRule, TenantRule};
 use aspendrum_checker::Millis;
 use aspendrum_fake_services::lock;
 use nix::sys::signal::Signal;
-use serde_json::{json, Value};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Semaphore;
@@ -29,11 +30,13 @@
     pub evacuations: Vec<Evacuation>,
     pub troubles: Vec<ProxyFault>,
     pub failures: Vec<String>,
+    pub restarts: Vec<ProxyRestart>,
 }
 
 pub struct Run {
     fleet: Arc<Fleet>,
     pub operator: Operator,
+    pub probes: Arc<Probes>,
     book: Mutex<Book>,
 }
 
@@ -54,6 +57,7 @@
     pub fn new(fleet: Arc<Fleet>) -> Run {
         Run {
             operator: Operator::new(fleet.clone()),
+            probes: Arc::default(),
             fleet,
             book: Mutex::default(),
         }
@@ -99,7 +103,7 @@
         next.number = number.unwrap_or(newest + if newest % 2 == 0 { 3 } else { 2 });
         (next.sent_at, next.acknowledged_at) = (self.now(), None);
         how(&mut next);
-        next.text = configuration(&self.fleet.scenario, &next).into();
+        next.text = configuration::text(&self.fleet.scenario, &next).into();
         book.versions.push(next.clone());
         next
     }
@@ -138,9 +142,13 @@
                 };
                 let members = self.fleet.members();
                 let first = members[(first + n) % members.len()];
-                if let (number, OrderOutcome::Refused(_) | OrderOutcome::Unclear) =
+                let adds_route = step.adds_route_every > 0 && n % step.adds_route_every == 0;
+                let outcome = if adds_route {
+                    self.add_route(first).await
+                } else {
                     self.change(first, |_| {}).await
-                {
+                };
+                if let (number, OrderOutcome::Refused(_) | OrderOutcome::Unclear) = outcome {
                     self.note(&format!("the change {number:08x} was not acknowledged"));
                 }
             }
@@ -148,6 +156,48 @@
         futures_util::future::join_all((0..step.count).map(one)).await;
     }
 
+    /// A configuration with a further route, which proxies are probed for once it is acknowledged.
+    async fn add_route(&self, first: usize) -> (u32, OrderOutcome) {
+        let mut route = 0;
+        let add = |version: &mut ConfigVersion| {
+            route = version.routes.len();
+            version.routes.push(RouteRule {
+                service: SERVICES[0].into(),
+                is_once_only: false,
+            });
+        };
+        let (number, outcome) = self.change(first, add).await;
+        if let OrderOutcome::Acknowledged(acknowledged_at) = outcome {
+            self.probes.add(AddedRoute {
+                route,
+                acknowledged_at,
+            });
+        }
+        (number, outcome)
+    }
+
+    /// Invalid texts, each under a number that no valid one has.
+    async fn invalid_changes(&self, first: usize, step: &Step) {
+        for n in 0..step.count {
+            let (number, text) = {
+                let book = lock(&self.book);
+                let Some(last) = book.versions.last() else {
+                    return;
+                };
+                let mut version = last.clone();
+                version.number += 1;
+                let fault = CONFIG_FAULTS[n % CONFIG_FAULTS.len()];
+                let text =
+                    configuration::invalid_text(&self.fleet.scenario, &version, fault).into();
+                (version.number, text)
+            };
+            let members = self.fleet.members();
+            let node = members[(first + n) % members.len()];
+            self.operator.send_invalid(node, number, &text).await;
+            sleep(Duration::from_secs_f64(step.gap_s)).await;
+        }
+    }
+
     /// Two texts under one number: a route moves by the one, a key is taken away or given by the other.
     async fn race(&self, of: &[Who], step: &Step) {
         let cores: Vec<usize> = of.iter().filter_map(core).collect();
@@ -247,6 +297,7 @@
                 self.change(first, |v| v.tenants[1].has_key = true).await;
             }
             What::Changes => self.changes(first, step).await,
+            What::InvalidChanges => self.invalid_changes(first, step).await,
             What::Race => self.race(of, step).await,
             What::Resend => self.resend(first, step.all).await,
             What::Show => {
@@ -287,6 +338,11 @@
                 sleep(lasts.unwrap_or_default()).await;
                 self.signal(of, Signal::SIGCONT).await;
             }
+            What::Throttle => {
+                let lasts = lasts.unwrap_or_default();
+                let errors = throttle(&self.fleet, of, step.share, lasts).await;
+                errors.iter().for_each(|error| self.note(error));
+            }
             What::Cut => {
                 let from = if from.is_empty() {
                     self.fleet.everyone()
@@ -358,7 +414,16 @@
         futures_util::future::join_all(all).await;
     }
 
+    /// A proxy's process ends, and another one will know nothing of what it has shown.
+    fn record_restart(&self, who: Who) {
+        if let Who::Edge(proxy) | Who::Proxy(proxy) = who {
+            let at = self.now();
+            lock(&self.book).restarts.push(ProxyRestart { proxy, at });
+        }
+    }
+
     async fn kill(&self, who: Who, wipe: bool, lasts: Option<Duration>) {
+        self.record_restart(who);
         let slots = self.fleet.slots(who);
         for slot in &slots {
             slot.lock().await.kill().await;
@@ -374,6 +439,7 @@
     }
 
     async fn term(&self, who: Who) {
+        self.record_restart(who);
         for slot in self.fleet.slots(who) {
             self.stop(who, slot).await;
             if let Err(e) = slot.lock().await.up() {
@@ -494,44 +560,3 @@
         of.iter().filter_map(number).collect()
     }
 }
-
-/// A configuration's text, as the operator words it.
-fn configuration(s: &Scenario, v: &ConfigVersion) -> String {
-    let rule = |n: usize, rule: &RouteRule| {
-        let kind = if rule.is_once_only {
-            "mutating"
-        } else {
-            "idem"
-        };
-        json!({"name": format!("r-{n}"), "type": kind, "goal-ms": 800, "prio": n, "public": false,
-            "match": {"pfx": PATHS[n]}, "action": {"svc": rule.service, "limit-ms": 2000, "tries": 3, "homes": []}})
-    };
-    let tenant = |n: usize, tenant: &TenantRule| {
-        let keys = if tenant.has_key {
-            vec![KEYS[n]]
-        } else {
-            Vec::new()
-        };
-        json!({"name": tenant.name, "keys": keys, "prio": 0, "rate-s": s.quota_per_s, "burst": s.quota_per_s, "homes": []})
-    };
-    let rules: Vec<Value> = v
-        .routes
-        .iter()
-        .enumerate()
-        .map(|(n, r)| rule(n, r))
-        .collect();
-    let tenants: Vec<Value> = v
-        .tenants
-        .iter()
-        .enumerate()
-        .map(|(n, t)| tenant(n, t))
-        .collect();
-    let pools: Vec<Value> = SERVICES
-        .iter()
-        .map(|s| json!({"name": s, "check": "/healthz", "max-conns": 130, "warmup-s": 0.0, "warm-rate-s": 50.0}))
-        .collect();
-    json!({"gen": format!("{:08x}", v.number), "tenants": tenants, "pools": pools,
-        "caps": {"hdr-bytes": 16384, "body-bytes": 65536, "hdr-ms": 3000, "idle-ms": 15000},
-        "ports": [{"vhost": "a.example", "rules": rules}]})
-    .to_string()
-}
--- /dev/null
+++ b/crates/aspendrum-testbed/tests/configuration.rs
@@ -0,0 +1,68 @@
+//! The texts that the testbed's operator sends: valid ones are read with all their routes, and each fault is refused.
+
+use aspendrum_checker::system::{ConfigVersion, RouteRule, TenantRule};
+use aspendrum_model::config::{Config, ConfigError};
+use aspendrum_testbed::system::configuration::{invalid_text, path, text, ConfigFault};
+use aspendrum_testbed::system::scenario::Scenario;
+
+fn scenario() -> Scenario {
+    let text =
+        "name = \"t\"\nabout = \"t\"\nseconds = 1\ncores = 1\nedges = 1\nfiller_routes = 600\n";
+    Scenario::read(text).unwrap()
+}
+
+fn version() -> ConfigVersion {
+    let route = |is_once_only| RouteRule {
+        service: "quotes".into(),
+        is_once_only,
+    };
+    let tenant = |name: &str| TenantRule {
+        name: name.into(),
+        has_key: true,
+    };
+    ConfigVersion {
+        number: 9,
+        routes: vec![route(false), route(true), route(false)],
+        tenants: vec![tenant("ann"), tenant("bob")],
+        ..ConfigVersion::default()
+    }
+}
+
+#[test]
+fn a_valid_text_holds_all_routes() {
+    let config = Config::read(text(&scenario(), &version()).as_bytes()).unwrap();
+    assert_eq!((config.version, config.routes.len()), (9, 603));
+    let route = |number| config.route("a.example", &format!("{}x", path(number)));
+    assert_eq!([route(0), route(1), route(2)], [Some(0), Some(1), Some(2)]);
+    assert_eq!(route(3), None);
+    assert!(!config.routes[1].idempotent && config.routes[2].idempotent);
+}
+
+#[test]
+fn each_fault_is_refused_for_what_it_is() {
+    let refused =
+        |fault| Config::read(invalid_text(&scenario(), &version(), fault).as_bytes()).unwrap_err();
+    let cut_short = refused(ConfigFault::CutShort);
+    assert!(matches!(cut_short, ConfigError::Unreadable(_)));
+    // The place where it ends.
+    assert!(cut_short.to_string().contains("line 1 column"));
+    assert_eq!(
+        refused(ConfigFault::UnknownService),
+        ConfigError::UnknownService {
+            route: "r-0".into(),
+            service: "nowhere".into()
+        }
+    );
+    assert_eq!(
+        refused(ConfigFault::DuplicateRoute),
+        ConfigError::DuplicateRoute {
+            host: "a.example".into(),
+            prefix: path(0)
+        }
+    );
+    assert_eq!(
+        refused(ConfigFault::NoAttempts),
+        ConfigError::NoAttempts("r-0".into())
+    );
+    assert_eq!(refused(ConfigFault::SharedKey), ConfigError::SharedKey);
+}
--- a/crates/aspendrum-testbed/tests/system.rs
+++ b/crates/aspendrum-testbed/tests/system.rs
@@ -35,9 +35,9 @@
 /// They wait for control, and not for their own mistakes.
 #[test]
 fn scenarios_that_wait_are_well_formed_and_not_played_twice() {
-    for (name, _) in library::WAITING {
-        assert_eq!(library::scenario(name).unwrap().name, *name);
-        assert!(library::ALL.iter().all(|s| s.0 != *name), "{name}");
+    for (name, _) in [library::WAITING, library::FULL_SIZE].concat() {
+        assert_eq!(library::scenario(name).unwrap().name, name);
+        assert!(library::ALL.iter().all(|s| s.0 != name), "{name}");
     }
 }
 
@@ -91,4 +91,6 @@
     nothing_goes_on_for_clients_that_have_left = "clients-leave";
     /// Danger: an order that lay in the socket of a machine that stood still comes into force behind a newer one.
     an_order_whose_operator_has_gone_is_not_begun = "frozen-for-twenty-seconds";
+    /// Danger: each change is pushed whole to each proxy, and the last of them is in force too late.
+    a_storm_of_changes_is_in_force_in_time = "config-storm";
 }
