--- a/crates/aspendrum-testbed/src/system/play.rs
+++ b/crates/aspendrum-testbed/src/system/play.rs
@@ -292,7 +292,7 @@
         final_version: read_back,
     };
     let verdict = check(&record);
-    let in_force = run.probes.times_to_last(&record);
+    let in_force = run.probes.times_to_last(&record, s.edges);
     let served: HashSet<u64> = record
         .attempts
         .iter()
--- a/crates/aspendrum-testbed/src/system/probes.rs
+++ b/crates/aspendrum-testbed/src/system/probes.rs
@@ -91,27 +91,26 @@
     }
 
     /// The time from each acknowledgement to the last connected proxy that serves the route, in milliseconds, in the order of
-    /// the acknowledgements.
-    pub fn times_to_last(&self, record: &Record) -> Vec<(Millis, Millis)> {
+    /// the acknowledgements. One that does not serve it by the end of the run counts with the time until then. A route that
+    /// no connected proxy was probed for is left out.
+    pub fn times_to_last(&self, record: &Record, proxies: usize) -> Vec<(Millis, Millis)> {
         let in_force = lock(&self.in_force);
-        let contact = record.bounds.contact;
-        let is_connected = |one: &&InForce| {
-            !record.is_faulty(one.proxy, one.acknowledged_at - contact, one.served_at)
-        };
-        let times = self
-            .added
-            .borrow()
-            .iter()
-            .map(|added| {
-                let of_route = in_force
+        let added = self.added.borrow();
+        let times = added.iter().filter_map(|added| {
+            let acknowledged_at = added.acknowledged_at;
+            let of_proxies = (0..proxies).filter_map(|proxy| {
+                let served = in_force
                     .iter()
-                    .filter(|one| one.acknowledged_at == added.acknowledged_at)
-                    .filter(is_connected);
-                let last = of_route.map(|one| one.served_at - one.acknowledged_at);
-                (added.acknowledged_at, last.fold(0.0, Millis::max))
-            })
-            .collect();
-        times
+                    .find(|one| one.proxy == proxy && one.acknowledged_at == acknowledged_at);
+                let served_at = served.map_or(record.to, |served| served.served_at);
+                let since = acknowledged_at - record.bounds.contact;
+                let is_connected = !record.is_faulty(proxy, since, served_at);
+                is_connected.then_some((served_at - acknowledged_at).max(0.0))
+            });
+            let last = of_proxies.reduce(Millis::max)?;
+            Some((acknowledged_at, last))
+        });
+        times.collect()
     }
 }
 
--- a/crates/aspendrum-testbed/src/system/steps.rs
+++ b/crates/aspendrum-testbed/src/system/steps.rs
@@ -142,7 +142,8 @@
                 };
                 let members = self.fleet.members();
                 let first = members[(first + n) % members.len()];
-                let adds_route = step.adds_route_every > 0 && n % step.adds_route_every == 0;
+                let adds_route =
+                    step.adds_route_every > 0 && n.is_multiple_of(step.adds_route_every);
                 let outcome = if adds_route {
                     self.add_route(first).await
                 } else {
