--- a/crates/aspendrum-proxy/src/agent.rs
+++ b/crates/aspendrum-proxy/src/agent.rs
@@ -77,7 +77,7 @@
                 most_agents_isolated: deserted,
             } => {
                 state.record_control_report(sent_at_ms, age, of, deserted);
-                state.record_control_reachable(heard);
+                state.record_control_reachable(sent_at_ms, heard);
             }
         }
     }
--- a/crates/aspendrum-proxy/src/state.rs
+++ b/crates/aspendrum-proxy/src/state.rs
@@ -205,7 +205,7 @@
     }
 
     /// The agent reports whether control is heard of.
-    pub(crate) fn record_control_reachable(&self, is_heard: bool) {
+    pub fn record_control_reachable(&self, _sent_at_ms: u64, is_heard: bool) {
         if is_heard {
             self.control_reachable_at
                 .store(self.uptime_ms(), Ordering::Release);
