proxy: a counter's owner grants under a lease

Cause: an owner whose agent is cut off from control is dropped from the others' lists 1.0 s after its last heartbeat, and held itself for the owner up to 2.7 s after it; it granted whole windows to its own clients while the others spent their local shares and the next owner began. Change: counter::OwnerLease. An owner grants for 500 ms after it asked its agent, which vouches for 650 ms after the last heartbeat that control has answered (together more than 1.0 s by less than the 0.4 s that a next owner waits beside a window), or while most other proxies ask it, so that counters go on while no control node is there.

--- a/crates/aspendrum-agent/src/coordinator/mod.rs
+++ b/crates/aspendrum-agent/src/coordinator/mod.rs
@@ -21,7 +21,7 @@
 use control_session::{ControlFault, ControlSession};
 use crossbeam_channel::Sender;
 use desired_state::{DesiredState, Source, Update};
-use majority::MajorityStatus;
+use majority::{latest, MajorityStatus};
 use proxy_session::{ProxyIdentity, ProxySession};
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
@@ -30,8 +30,9 @@
 const HEARTBEAT_EVERY: Millis = 300.0;
 /// The same before control's first report of what a majority holds: a proxy waits for it.
 const FIRST_HEARTBEATS_EVERY: Millis = 60.0;
-/// After this time without control, control may have removed this machine from its list.
-const CONTROL_SILENT_AFTER: Millis = 1500.0;
+/// After this time without proof that control hears this machine, control may soon remove it from its list: it does so 1,000 ms
+/// after the last heartbeat. The proof is the answer to a heartbeat, as of when that was sent.
+const HEARD_COUNTS_FOR: Millis = 650.0;
 /// A proxy that gets its termination signal together with the agent reports the shutdown within this time.
 const PROXY_NOTICE: Millis = 1000.0;
 
@@ -54,8 +55,8 @@
     desired: DesiredState,
     majority: MajorityStatus,
     report_validity: ReportValidity,
-    /// When control last sent anything on a connection that has ended.
-    control_last_received_at: Option<Millis>,
+    /// When the last heartbeat was sent that control has answered.
+    heard_at: Option<Millis>,
     heartbeat_at: Option<Millis>,
     shutdown: Option<ShutdownRequest>,
 }
@@ -83,7 +84,7 @@
             proxy: None,
             desired: DesiredState::default(),
             majority: MajorityStatus::default(),
-            control_last_received_at: None,
+            heard_at: None,
             heartbeat_at: None,
             shutdown: None,
         }
@@ -170,6 +171,7 @@
                 decided: of,
                 ..
             } => {
+                self.heard_at = latest(self.heard_at, Some(sent_at_ms as Millis));
                 // Counted from when this was asked: the answer cannot be older than that, however late it comes.
                 let as_of = age.map(|age| sent_at_ms as Millis - f64::from(age));
                 self.control_report(now, of, as_of);
@@ -338,11 +340,6 @@
     }
 
     fn answer_heartbeat(&mut self, now: Millis, sent_at_ms: u64) {
-        let last_received_at = self
-            .control
-            .as_ref()
-            .map(|control| control.last_received_at);
-        let last_received_at = last_received_at.or(self.control_last_received_at);
         let decided = self.desired.digest();
         let newest = self.majority.as_of();
         let newest = newest.map(|as_of| MajorityReport { decided, as_of });
@@ -352,8 +349,9 @@
             sent_at_ms,
             majority_age: report.map(|report| (now - report.as_of).max(0.0).ceil() as u32),
             decided: report.map_or(decided, |report| report.decided),
-            control_reachable: last_received_at
-                .is_some_and(|last_received_at| now - last_received_at <= CONTROL_SILENT_AFTER),
+            control_reachable: self
+                .heard_at
+                .is_some_and(|heard_at| now - heard_at <= HEARD_COUNTS_FOR),
             most_agents_isolated: self.gossip.most_agents_isolated(now),
         });
     }
@@ -429,9 +427,7 @@
     }
 
     fn drop_control(&mut self) {
-        if let Some(control) = self.control.take() {
-            self.control_last_received_at = Some(control.last_received_at);
-        }
+        self.control = None;
     }
 
     /// Lets the process end once its proxy has ended, or shows by its readiness that it is not shutting down.
--- a/crates/aspendrum-model/src/message.rs
+++ b/crates/aspendrum-model/src/message.rs
@@ -178,7 +178,8 @@
         majority_age: Option<u32>,
         /// The state that was decided.
         decided: StateDigest,
-        /// Whether any control node answers. An agent sends false to its proxy while no control node answers it.
+        /// Whether control has certainly heard the receiver lately. An agent sends false to its proxy once no heartbeat of
+        /// the last 650 ms is answered.
         control_reachable: bool,
         /// Whether at least half of all agents, too, lack a recent confirmation by a majority.
         most_agents_isolated: bool,
--- a/crates/aspendrum-proxy/src/counter/mod.rs
+++ b/crates/aspendrum-proxy/src/counter/mod.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod id;
+mod lease;
 mod message;
 mod quota;
 mod rtt;
@@ -14,6 +15,7 @@
 
 pub use client::{CounterCall, CounterClient};
 pub use id::CounterId;
+pub use lease::OwnerLease;
 pub use message::{CounterHandover, CounterMessage};
 pub use quota::{Quota, QuotaTolerance};
 pub use rtt::RttEstimator;
--- a/crates/aspendrum-proxy/src/dispatcher/counters.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/counters.rs
@@ -3,7 +3,7 @@
 
 use crate::counter::{
     CounterCall, CounterClient, CounterHandover, CounterId, CounterMessage, CounterSocket,
-    CounterStore, Quota,
+    CounterStore, OwnerLease, Quota,
 };
 use aspendrum_core::api::{Event, Millis, Outcome};
 use std::collections::HashMap;
@@ -73,6 +73,7 @@
 pub(super) struct Counters {
     client: CounterClient,
     store: CounterStore,
+    lease: OwnerLease,
     socket: Arc<CounterSocket>,
     local_ip: Ipv4Addr,
     control_silent: bool,
@@ -84,6 +85,7 @@
         Counters {
             client,
             store,
+            lease: OwnerLease::default(),
             socket,
             local_ip,
             control_silent: false,
@@ -112,7 +114,7 @@
                 );
                 return None;
             }
-            Some(_) => self.store.add(now, counter, amount),
+            Some(_) => self.add_as_owner(now, counter, amount),
             None => None,
         };
         let (outcome, total) = match total {
@@ -127,6 +129,19 @@
         })
     }
 
+    /// `None`: nothing may be granted from it now.
+    fn add_as_owner(&mut self, now: Millis, counter: CounterId, amount: f32) -> Option<f32> {
+        if !self.lease.is_valid(now) {
+            return None;
+        }
+        self.store.add(now, counter, amount)
+    }
+
+    /// Control has certainly heard this proxy: its agent has said so when it was asked then.
+    pub(super) fn renew_lease(&mut self, asked_at: Millis) {
+        self.lease.renew(asked_at);
+    }
+
     /// A datagram of another proxy.
     pub(super) fn receive(
         &mut self,
@@ -140,7 +155,8 @@
                 counter,
                 amount,
             } if amount.is_finite() => {
-                Received::Reply(match self.store.add(now, counter, amount) {
+                self.lease.record_call(now, from);
+                Received::Reply(match self.add_as_owner(now, counter, amount) {
                     Some(total) => CounterMessage::Total { call, total },
                     None => CounterMessage::Unavailable { call },
                 })
@@ -188,6 +204,8 @@
     /// Replaces the proxies that may own counters, and hands over what others own now. Returns the calls to proxies that
     /// are gone.
     pub(super) fn set_owners(&mut self, now: Millis, owners: Vec<Ipv4Addr>) -> Vec<CounterCall> {
+        let others = owners.iter().copied().filter(|ip| *ip != self.local_ip);
+        self.lease.set_others(&others.collect::<Vec<_>>());
         let Some(failed) = self.client.set_owners(owners) else {
             return Vec::new();
         };
--- a/crates/aspendrum-proxy/src/dispatcher/mod.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/mod.rs
@@ -301,6 +301,12 @@
         *lock(&self.snapshot) = Some(Arc::new(snapshot));
     }
 
+    /// Control has heard this proxy, by an answer to a question that was sent at that time.
+    pub fn renew_owner_lease(&self, asked_at: Instant) {
+        let asked_at = self.clock_at(asked_at);
+        lock(&self.state).counters.renew_lease(asked_at);
+    }
+
     /// Control was heard of lately, or not.
     pub fn set_control_silent(&self, is_silent: bool) {
         if lock(&self.state).counters.set_control_silent(is_silent) {
--- a/crates/aspendrum-proxy/src/state.rs
+++ b/crates/aspendrum-proxy/src/state.rs
@@ -204,11 +204,13 @@
         lock(&self.idle_limit).record_reset(self.uptime_ms() as f64, idle_for_ms);
     }
 
-    /// The agent reports whether control is heard of.
-    pub fn record_control_reachable(&self, _sent_at_ms: u64, is_heard: bool) {
-        if is_heard {
+    /// The agent reports whether control has heard it lately, in answer to a heartbeat that was sent at `sent_at_ms` of uptime.
+    pub fn record_control_reachable(&self, sent_at_ms: u64, has_heard: bool) {
+        if has_heard {
             self.control_reachable_at
                 .store(self.uptime_ms(), Ordering::Release);
+            let sent_at = self.started_at + Duration::from_millis(sent_at_ms);
+            self.dispatcher.renew_owner_lease(sent_at);
         }
     }
 
--- a/crates/aspendrum-proxy/tests/ownership.rs
+++ b/crates/aspendrum-proxy/tests/ownership.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use aspendrum_model::message::{ProxyEndpoint, Readiness, StateSection};
-use aspendrum_proxy::counter::{CounterClient, CounterId};
+use aspendrum_proxy::counter::{CounterClient, CounterId, OwnerLease};
 use common::{test_proxy, TestProxy, CONFIG, GOOD, READ};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -68,3 +68,31 @@
     proxy.state.record_control_reachable(600_000, true);
     assert_eq!(granted(&proxy), RATE / 2);
 }
+
+/// Danger: while no control node is there, nobody's list changes, and every owner ceases.
+#[test]
+fn an_owner_that_most_others_ask_goes_on_without_control() {
+    let others: Vec<Ipv4Addr> = proxies().into_iter().filter(|ip| *ip != LOCAL).collect();
+    let mut lease = OwnerLease::default();
+    assert!(lease.is_valid(0.0), "no other proxy is known");
+    lease.set_others(&others);
+    assert!(!lease.is_valid(0.0));
+    lease.record_call(0.0, others[0]);
+    assert!(!lease.is_valid(1.0), "one of three");
+    lease.record_call(100.0, others[1]);
+    assert!(lease.is_valid(101.0), "two of three");
+    assert!(lease.is_valid(499.0) && !lease.is_valid(500.0));
+    // One that may not own counters any more shows nothing.
+    lease.record_call(500.0, others[0]);
+    lease.set_others(&others[1..]);
+    assert!(!lease.is_valid(501.0));
+}
+
+#[test]
+fn the_lease_counts_from_the_question_and_never_shrinks() {
+    let mut lease = OwnerLease::default();
+    lease.set_others(&proxies()[1..]);
+    lease.renew(1000.0);
+    lease.renew(900.0);
+    assert!(lease.is_valid(1499.0) && !lease.is_valid(1500.0));
+}
