--- a/crates/aspendrum-testbed/src/days/play.rs
+++ b/crates/aspendrum-testbed/src/days/play.rs
@@ -29,6 +29,8 @@
     pub jobs: Option<usize>,
     /// How many plays go on at once.
     pub parallel_plays: usize,
+    /// Drawn days are storms of configurations under faults of control.
+    pub storms: bool,
     /// Where the bench's output and reports go.
     pub out: PathBuf,
 }
@@ -94,11 +96,19 @@
     std::fs::create_dir_all(&options.out).map_err(DaysError::io(&options.out))?;
     let mut plays = Vec::new();
     for (index, seed) in seeds.enumerate() {
-        let day = format!("drawn-{seed}");
+        let day = if options.storms {
+            format!("storm-{seed}")
+        } else {
+            format!("drawn-{seed}")
+        };
         let site = sites[index % sites.len()].clone();
         let file = options.out.join(format!("{day}-{site}.toml"));
         let contracts = contracts_of(&site_file(options, &site)?)?;
-        let text = drawn::draw_day(&day, seed, &contracts);
+        let text = if options.storms {
+            drawn::draw_storm_day(&day, seed)
+        } else {
+            drawn::draw_day(&day, seed, &contracts)
+        };
         std::fs::write(&file, text).map_err(DaysError::io(&options.out))?;
         let why = format!("day drawn from seed {seed}");
         plays.push(Play {
--- a/crates/aspendrum-testbed/src/drawn.rs
+++ b/crates/aspendrum-testbed/src/drawn.rs
@@ -427,6 +427,81 @@
         .collect()
 }
 
+/// What a storm of configurations consists of: each entry once, begun within these seconds of the storm's start.
+const STORM_PLAN: &[&str] = &[
+    "kind = \"big_config\", count = 600",
+    "kind = \"config_race\", count = 7, gap_s = 1.0",
+    "kind = \"bad_config\", count = 4, gap_s = 0.7",
+    "kind = \"bad_config\", count = 4, gap_s = 0.7, how = \"stale_match\"",
+    "kind = \"revoke\", count = 2, gap_s = 1.5",
+    "kind = \"config_change\", how = \"route\"",
+];
+const STORM_SPREAD_S: f64 = 7.0;
+const STORM_START_S: std::ops::Range<f64> = 3.0..12.0;
+const STORM_COUNTS: &[u32] = &[80, 150, 300];
+const STORM_GAPS: &[&str] = &["0.05", "0.1"];
+/// Faults that strike control, and planned work there, while a storm goes on.
+const STORM_FAULTS: &[&str] = &[
+    "kind = \"core_cut\", for_s = 9.0, how = \"leader one_way\"",
+    "kind = \"core_cut\", for_s = 5.0, how = \"behind\"",
+    "kind = \"core_cut\", for_s = 5.0, how = \"both\"",
+    "kind = \"core_cut\", for_s = 5.0, how = \"oldest reset\"",
+    "kind = \"core_cut\", for_s = 2.5, how = \"lure\"",
+    "kind = \"core_cut\", for_s = 5.0, how = \"relieve\"",
+    "kind = \"core_cut\", for_s = 5.0, how = \"split\"",
+    "kind = \"zone_cut\", for_s = 12.0",
+    "kind = \"zone_cut\", for_s = 5.0",
+    "kind = \"reset_conns\", on = \"core\", share = 1.0, x = 0.8, for_s = 3.0",
+    "kind = \"herd_kill\", on = \"core\", for_s = 1.0, how = \"power\"",
+    "kind = \"herd_kill\", on = \"core\", for_s = 1.0",
+    "kind = \"node_freeze\", on = \"core\", count = 1, for_s = 5.0",
+    "kind = \"node_kill\", on = \"core\", count = 1, how = \"hard\", for_s = 2.5",
+    "kind = \"node_cut\", share = 0.3, for_s = 5.0",
+    "kind = \"node_slow\", share = 0.3, for_s = 5.0, x = 5",
+    "kind = \"disk_slow\", for_s = 5.0, x = 100",
+    "kind = \"disk_stall\", for_s = 5.0",
+    "kind = \"disk_full\", for_s = 5.0",
+    "kind = \"clock_step\", for_s = 5.0",
+];
+const STORM_PLANNED_FAULTS: &[&str] = &[
+    "kind = \"replace_core\"",
+    "kind = \"replace_core\", how = \"planned\"",
+    "kind = \"roll_term\", on = \"core\", count = 1",
+    "kind = \"roll_term\", share = 0.5, x = 4, gap_s = 1.5",
+    "kind = \"hup\", share = 0.6, gap_s = 1.0",
+];
+const STORM_FAULT_COUNT: std::ops::Range<i32> = 3..7;
+
+/// The text of a day with a storm of configurations under faults of control.
+pub fn draw_storm_day(name: &str, seed: u64) -> String {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let start = rng.random_range(STORM_START_S);
+    let entry = |rng: &mut SmallRng, text: &str| {
+        let at = start + rng.random_range(0.0..STORM_SPREAD_S);
+        format!("    {{ at = {at:.2}, {text} }},\n")
+    };
+    let (count, gap) = (
+        STORM_COUNTS[rng.random_range(0..STORM_COUNTS.len())],
+        STORM_GAPS[rng.random_range(0..STORM_GAPS.len())],
+    );
+    let mut plan = format!(
+        "    {{ at = {start:.2}, kind = \"config_storm\", count = {count}, gap_s = {gap} }},\n"
+    );
+    for text in STORM_PLAN {
+        plan.push_str(&entry(&mut rng, text));
+    }
+    if rng.random_bool(0.5) {
+        let planned = STORM_PLANNED_FAULTS[rng.random_range(0..STORM_PLANNED_FAULTS.len())];
+        plan.push_str(&entry(&mut rng, planned));
+    }
+    let mut faults = String::new();
+    for _ in 0..rng.random_range(STORM_FAULT_COUNT) {
+        let fault = STORM_FAULTS[rng.random_range(0..STORM_FAULTS.len())];
+        faults.push_str(&entry(&mut rng, fault));
+    }
+    day_text(name, seed, &mut rng, &plan, &faults)
+}
+
 /// The text of the day with that seed, on a site with these contracts.
 pub fn draw_day(name: &str, seed: u64, contracts: &[String]) -> String {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -448,6 +523,11 @@
             "    {{ at = 2.0, kind = \"config_storm\", count = {count}, gap_s = {gap} }},"
         );
     }
+    day_text(name, seed, &mut rng, &plan, &faults)
+}
+
+/// The text of a day with these entries, and a closing fault that is drawn.
+fn day_text(name: &str, seed: u64, rng: &mut SmallRng, plan: &str, faults: &str) -> String {
     let closing = rng.random_range(0..CLOSING_FAULTS.len() + NO_CLOSING_FAULT);
     let closing = CLOSING_FAULTS.get(closing);
     let closing = closing.map_or(String::new(), |fault| format!("closing = {fault}\n"));
--- a/crates/aspendrum-testbed/src/main.rs
+++ b/crates/aspendrum-testbed/src/main.rs
@@ -114,6 +114,9 @@
         /// Instead of the folder's days those that are drawn from these seeds, as 1-40; the sites of --only in turn
         #[arg(long, value_parser = seeds)]
         drawn: Option<RangeInclusive<u64>>,
+        /// Drawn days have a storm of configurations under faults of control
+        #[arg(long)]
+        storms: bool,
         /// Where the bench's words and reports go
         #[arg(long, default_value = "found/days")]
         out: PathBuf,
@@ -216,6 +219,7 @@
             jobs,
             at_once,
             drawn,
+            storms,
             out,
         } => {
             let bench = bench.ok_or("name the bench's program with --bench".to_string());
@@ -228,6 +232,7 @@
                     first_seed_only: first,
                     jobs,
                     parallel_plays: at_once,
+                    storms,
                     out,
                 };
                 let played = match drawn {
--- a/crates/aspendrum-testbed/tests/days.rs
+++ b/crates/aspendrum-testbed/tests/days.rs
@@ -74,6 +74,31 @@
     assert!(!verdict(&json!({})).is_good);
 }
 
+#[test]
+fn a_storm_day_has_its_storm_and_faults_of_control() {
+    assert_eq!(drawn::draw_storm_day("d", 7), drawn::draw_storm_day("d", 7));
+    for seed in 0..200 {
+        let day: toml::Table = toml::from_str(&drawn::draw_storm_day("d", seed)).unwrap();
+        let kinds = |list: &str| -> Vec<String> {
+            let entries = day[list].as_array().unwrap().iter();
+            entries
+                .map(|entry| entry["kind"].as_str().unwrap().to_string())
+                .collect()
+        };
+        let plan = kinds("plan");
+        for kind in [
+            "config_storm",
+            "config_race",
+            "bad_config",
+            "big_config",
+            "revoke",
+        ] {
+            assert!(plan.iter().any(|k| k == kind), "{seed}: {plan:?}");
+        }
+        assert!((3..7).contains(&kinds("faults").len()));
+    }
+}
+
 /// Danger: a day that cannot be played again, or kinds that no day ever holds.
 #[test]
 fn a_seed_draws_one_day_and_many_seeds_draw_every_kind() {
