proxy: an older evacuation command changes nothing

Cause: configurations were compared with the one in force, evacuations were not. Change: an older command is ignored, unless the tables are built again. The test failed before.

--- a/crates/aspendrum-proxy/src/dispatcher/state.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/state.rs
@@ -208,8 +208,12 @@
         }
     }
 
-    /// Zones get nothing any more, or are used again.
+    /// Zones get nothing any more, or are used again. A command that is older than the last one changes nothing, unless the
+    /// tables are built again.
     pub(super) fn apply_evacuation(&mut self, now: Millis, order: u64, zones: &[String]) {
+        if order < self.evacuation_order && !self.rebuilds_tables {
+            return;
+        }
         self.evacuation_order = order;
         self.endpoints.set_evacuated_zones(now, zones);
         self.refresh_endpoints(now);
