proxy: a kept connection's buffer has the size that the present limits allow

Symptom (LOST after a configuration, by reading): a request with a longer body than the limits of when its connection came, which a newer configuration allows, ends without an answer. Cause: the connection's buffer took its size at the first request, and a full one is an error of the read, upon which the connection closes. Change: the size follows the limits in force. The test failed before.

--- a/crates/aspendrum-net/src/ring_buffer.rs
+++ b/crates/aspendrum-net/src/ring_buffer.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Changes its limit. What it holds already stays, and its initial size.
+    pub fn set_max_bytes(&mut self, max_bytes: usize) {
+        self.max_bytes = max_bytes.max(self.len).max(self.initial_bytes);
+    }
+
     /// Whether it holds nothing.
     pub fn is_empty(&self) -> bool {
         self.len == 0
--- a/crates/aspendrum-net/tests/ring_buffer.rs
+++ b/crates/aspendrum-net/tests/ring_buffer.rs
@@ -25,6 +25,19 @@
     assert_eq!((out.len(), out[9], out[10]), (16, 7, 8));
 }
 
+#[test]
+fn a_limit_that_changes_holds_from_then_on_and_takes_nothing_away() {
+    let mut buffer = RingBuffer::new(4, 8);
+    assert!(buffer.append(&[1; 8]) && !buffer.append(&[2]));
+    buffer.set_max_bytes(10);
+    assert!(buffer.append(&[2; 2]) && !buffer.append(&[3]));
+    buffer.set_max_bytes(2);
+    assert_eq!(buffer.contiguous().len(), 10);
+    assert!(!buffer.append(&[3]));
+    buffer.consume(10);
+    assert!(buffer.append(&[4; 4]) && buffer.contiguous() == [4; 4]);
+}
+
 /// Accepts so many bytes, then fails.
 struct BreaksAfter(usize);
 
--- a/crates/aspendrum-proxy/src/listener.rs
+++ b/crates/aspendrum-proxy/src/listener.rs
@@ -220,6 +220,8 @@
         let buffer = self
             .buffer
             .get_or_insert_with(|| RingBuffer::new(INITIAL_BUFFER_BYTES, max_bytes));
+        // Another configuration may have come since the last request.
+        buffer.set_max_bytes(max_bytes);
         http1::parse_request(buffer, &bounds)
     }
 
