--- a/crates/aspendrum-testbed/src/lib.rs
+++ b/crates/aspendrum-testbed/src/lib.rs
@@ -2,7 +2,6 @@
 //! a timeline of faults; the record of it all and its judge's verdict.
 
 // Not yet finished for readers: docs/ROADMAP.md lists what is left.
-#![allow(missing_docs)]
 
 pub mod bench;
 pub mod clients;
--- a/crates/aspendrum-testbed/src/report.rs
+++ b/crates/aspendrum-testbed/src/report.rs
@@ -12,37 +12,64 @@
 /// One run in one line of a table. Times in the unit of their names, shares from 0 to 1.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
+    /// The scenario's name.
     pub scenario: String,
+    /// Limiters.
     pub limiters: usize,
+    /// The length of the traffic, in seconds.
     pub seconds: f64,
+    /// Queries of all clients.
     pub queries: usize,
+    /// Answered ones.
     pub answered: u64,
+    /// Ones that were refused with a promise that they had not run.
     pub shed: u64,
+    /// Ones that failed.
     pub dropped: u64,
+    /// Ones whose connection ended without an answer.
     pub lost: u64,
+    /// Ones that reached no limiter.
     pub unreached: u64,
+    /// Ones without any answer in time.
     pub silent: u64,
+    /// Units granted beyond the quotas, as a share of these.
     pub over_quota: f64,
+    /// The most in a window, as a multiple of the burst.
     pub peak_over_burst: f64,
+    /// The most in a window, as a multiple of the rate limit.
     pub peak_over_ceiling: f64,
+    /// The share of queries that were refused though their quota had room.
     pub refused_with_room: f64,
+    /// The median time to an answer.
     pub p50_ms: f64,
+    /// The 99th percentile of it.
     pub p99_ms: f64,
+    /// Attempts a query.
     pub forwards_per_query: f64,
+    /// The most load of a server in slow start, as a multiple of what it bears.
     pub cold_load: f64,
     /// After the last fault that ended; empty where none did or it did not recover before the end.
     pub recovery_s: Option<f64>,
+    /// Datagrams that a limiter sends in a second.
     pub datagrams_per_limiter_s: f64,
+    /// Their bytes.
     pub bytes_per_limiter_s: f64,
+    /// Datagrams that were lost.
     pub datagrams_lost: u64,
+    /// Calls of the counter in a second.
     pub counter_calls_per_s: f64,
+    /// Calls of discovery.
     pub discovery_calls: u64,
+    /// The most memory of a limiter.
     pub memory_mb: f64,
+    /// Processor time of a limiter in a second.
     pub cpu_ms_per_limiter_s: f64,
+    /// Broken rules and bounds.
     pub broken: usize,
 }
 
 impl Row {
+    /// The row of a run.
     pub fn of(s: &Scenario, o: &Outcome) -> Row {
         let (v, seconds, n) = (&o.verdict, o.seconds(), s.limiters.count as f64);
         let per = |count: u64| count as f64 / n / seconds;
--- a/crates/aspendrum-testbed/src/run.rs
+++ b/crates/aspendrum-testbed/src/run.rs
@@ -49,23 +49,30 @@
 pub struct Traffic {
     /// Datagrams between limiters: sent, bytes, lost or cut off.
     pub datagrams: LinkStats,
+    /// Calls of the counter.
     pub counter: counter::CounterStats,
+    /// Calls of discovery.
     pub discovery: discovery::DiscoveryStats,
 }
 
 /// What a run came to.
 pub struct Outcome {
+    /// What clients and servers saw.
     pub record: Record,
+    /// What the checker says of it.
     pub verdict: Verdict,
+    /// What went over the network.
     pub traffic: Traffic,
     /// Memory of each limiter at the end of the traffic, KiB, and processor time of all, seconds.
     pub memory_kb: Vec<u64>,
+    /// Processor time of all limiters, in seconds.
     pub cpu_s: f64,
     /// Limiters that ended unasked, panicked, did not start or did not end in good order.
     pub failures: Vec<String>,
 }
 
 impl Outcome {
+    /// The length of the traffic, in seconds.
     pub fn seconds(&self) -> f64 {
         (self.record.to - self.record.from) / 1000.0
     }
@@ -126,6 +133,7 @@
         all
     }
 
+    /// Whether no rule and no bound was broken.
     pub fn good(&self, s: &Scenario) -> bool {
         self.broken(s).is_empty()
     }
--- a/crates/aspendrum-testbed/src/scenario.rs
+++ b/crates/aspendrum-testbed/src/scenario.rs
@@ -10,38 +10,54 @@
 const MOST_SERVERS: usize = 100;
 const LONGEST_S: f64 = 3600.0;
 
+/// A scenario for limiters.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
+    /// Its name.
     pub name: String,
     /// One sentence for the list.
     pub about: String,
+    /// What the traffic is drawn from.
     #[serde(default = "one")]
     pub seed: u64,
     /// How long queries come, from when all limiters are ready.
     pub seconds: f64,
+    /// The limiters.
     pub limiters: Limiters,
+    /// The servers.
     pub servers: Servers,
+    /// The shared counter.
     #[serde(default)]
     pub counter: Counter,
+    /// Discovery.
     #[serde(default)]
     pub discovery: Discovery,
+    /// The operators' figures for the rules.
     #[serde(default)]
     pub rules: Rules,
+    /// The groups of queries.
     #[serde(default = "Group::usual")]
     pub groups: Vec<Group>,
+    /// The plans of customers.
     pub plans: Vec<Plan>,
+    /// The customers.
     pub customers: Vec<Customers>,
+    /// What goes wrong when.
     #[serde(default)]
     pub faults: Vec<Fault>,
+    /// What must hold beside the rules.
     #[serde(default)]
     pub bounds: Bounds,
 }
 
+/// The limiters of a scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limiters {
+    /// How many there are.
     pub count: usize,
+    /// The zones over which they are spread.
     #[serde(default = "single")]
     pub zones: usize,
     /// Whether they may send each other datagrams.
@@ -58,41 +74,57 @@
     pub pass_through: bool,
 }
 
+/// The servers of a scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Servers {
+    /// How many there are.
     pub count: usize,
+    /// Queries that one works on at a time.
     #[serde(default = "cores")]
     pub cores: usize,
+    /// Queries that wait at one.
     #[serde(default = "queue")]
     pub queue: usize,
+    /// Connections that one takes.
     #[serde(default = "connections")]
     pub connections: usize,
+    /// What a new connection costs, in milliseconds.
     #[serde(default)]
     pub handshake_ms: f64,
+    /// The share of its pace at which one begins.
     #[serde(default = "cold_share")]
     pub cold_share: f64,
+    /// How long it takes to full pace, in seconds.
     #[serde(default = "ramp_s")]
     pub ramp_s: f64,
+    /// How it reports its load.
     #[serde(default)]
     pub reports: Reports,
 }
 
+/// How servers report their load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reports {
+    /// On each answer.
     #[default]
     Answers,
+    /// On answers to health checks.
     Probes,
+    /// Not at all.
     Off,
 }
 
+/// The shared counter of a scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Counter {
     /// Whether the deployment has one.
     pub there: bool,
+    /// Calls that it takes in a second.
     pub calls_per_s: f64,
+    /// How long a call may wait before it is turned away, in milliseconds.
     pub busy_after_ms: f64,
     /// After so long limiters give a call up.
     pub wait_ms: f64,
@@ -109,21 +141,27 @@
     }
 }
 
+/// Discovery of a scenario.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Discovery {
     /// Limiters must ask for lists; else an agent on their machine tells them.
     pub asked: bool,
+    /// How late its lists are, in milliseconds.
     pub late_ms: f64,
     /// Calls a second of all limiters together; 0: any number.
     pub calls_per_s: f64,
 }
 
+/// The operators' figures for the rules.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Rules {
+    /// How long after a drain a server may still get queries, in seconds.
     pub drain_grace_s: f64,
+    /// A cold server falls over at so many times what it bears.
     pub fall_multiple: f64,
+    /// The time over which that is counted, in seconds.
     pub fall_s: f64,
 }
 
@@ -137,14 +175,21 @@
     }
 }
 
+/// Queries of one kind.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Group {
+    /// Its name.
     pub name: String,
+    /// Whether they may be repeated.
     pub repeats: RetrySafety,
+    /// What one costs a server, in milliseconds.
     pub work_ms: f64,
+    /// The time within which an answer is in time, in seconds.
     pub slo_s: f64,
+    /// The time after which a client gives up, in seconds.
     pub limit_s: f64,
+    /// Its weight when load is shed.
     #[serde(default = "one_f")]
     pub importance: f64,
 }
@@ -164,16 +209,20 @@
     }
 }
 
+/// What a customer may send.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
+    /// Its name.
     pub name: String,
     /// Units a second, and at once.
     pub rate: f64,
+    /// Units on top of the rate.
     pub burst: f64,
     /// The hard ceiling; 0: none.
     #[serde(default)]
     pub ceiling_rate: f64,
+    /// Units on top of the rate limit.
     #[serde(default)]
     pub ceiling_burst: f64,
 }
@@ -182,14 +231,17 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Customers {
+    /// How many there are.
     #[serde(default = "single")]
     pub count: usize,
+    /// Their plan.
     pub plan: String,
     /// The share of all limiters that make up the set of each; 1: all.
     #[serde(default = "one_f")]
     pub spread: f64,
     /// Queries a second of each, at random moments, each through one limiter of the set.
     pub queries_per_s: f64,
+    /// Units of a query.
     #[serde(default = "one_f")]
     pub units: f64,
     /// The endpoint groups that it asks, one after another at random.
@@ -198,6 +250,7 @@
     /// The share of its queries that come through one limiter of the set, which changes every `moves_s`.
     #[serde(default)]
     pub uneven: f64,
+    /// After so many seconds they move to other limiters.
     #[serde(default)]
     pub moves_s: f64,
 }
@@ -205,6 +258,7 @@
 /// One fault of the timeline.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Fault {
+    /// When it begins, in seconds from the start.
     pub at_s: f64,
     /// How long it stands; without it, to the end or, for what happens at once, not at all.
     #[serde(default)]
@@ -212,33 +266,43 @@
     /// It comes again after so long, as often as the time allows.
     #[serde(default)]
     pub every_s: Option<f64>,
+    /// What goes wrong.
     #[serde(flatten)]
     pub what: What,
 }
 
+/// The kinds of faults.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum What {
     /// A fault on the links of some limiters.
     Link {
+        /// On which links.
         path: Path,
         /// The limiters at the one end.
         of: Which,
         /// The limiters at the other, where `path` leads to limiters; servers, where it leads to servers.
         #[serde(default)]
         to: Which,
+        /// In which direction.
         #[serde(default)]
         way: Way,
+        /// Nothing comes through.
         #[serde(default)]
         cut: bool,
+        /// The share of datagrams that are lost.
         #[serde(default)]
         lose: f64,
+        /// What is added to each, in milliseconds.
         #[serde(default)]
         delay_ms: f64,
+        /// By how much that varies, in milliseconds.
         #[serde(default)]
         jitter_ms: f64,
+        /// The share that overtakes others.
         #[serde(default)]
         reorder: f64,
+        /// The share that comes twice.
         #[serde(default)]
         twice: f64,
         /// Ends the connections that stand, at once.
@@ -246,20 +310,34 @@
         reset: bool,
     },
     /// SIGKILL; started again from nothing when it ends.
-    Kill { of: Which },
+    Kill {
+        /// The limiters.
+        of: Which,
+    },
     /// SIGTERM; started again when it ends, however long the limiter takes.
-    Term { of: Which },
+    Term {
+        /// The limiters.
+        of: Which,
+    },
     /// SIGSTOP, and SIGCONT when it ends.
-    Stall { of: Which },
+    Stall {
+        /// The limiters.
+        of: Which,
+    },
     /// Servers.
     Server {
+        /// The servers.
         of: Which,
+        /// They take so many times as long.
         #[serde(default)]
         slow: f64,
+        /// The share of queries that they answer with a failure.
         #[serde(default)]
         failing: f64,
+        /// The share of queries that they reset.
         #[serde(default)]
         resetting: f64,
+        /// They answer nothing.
         #[serde(default)]
         silent: bool,
         /// Discovery tells that it drains; it goes when the fault ends, and is back cold.
@@ -271,10 +349,13 @@
     },
     /// The shared counter.
     Counter {
+        /// It answers nothing.
         #[serde(default)]
         silent: bool,
+        /// What is added to each answer, in milliseconds.
         #[serde(default)]
         slow_ms: f64,
+        /// It turns calls away.
         #[serde(default)]
         busy: bool,
         /// Every count is lost, at once.
@@ -286,12 +367,16 @@
     },
     /// Discovery.
     Discovery {
+        /// It answers nothing.
         #[serde(default)]
         silent: bool,
+        /// How late its lists are, in milliseconds.
         #[serde(default)]
         late_ms: f64,
+        /// It answers with old lists.
         #[serde(default)]
         stale: bool,
+        /// Calls that it takes in a second.
         #[serde(default)]
         calls_per_s: f64,
     },
@@ -338,13 +423,19 @@
     }
 }
 
+/// The links between processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Path {
+    /// Between limiters.
     Limiters,
+    /// From limiters to the counter.
     Counter,
+    /// From limiters to discovery.
     Discovery,
+    /// From limiters to servers.
     Servers,
+    /// From clients to limiters.
     Front,
 }
 
@@ -352,8 +443,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Way {
+    /// From the one that connects.
     There,
+    /// To the one that connects.
     Back,
+    /// Both.
     #[default]
     Both,
 }
@@ -442,10 +536,12 @@
             .collect()
     }
 
+    /// All of them.
     pub fn all() -> Which {
         Which(vec![Piece::All])
     }
 
+    /// Whether it names none.
     pub fn is_nobody(&self) -> bool {
         self.0.is_empty()
     }
@@ -457,6 +553,7 @@
 pub struct Bounds {
     /// Units granted over the burst and what the rate brings in the whole time, all customers together.
     pub over_quota: Option<f64>,
+    /// The least share of the quotas that is granted.
     pub under_quota: Option<f64>,
     /// The most in any window beyond what the rate brings in it, over the burst.
     pub peak_over_burst: Option<f64>,
--- a/crates/aspendrum-testbed/src/sweep.rs
+++ b/crates/aspendrum-testbed/src/sweep.rs
@@ -9,7 +9,9 @@
 /// One key of a scenario and the values that it takes in turn.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Over {
+    /// The key of the scenario.
     pub key: String,
+    /// Its values.
     pub values: Vec<String>,
 }
 
--- a/crates/aspendrum-testbed/src/system/fleet.rs
+++ b/crates/aspendrum-testbed/src/system/fleet.rs
@@ -59,10 +59,15 @@
     log: PathBuf,
     disk: Option<PathBuf>,
     started: Option<Instant>,
+    /// The process, while it runs.
     pub process: Option<Process>,
 }
 
 impl Slot {
+    /// Starts it, if it does not run.
+    ///
+    /// # Errors
+    /// The error of the start.
     pub fn up(&mut self) -> io::Result<()> {
         if self.process.is_none() {
             self.process = Some(Process::start(&self.start, &self.settings, &self.log)?);
@@ -71,12 +76,17 @@
         Ok(())
     }
 
+    /// Kills it, if it runs.
     pub async fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             process.kill().await;
         }
     }
 
+    /// Removes its disk.
+    ///
+    /// # Errors
+    /// The error of the removal.
     pub fn wipe(&self) -> io::Result<()> {
         self.disk.as_ref().map_or(Ok(()), std::fs::remove_dir_all)
     }
@@ -116,15 +126,21 @@
     }
 }
 
+/// The machines of a run.
 pub struct Fleet {
+    /// What is played.
     pub scenario: Scenario,
+    /// The clock of the record.
     pub clock: Clock,
     /// Machines of control, spare ones behind the others.
     pub cores: Vec<tokio::sync::Mutex<Slot>>,
     /// By machine: the proxy and its agent.
     pub proxies: Vec<tokio::sync::Mutex<Slot>>,
+    /// The agent of each machine.
     pub agents: Vec<tokio::sync::Mutex<Slot>>,
+    /// The servers.
     pub origins: Vec<Arc<OriginServer>>,
+    /// What servers have worked on.
     pub record: Arc<ExecutionLog>,
     net: u8,
     /// Which machines of control are there, and which of them the settings name.
@@ -146,6 +162,7 @@
     _claim: TcpListener,
 }
 
+/// The name of a zone.
 pub fn zone(n: usize) -> String {
     format!("zone-{n}")
 }
@@ -155,6 +172,7 @@
     format!("region-{}", n / 2)
 }
 
+/// The names of the services.
 pub const SERVICES: [&str; 2] = ["quotes", "payouts"];
 
 impl Fleet {
@@ -285,18 +303,22 @@
         Ok(fleet)
     }
 
+    /// The address of a control node.
     pub fn core(&self, n: usize) -> Ipv4Addr {
         ip(self.net, 100, n)
     }
 
+    /// Where a control node takes operators' calls.
     pub fn ctl(&self, n: usize) -> SocketAddr {
         (self.core(n), CTL).into()
     }
 
+    /// Where a control node takes lookups.
     pub fn dir(&self, n: usize) -> SocketAddr {
         (self.core(n), DIR).into()
     }
 
+    /// Where a proxy takes requests.
     pub fn front(&self, n: usize) -> SocketAddr {
         (ip(self.net, 101, n), FRONT).into()
     }
@@ -457,6 +479,10 @@
         }
     }
 
+    /// Starts all processes, but for spare control nodes.
+    ///
+    /// # Errors
+    /// The error of a start, in words.
     pub async fn start(&self) -> Result<(), String> {
         for slot in self.cores[..self.scenario.cores]
             .iter()
@@ -546,6 +572,7 @@
         });
     }
 
+    /// Ends the cut with that number.
     pub fn heal(&self, of: &[Who], from: &[Who], one_way: bool, number: u32) {
         self.each_link(of, from, one_way, |link| link.clear_fault(number));
     }
--- a/crates/aspendrum-testbed/src/system/mod.rs
+++ b/crates/aspendrum-testbed/src/system/mod.rs
@@ -1,11 +1,14 @@
 //! The whole system as processes on loopback: machines of control, proxies and their agents, links between all of
 //! them that can be cut, stand-ins for servers, platform, operator and clients, and a judge of what those saw.
 
+pub mod client_exchange;
 pub mod clients;
 pub mod configuration;
 pub mod fleet;
+pub mod http_call;
 pub mod library;
 pub mod operator;
+pub mod outcome;
 pub mod play;
 pub mod probes;
 pub mod report;
@@ -14,4 +17,5 @@
 pub mod steps;
 pub mod tamper;
 pub mod throttle;
+mod traffic;
 pub mod usage;
--- a/crates/aspendrum-testbed/src/system/operator.rs
+++ b/crates/aspendrum-testbed/src/system/operator.rs
@@ -1,8 +1,8 @@
 //! An operator, as the protocol defines it: which answers end an order, which control node is asked next and how soon, and
 //! the record of all calls and their answers.
 
-use super::clients::{call, CALL};
 use super::fleet::Fleet;
+use super::http_call::{call, CALL_TIMEOUT};
 use aspendrum_checker::system::{ConfigText, ControlCall, OperatorCall};
 use aspendrum_checker::Millis;
 use aspendrum_fake_services::lock;
@@ -85,7 +85,14 @@
     pub async fn send_config(&self, first: usize, number: u32, text: &Arc<str>) -> OrderOutcome {
         let send = |node: usize| async move {
             let sent_at = self.fleet.clock.now();
-            let answer = call(self.fleet.ctl(node), "POST", "/api/Cfg.Set", text, CALL).await;
+            let answer = call(
+                self.fleet.ctl(node),
+                "POST",
+                "/api/Cfg.Set",
+                text,
+                CALL_TIMEOUT,
+            )
+            .await;
             let status = answer.map(|(status, _)| status);
             let call = OperatorCall::Set {
                 number,
@@ -100,7 +107,14 @@
     /// Sends a text that is not valid to one control node. Returns the status of the answer, if there was one.
     pub async fn send_invalid(&self, node: usize, number: u32, text: &Arc<str>) -> Option<u16> {
         let sent_at = self.fleet.clock.now();
-        let answer = call(self.fleet.ctl(node), "POST", "/api/Cfg.Set", text, CALL).await;
+        let answer = call(
+            self.fleet.ctl(node),
+            "POST",
+            "/api/Cfg.Set",
+            text,
+            CALL_TIMEOUT,
+        )
+        .await;
         let status = answer.map(|(status, _)| status);
         let call = OperatorCall::SetInvalid {
             number,
@@ -118,7 +132,7 @@
         );
         let path = path.as_str();
         let send = |node: usize| async move {
-            let answer = call(self.fleet.ctl(node), "POST", path, "", CALL).await;
+            let answer = call(self.fleet.ctl(node), "POST", path, "", CALL_TIMEOUT).await;
             answer.map(|(status, _)| status)
         };
         let timeout = Duration::from_secs_f64(self.fleet.scenario.terms.ack / 1000.0);
@@ -167,7 +181,7 @@
     pub async fn final_version(&self, first: usize) -> Option<u32> {
         let (started_at, mut node) = (Instant::now(), first);
         while started_at.elapsed() < CONFIG_TIMEOUT {
-            if let Some(number) = self.shown_version(node, CALL).await {
+            if let Some(number) = self.shown_version(node, CALL_TIMEOUT).await {
                 return Some(number);
             }
             sleep(INITIAL_BACKOFF).await;
--- a/crates/aspendrum-testbed/src/system/report.rs
+++ b/crates/aspendrum-testbed/src/system/report.rs
@@ -1,9 +1,10 @@
 //! What a run of the system came to, as a table.
 
-use super::play::Outcome;
+use super::outcome::Outcome;
 use super::scenario::Scenario;
 use std::fmt::Write;
 
+/// The table of a run.
 pub fn table(s: &Scenario, o: &Outcome) -> String {
     let v = &o.verdict;
     let mut out = format!("{}: {}\n\n", s.name, s.about);
@@ -29,11 +30,11 @@
     );
     line(
         "wishes of the last two seconds, served",
-        format!("{}, {}", o.last.0, o.last.1),
+        format!("{}, {}", o.last.requests, o.last.served),
     );
     line(
         "the second tenant's wishes, served",
-        format!("{}, {}", o.second.0, o.second.1),
+        format!("{}, {}", o.second_tenant.requests, o.second_tenant.served),
     );
     line("ran, and no client heard of it", v.unreported.to_string());
     line("doubled", v.count_breaches("TWICE").to_string());
--- a/crates/aspendrum-testbed/src/system/scenario.rs
+++ b/crates/aspendrum-testbed/src/system/scenario.rs
@@ -4,24 +4,30 @@
 use aspendrum_checker::Millis;
 use serde::Deserialize;
 
+/// A scenario.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
+    /// Its name.
     pub name: String,
+    /// What it is about, in a sentence.
     pub about: String,
     /// Of traffic.
     pub seconds: f64,
     /// Machines of control, and of proxies, spread over the zones in turn.
     pub cores: usize,
+    /// Machines with a proxy and an agent.
     pub edges: usize,
     /// Machines of control that are not started: each takes the place of one that is replaced.
     #[serde(default)]
     pub spares: usize,
+    /// Zones; each two are a region.
     #[serde(default = "two")]
     pub zones: usize,
     /// Of each service in each zone.
     #[serde(default = "two")]
     pub servers: usize,
+    /// Requests of all clients together, a second.
     #[serde(default = "queries")]
     pub queries_per_s: f64,
     /// A tenant's quota; 0: none.
@@ -36,17 +42,22 @@
     /// Routes in each configuration that nobody uses.
     #[serde(default)]
     pub filler_routes: usize,
+    /// What the traffic is drawn from.
     #[serde(default)]
     pub seed: u64,
+    /// How clients behave.
     #[serde(default)]
     pub habits: Habits,
     /// Proxies and agents reach each other over links of the rig; without them directly, so that there may be many.
     #[serde(default = "linked")]
     pub edge_links: bool,
+    /// The terms in the settings.
     #[serde(default)]
     pub terms: Terms,
+    /// What happens when.
     #[serde(default)]
     pub steps: Vec<Step>,
+    /// What must hold beside the rules.
     #[serde(default)]
     pub bounds: Bounds,
 }
@@ -83,15 +94,25 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Terms {
+    /// `contact-ms`: a machine counts as connected so long after a fault.
     pub contact: Millis,
+    /// `ack-ms`: how long an operator retries an order.
     pub ack: Millis,
+    /// `sync-s`: how long a machine counts as lost after its return.
     pub sync_s: f64,
+    /// `apply-ms`: a change is in force within this time.
     pub apply: Millis,
+    /// `revoked`: whether removed credentials have a bound.
     pub revoked: bool,
+    /// `revoke-ms`: that bound.
     pub revoke: Millis,
+    /// `evac-ms`: an evacuated zone gets nothing after this time.
     pub evac: Millis,
+    /// `drain-ms`: a draining server gets nothing after this time.
     pub drain: Millis,
+    /// `grace-s`: a process is killed so long after SIGTERM.
     pub grace_s: f64,
+    /// `loss-ms`: a request may be lost within this time, unless it ran.
     pub loss: Millis,
 }
 
@@ -118,7 +139,9 @@
 pub struct Habits {
     /// They close their connection before they have an answer, between these moments after they have sent.
     pub leave: f64,
+    /// They leave so long after the request at the least.
     pub leave_least_ms: Millis,
+    /// They leave so long after the request at the most.
     pub leave_most_ms: Millis,
     /// They hold an old answer and go to any proxy, whatever look-ups say now.
     pub stubborn: f64,
@@ -145,7 +168,9 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Step {
+    /// When it happens, in seconds from the start of the traffic.
     pub at_s: f64,
+    /// What happens.
     pub what: What,
     /// Machines or processes: `core 0`, `edge 1-3`, `proxy 2`, `agent 2`; servers: `origin 0-3`.
     #[serde(default)]
@@ -156,6 +181,7 @@
     /// Only what `of` says is lost, not what it hears.
     #[serde(default)]
     pub one_way: bool,
+    /// It is taken back after so many seconds.
     pub for_s: Option<f64>,
     /// Between one and the next, where several are named or counted.
     #[serde(default)]
@@ -220,6 +246,7 @@
     }
 }
 
+/// The kinds of steps.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum What {
@@ -228,6 +255,7 @@
     Move,
     /// A new configuration without the second tenant's key, or with it again.
     TakeKey,
+    /// A new configuration in which the second tenant has its key again.
     GiveKey,
     /// `count` changes, one each `gap_s` and eight under way at most, each sent until it is acknowledged.
     Changes,
@@ -241,7 +269,9 @@
     Show,
     /// Begun, and finished after `for_s`.
     Evacuate,
+    /// A zone is evacuated.
     Begin,
+    /// The evacuation of a zone ends.
     Finish,
     /// SIGKILL; up again after `for_s`, at once without it.
     Kill,
@@ -251,9 +281,11 @@
     Term,
     /// A machine of control ends for good, and a spare one with an empty disk takes its place after `for_s`.
     Replace,
+    /// SIGSTOP, and SIGCONT after `for_s`.
     Freeze,
     /// Processes run for `share` of each tenth of a second, for `for_s`.
     Throttle,
+    /// A partition.
     Cut,
     /// Configurations go wrong on their way: to an agent (`agent 1`), or from it to its proxy (`proxy 1`).
     Tamper,
@@ -264,13 +296,21 @@
     /// Servers: die (a new life after `for_s`), drain, answer 500, reset behind the work, hang, reset unread, take
     /// `times` as long, turn everything away, stand still.
     Die,
+    /// Servers drain.
     Drain,
+    /// Servers answer 500.
     Fail,
+    /// Servers reset a connection behind the work.
     Reset,
+    /// Servers do not answer.
     Hang,
+    /// Servers reset a connection unread.
     Deaf,
+    /// Servers take `times` as long.
     Slow,
+    /// Servers reject everything.
     Full,
+    /// Servers make no progress.
     Stall,
 }
 
@@ -278,6 +318,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum Form {
+    /// Nothing comes through.
     #[default]
     Silent,
     /// It begins with a reset of all connections.
@@ -292,6 +333,7 @@
 pub struct Bounds {
     /// Of all wishes, and of the once-only ones.
     pub served: Option<f64>,
+    /// Of the requests that may run once only.
     pub served_once: Option<f64>,
     /// Of the second tenant's wishes, where the first asks for more than its plan.
     pub served_second: Option<f64>,
@@ -317,14 +359,23 @@
 /// Who a step is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Who {
+    /// A control node.
     Core(usize),
+    /// A machine with a proxy and an agent.
     Edge(usize),
+    /// A proxy.
     Proxy(usize),
+    /// An agent.
     Agent(usize),
+    /// A server.
     Origin(usize),
 }
 
 impl Scenario {
+    /// Reads a scenario in TOML, and checks it.
+    ///
+    /// # Errors
+    /// What is wrong with it, in words.
     pub fn read(text: &str) -> Result<Scenario, String> {
         let s: Scenario = toml::from_str(text).map_err(|e| e.to_string())?;
         if s.cores == 0 || s.edges == 0 || s.zones == 0 || s.servers == 0 {
@@ -365,6 +416,7 @@
         self.cores + self.spares
     }
 
+    /// The zone of a machine.
     pub fn zone(&self, n: usize) -> usize {
         n % self.zones
     }
--- a/crates/aspendrum-testbed/src/system/soak.rs
+++ b/crates/aspendrum-testbed/src/system/soak.rs
@@ -1,7 +1,8 @@
 //! Soak: scenarios drawn from seeds, several troubles at a time and each more than once, under clients that keep using
 //! open connections, send ahead and leave early. The same seed draws the same scenario.
 
-use super::play::{play, Outcome};
+use super::outcome::Outcome;
+use super::play::play;
 use super::scenario::{Bounds, Form, Habits, Scenario, Step, Terms, What};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -11,7 +12,9 @@
 /// How large the drawn system is.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
+    /// Control nodes.
     pub cores: usize,
+    /// Machines with a proxy and an agent.
     pub edges: usize,
     /// Of traffic.
     pub seconds: f64,
--- a/crates/aspendrum-testbed/src/system/steps.rs
+++ b/crates/aspendrum-testbed/src/system/steps.rs
@@ -1,4 +1,4 @@
-//! What happens in a run, step by step: the operator's orders, and the troubles.
+//! What happens in a run, step by step: the operator's orders, and the faults.
 
 use super::configuration::{self, CONFIG_FAULTS};
 use super::fleet::{Fleet, Slot, SERVICES};
@@ -17,27 +17,35 @@
 use tokio::time::sleep;
 
 /// A process that got SIGTERM has ended by then: the platform would kill it.
-const ENDED: Duration = Duration::from_secs(10);
+const END_TIMEOUT: Duration = Duration::from_secs(10);
 /// Between two looks whether a process has ended.
-const LOOK: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Orders that are under way at once.
-const AT_ONCE: usize = 8;
+const MAX_IN_FLIGHT: usize = 8;
 
 /// What the operator has decided, and what went wrong for whom.
 #[derive(Default)]
-pub struct Book {
+pub struct RunLog {
+    /// All configurations that were sent.
     pub versions: Vec<ConfigVersion>,
+    /// All orders about zones.
     pub evacuations: Vec<Evacuation>,
-    pub troubles: Vec<ProxyFault>,
+    /// When proxies were faulty, or cut off.
+    pub faults: Vec<ProxyFault>,
+    /// What went wrong with the run itself.
     pub failures: Vec<String>,
+    /// When proxies were started again.
     pub restarts: Vec<ProxyRestart>,
 }
 
-pub struct Run {
+/// The steps of a run, and what they leave behind.
+pub struct ScenarioRun {
     fleet: Arc<Fleet>,
+    /// The operator.
     pub operator: Operator,
+    /// Probes of added routes.
     pub probes: Arc<Probes>,
-    book: Mutex<Book>,
+    log: Mutex<RunLog>,
 }
 
 fn core(who: &Who) -> Option<usize> {
@@ -53,19 +61,20 @@
     v.routes[1].service = SERVICES[other].into();
 }
 
-impl Run {
-    pub fn new(fleet: Arc<Fleet>) -> Run {
-        Run {
+impl ScenarioRun {
+    /// Nothing has happened yet.
+    pub fn new(fleet: Arc<Fleet>) -> ScenarioRun {
+        ScenarioRun {
             operator: Operator::new(fleet.clone()),
             probes: Arc::default(),
             fleet,
-            book: Mutex::default(),
+            log: Mutex::default(),
         }
     }
 
     /// All of it, taken out.
-    pub fn book(&self) -> Book {
-        std::mem::take(&mut *lock(&self.book))
+    pub fn take_log(&self) -> RunLog {
+        std::mem::take(&mut *lock(&self.log))
     }
 
     fn now(&self) -> Millis {
@@ -74,8 +83,8 @@
 
     /// The next configuration, as the last one with that done to it. A number of its own, unless told otherwise.
     fn next(&self, number: Option<u32>, how: impl FnOnce(&mut ConfigVersion)) -> ConfigVersion {
-        let mut book = lock(&self.book);
-        let mut next = book
+        let mut log = lock(&self.log);
+        let mut next = log
             .versions
             .last()
             .cloned()
@@ -99,12 +108,12 @@
                 ..ConfigVersion::default()
             });
         // Versions go up in steps that are not even.
-        let newest = book.versions.iter().map(|v| v.number).max().unwrap_or(0);
+        let newest = log.versions.iter().map(|v| v.number).max().unwrap_or(0);
         next.number = number.unwrap_or(newest + if newest % 2 == 0 { 3 } else { 2 });
         (next.sent_at, next.acknowledged_at) = (self.now(), None);
         how(&mut next);
         next.text = configuration::text(&self.fleet.scenario, &next).into();
-        book.versions.push(next.clone());
+        log.versions.push(next.clone());
         next
     }
 
@@ -121,9 +130,9 @@
     async fn send(&self, first: usize, v: &ConfigVersion) -> OrderOutcome {
         let came = self.operator.send_config(first, v.number, &v.text).await;
         if let OrderOutcome::Acknowledged(at) = came {
-            let mut book = lock(&self.book);
+            let mut log = lock(&self.log);
             let same = |k: &&mut ConfigVersion| k.number == v.number && k.text == v.text;
-            if let Some(known) = book.versions.iter_mut().find(same) {
+            if let Some(known) = log.versions.iter_mut().find(same) {
                 known.acknowledged_at.get_or_insert(at);
             }
         }
@@ -132,7 +141,7 @@
 
     /// Many changes, in their order, eight under way at most: each goes to another machine first.
     async fn changes(&self, first: usize, step: &Step) {
-        let under_way = Semaphore::new(AT_ONCE);
+        let under_way = Semaphore::new(MAX_IN_FLIGHT);
         let one = |n: usize| {
             let under_way = &under_way;
             async move {
@@ -150,7 +159,7 @@
                     self.change(first, |_| {}).await
                 };
                 if let (number, OrderOutcome::Refused(_) | OrderOutcome::Unclear) = outcome {
-                    self.note(&format!("the change {number:08x} was not acknowledged"));
+                    self.record_failure(&format!("the change {number:08x} was not acknowledged"));
                 }
             }
         };
@@ -181,8 +190,8 @@
     async fn invalid_changes(&self, first: usize, step: &Step) {
         for n in 0..step.count {
             let (number, text) = {
-                let book = lock(&self.book);
-                let Some(last) = book.versions.last() else {
+                let log = lock(&self.log);
+                let Some(last) = log.versions.last() else {
                     return;
                 };
                 let mut version = last.clone();
@@ -211,7 +220,7 @@
             });
             let (a, b) = tokio::join!(self.send(one, &a), self.send(other, &b));
             if [a, b].contains(&OrderOutcome::Unclear) {
-                self.note(&format!(
+                self.record_failure(&format!(
                     "the race {round} ended without a clear answer: {a:?}, {b:?}"
                 ));
             }
@@ -221,7 +230,7 @@
 
     /// One after the other, all that was ever sent or the last alone, each until it is answered.
     async fn resend(&self, first: usize, all: bool) {
-        let mut sent = lock(&self.book).versions.clone();
+        let mut sent = lock(&self.log).versions.clone();
         sent.drain(..if all { 0 } else { sent.len().saturating_sub(1) });
         for v in &sent {
             self.send(first, v).await;
@@ -230,7 +239,7 @@
 
     async fn replace(&self, old: usize, step: &Step) {
         let Some(new) = self.fleet.replace(old, step.seeds) else {
-            return self.note("there is no spare machine of control");
+            return self.record_failure("there is no spare machine of control");
         };
         if step.killed {
             self.fleet.cores[old].lock().await.kill().await;
@@ -239,14 +248,14 @@
         }
         sleep(Duration::from_secs_f64(step.for_s.unwrap_or_default())).await;
         if let Err(e) = self.fleet.settings(false).await {
-            self.note(&format!("the settings: {e}"));
+            self.record_failure(&format!("the settings: {e}"));
         }
         // Whoever starts now reads them as they are.
         if step.seeds {
             self.reload().await;
         }
         if let Err(e) = self.fleet.cores[new].lock().await.up() {
-            self.note(&format!("core {new}: {e}"));
+            self.record_failure(&format!("core {new}: {e}"));
         }
     }
 
@@ -261,12 +270,13 @@
             .await;
     }
 
-    pub fn note(&self, what: &str) {
-        lock(&self.book).failures.push(what.to_string());
+    /// Something went wrong with the run itself.
+    pub fn record_failure(&self, what: &str) {
+        lock(&self.log).failures.push(what.to_string());
     }
 
     /// Whoever is out of touch by this, from now on until `to`.
-    fn trouble(&self, of: &[Who], to: Millis) {
+    fn record_fault(&self, of: &[Who], to: Millis) {
         let from = self.now();
         let cores = of.iter().filter(|w| matches!(w, Who::Core(_))).count();
         let edges = of.iter().filter_map(|w| match w {
@@ -275,14 +285,15 @@
         });
         // Fewer than half of control must do no harm.
         let all = (2 * cores >= self.fleet.scenario.cores).then_some(None);
-        let troubles = edges.chain(all).map(|front| ProxyFault {
+        let faults = edges.chain(all).map(|front| ProxyFault {
             proxy: front,
             from,
             to,
         });
-        lock(&self.book).troubles.extend(troubles);
+        lock(&self.log).faults.extend(faults);
     }
 
+    /// Carries out a step, and takes it back after its time.
     pub async fn step(&self, number: u32, step: &Step, of: &[Who], from: Vec<Who>) {
         let first = of.first().and_then(core).unwrap_or(0);
         let lasts = step.for_s.map(Duration::from_secs_f64);
@@ -318,7 +329,7 @@
                     .await;
             }
             What::Replace => {
-                self.trouble(of, over + self.fleet.scenario.terms.contact);
+                self.record_fault(of, over + self.fleet.scenario.terms.contact);
                 let replace = |who: Who| async move {
                     if let Some(old) = core(&who) {
                         self.replace(old, step).await;
@@ -327,14 +338,14 @@
                 self.each(of, step.gap_s, replace).await;
             }
             What::Kill | What::Wipe => {
-                self.trouble(of, over + self.fleet.scenario.terms.contact);
+                self.record_fault(of, over + self.fleet.scenario.terms.contact);
                 let wipe = step.what == What::Wipe;
                 self.each(of, step.gap_s, |who| self.kill(who, wipe, lasts))
                     .await;
             }
             What::Term => self.each(of, step.gap_s, |who| self.term(who)).await,
             What::Freeze => {
-                self.trouble(of, over);
+                self.record_fault(of, over);
                 self.signal(of, Signal::SIGSTOP).await;
                 sleep(lasts.unwrap_or_default()).await;
                 self.signal(of, Signal::SIGCONT).await;
@@ -342,7 +353,7 @@
             What::Throttle => {
                 let lasts = lasts.unwrap_or_default();
                 let errors = throttle(&self.fleet, of, step.share, lasts).await;
-                errors.iter().for_each(|error| self.note(error));
+                errors.iter().for_each(|error| self.record_failure(error));
             }
             What::Cut => {
                 let from = if from.is_empty() {
@@ -350,13 +361,13 @@
                 } else {
                     from
                 };
-                self.trouble(of, over);
+                self.record_fault(of, over);
                 self.fleet.cut(of, &from, step.one_way, step.form, number);
                 sleep(lasts.unwrap_or_default()).await;
                 self.fleet.heal(of, &from, step.one_way, number);
             }
             What::Tamper => {
-                self.trouble(of, over);
+                self.record_fault(of, over);
                 of.iter().for_each(|who| self.fleet.tamper(*who, step.how));
                 sleep(lasts.unwrap_or_default()).await;
                 of.iter().for_each(|who| self.fleet.tamper(*who, None));
@@ -364,7 +375,7 @@
             What::Seeds => {
                 self.fleet.name_seeds(of.iter().filter_map(core).collect());
                 if let Err(e) = self.fleet.settings(false).await {
-                    self.note(&format!("the settings: {e}"));
+                    self.record_failure(&format!("the settings: {e}"));
                 }
                 self.reload().await;
             }
@@ -419,7 +430,7 @@
     fn record_restart(&self, who: Who) {
         if let Who::Edge(proxy) | Who::Proxy(proxy) = who {
             let at = self.now();
-            lock(&self.book).restarts.push(ProxyRestart { proxy, at });
+            lock(&self.log).restarts.push(ProxyRestart { proxy, at });
         }
     }
 
@@ -434,7 +445,7 @@
             let mut slot = slot.lock().await;
             let wiped = if wipe { slot.wipe() } else { Ok(()) };
             if let Err(e) = wiped.and_then(|()| slot.up()) {
-                self.note(&format!("{who:?}: {e}"));
+                self.record_failure(&format!("{who:?}: {e}"));
             }
         }
     }
@@ -444,7 +455,7 @@
         for slot in self.fleet.slots(who) {
             self.stop(who, slot).await;
             if let Err(e) = slot.lock().await.up() {
-                self.note(&format!("{who:?}: {e}"));
+                self.record_failure(&format!("{who:?}: {e}"));
             }
         }
     }
@@ -452,13 +463,13 @@
     /// SIGTERM, and its end waited for. It may be signalled, stopped and killed meanwhile.
     async fn stop(&self, who: Who, slot: &tokio::sync::Mutex<Slot>) {
         while slot.lock().await.young() {
-            sleep(LOOK).await;
+            sleep(POLL_INTERVAL).await;
         }
         let (told, id) = {
             let held = slot.lock().await;
             (held.signal(Signal::SIGTERM), held.id())
         };
-        let until = tokio::time::Instant::now() + ENDED;
+        let until = tokio::time::Instant::now() + END_TIMEOUT;
         loop {
             let mut held = slot.lock().await;
             // Another one may have waited for the same end, and have started it again.
@@ -468,23 +479,23 @@
             if let Some(how) = process.exit_status() {
                 held.process = None;
                 if !how.success() {
-                    self.note(&format!("{who:?} did not end in order: {told:?} {how:?}"));
+                    self.record_failure(&format!("{who:?} did not end in order: {told:?} {how:?}"));
                 }
                 return;
             }
             if tokio::time::Instant::now() >= until {
-                self.note(&format!("{who:?} did not end: {told:?}"));
+                self.record_failure(&format!("{who:?} did not end: {told:?}"));
                 return held.kill().await;
             }
             drop(held);
-            sleep(LOOK).await;
+            sleep(POLL_INTERVAL).await;
         }
     }
 
     async fn signal(&self, of: &[Who], signal: Signal) {
         for slot in of.iter().flat_map(|who| self.fleet.slots(*who)) {
             if let Err(e) = slot.lock().await.signal(signal) {
-                self.note(&format!("{signal}: {e}"));
+                self.record_failure(&format!("{signal}: {e}"));
             }
         }
     }
@@ -492,7 +503,7 @@
     async fn evacuate(&self, first: usize, zone: &str, on: bool) {
         let (sent, ended, zone) = (self.now(), f64::INFINITY, zone.to_string());
         let at = {
-            let orders = &mut lock(&self.book).evacuations;
+            let orders = &mut lock(&self.log).evacuations;
             orders.push(Evacuation {
                 zone: zone.clone(),
                 is_evacuated: on,
@@ -505,9 +516,9 @@
         let came = self.operator.evacuate(first, &zone, on).await;
         let ended = self.now();
         if came == OrderOutcome::Unclear || matches!(came, OrderOutcome::Refused(_)) {
-            self.note(&format!("the evacuation of {zone}, begun {on}: {came:?}"));
+            self.record_failure(&format!("the evacuation of {zone}, begun {on}: {came:?}"));
         }
-        let order = &mut lock(&self.book).evacuations[at];
+        let order = &mut lock(&self.log).evacuations[at];
         order.ended_at = ended;
         if let OrderOutcome::Acknowledged(acked) = came {
             order.acknowledged_at = Some(acked);
@@ -535,7 +546,7 @@
         for origin in self.named(of) {
             if step.what == What::Die {
                 if let Err(e) = origin.restart().await {
-                    self.note(&format!("a server: {e}"));
+                    self.record_failure(&format!("a server: {e}"));
                 }
             }
             // Others may ail it still.
--- /dev/null
+++ b/crates/aspendrum-testbed/tests/client_requests.rs
@@ -0,0 +1,36 @@
+//! What the testbed's clients send, by the names of the protocol: a header under another name tests nothing.
+
+use aspendrum_testbed::system::client_exchange::{request_text, RequestPlan};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Danger: after a renaming the clients sent `Budget-Millis`, which no proxy reads, and no proxy knew when they give up.
+#[test]
+fn a_request_bears_the_headers_of_the_protocol() {
+    let until = Instant::now() + Duration::from_secs(2);
+    let text = request_text(0xab, RequestPlan::simple(0), until);
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    let mut lines = head.split("\r\n");
+    assert_eq!(lines.next(), Some("GET /quote/x HTTP/1.1"));
+    let headers: Vec<(&str, &str)> = lines.map(|l| l.split_once(": ").unwrap()).collect();
+    let names: Vec<&str> = headers.iter().map(|(name, _)| *name).collect();
+    assert_eq!(
+        names,
+        [
+            "Host",
+            "Try-Id",
+            "Budget-Ms",
+            "Credential",
+            "Content-Length"
+        ]
+    );
+    assert_eq!(headers[1].1, "00000000000000ab");
+    let budget: u64 = headers[2].1.parse().unwrap();
+    assert!((1..=2000).contains(&budget));
+    assert_eq!((headers[4].1, body), ("0", ""));
+    let once_only = RequestPlan {
+        is_once_only: true,
+        ..RequestPlan::simple(1)
+    };
+    assert!(request_text(1, once_only, until).starts_with("POST /send/x HTTP/1.1\r\n"));
+}
