testbed: an added route is in force from the first request on that a proxy serves

Each proxy is asked for the first route that it has not served, not for the newest: a proxy that lags behind a storm was counted as if it had nothing of it. The time runs to when that request was sent.

--- a/crates/aspendrum-testbed/src/system/clients.rs
+++ b/crates/aspendrum-testbed/src/system/clients.rs
@@ -149,7 +149,7 @@
         result
     }
 
-    /// Asks one proxy for a route that may be repeated, once: how that ended, and when.
+    /// Asks one proxy for a route that may be repeated, once: how that ended, and when it was sent.
     pub async fn probe(&self, proxy: usize, route: usize) -> (AttemptOutcome, Millis) {
         let address = self.fleet.front(proxy);
         let chosen = ChosenProxy {
@@ -158,9 +158,10 @@
             open: self.take_idle(address),
         };
         let (id, until) = (self.draw_id(), Instant::now() + DEADLINE);
+        let sent_at = self.now();
         let plan = RequestPlan::simple(route);
         let result = self.attempt(plan, chosen, id, id, until).await;
-        (result.outcome, self.now())
+        (result.outcome, sent_at)
     }
 
     /// Exchanges on the open connection, or on a new one. A connection that can be used again is kept.
--- a/crates/aspendrum-testbed/src/system/probes.rs
+++ b/crates/aspendrum-testbed/src/system/probes.rs
@@ -1,5 +1,5 @@
-//! Probes of added routes: each proxy is asked for the newest route that an operator was told is there, until it serves it,
-//! and for older ones after that. They show when a configuration is in force at each proxy, and that none goes back.
+//! Probes of added routes: each proxy is asked for the first route that an operator was told is there and that it has not
+//! served yet, until it serves it, and for older ones after that. They show when a configuration is in force at each proxy, and that none goes back.
 
 use super::clients::Clients;
 use aspendrum_checker::system::{AttemptOutcome, Record};
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// Between two probes of a proxy that does not serve the newest route yet.
+/// Between two probes of a proxy that does not serve a route yet.
 const UNSERVED_INTERVAL: Duration = Duration::from_millis(50);
 /// Between two probes of one that does.
 const SERVED_INTERVAL: Duration = Duration::from_millis(500);
@@ -33,7 +33,7 @@
     pub proxy: usize,
     /// When the route was acknowledged.
     pub acknowledged_at: Millis,
-    /// When the proxy served it, or a newer one, first.
+    /// When the first request was sent that the proxy served.
     pub served_at: Millis,
 }
 
@@ -61,33 +61,29 @@
         let (mut served, mut changes) = (0, self.added.subscribe());
         while !self.is_over.load(Ordering::Relaxed) {
             let added = changes.borrow_and_update().clone();
-            let is_served = served == added.len();
-            let next = match added.last() {
-                Some(newest) if !is_served => Some(*newest),
-                _ => choose(&added),
-            };
-            if let Some(AddedRoute { route, .. }) = next {
-                let (outcome, at) = clients.probe(proxy, route).await;
-                if outcome == AttemptOutcome::Answered && !is_served {
-                    self.record(proxy, &added[served..], at);
-                    served = added.len();
+            if let Some(next) = added.get(served) {
+                let (outcome, sent_at) = clients.probe(proxy, next.route).await;
+                if outcome == AttemptOutcome::Answered {
+                    self.record(proxy, next, sent_at);
+                    served += 1;
+                } else {
+                    sleep(UNSERVED_INTERVAL).await;
                 }
+                continue;
             }
-            if served == added.len() {
-                let _ = timeout(SERVED_INTERVAL, changes.changed()).await;
-            } else {
-                sleep(UNSERVED_INTERVAL).await;
+            if let Some(known) = choose(&added) {
+                clients.probe(proxy, known.route).await;
             }
+            let _ = timeout(SERVED_INTERVAL, changes.changed()).await;
         }
     }
 
-    fn record(&self, proxy: usize, added: &[AddedRoute], served_at: Millis) {
-        let in_force = added.iter().map(|added| InForce {
+    fn record(&self, proxy: usize, added: &AddedRoute, served_at: Millis) {
+        lock(&self.in_force).push(InForce {
             proxy,
             acknowledged_at: added.acknowledged_at,
             served_at,
         });
-        lock(&self.in_force).extend(in_force);
     }
 
     /// The time from each acknowledgement to the last connected proxy that serves the route, in milliseconds, in the order of
