--- a/crates/aspendrum-proxy/src/request/filter.rs
+++ b/crates/aspendrum-proxy/src/request/filter.rs
@@ -49,24 +49,17 @@
     } else {
         ConnectionPolicy::KeepAlive
     };
-    let refuse = |status, try_id: &str| ClientResponse::generated(status, try_id, None, policy);
-    let head = RequestHead::parse(request).ok_or_else(|| refuse(400, ""))?;
-    // What an outdated table does not allow may have been allowed since, and a client does not come again after these.
-    let refuse_if_current = |status| {
-        if state.is_current() {
-            refuse(status, head.try_id)
-        } else {
-            ClientResponse::send_elsewhere(head.try_id)
-        }
-    };
+    let head = RequestHead::parse(request);
+    let head = head.ok_or_else(|| ClientResponse::generated(400, "", None, policy))?;
+    let refuse = |status| refuse_if_current(state, head.try_id, status, policy);
     let has_path = request.path.starts_with('/');
     let snapshot = state.dispatcher.snapshot().filter(|_| has_path);
     let snapshot = snapshot.ok_or_else(|| ClientResponse::send_elsewhere(head.try_id))?;
     let route = snapshot.config.route(head.host, &request.path);
-    let route = route.ok_or_else(|| refuse_if_current(404))?;
+    let route = route.ok_or_else(|| refuse(404))?;
     let rule = &snapshot.config.routes[route];
     let tenant = find_tenant(&snapshot, rule, head.credential);
-    let tenant = tenant.map_err(|Unauthorized| refuse_if_current(401))?;
+    let tenant = tenant.map_err(|Unauthorized| refuse(401))?;
     // A credential may have been revoked without this proxy's knowledge: the lease says that none was, up to now.
     let is_authentic = tenant.is_none() || state.credentials_are_valid();
     // A request may belong elsewhere by now, and another proxy knows where. One that may be repeated goes on.
@@ -90,6 +83,21 @@
     })
 }
 
+/// Refuses a request for good by what is in force. What an outdated table does not allow may have been allowed since, and a
+/// client does not come again after such an answer: it is sent elsewhere.
+fn refuse_if_current(
+    state: &ProxyState,
+    try_id: &str,
+    status: u16,
+    policy: ConnectionPolicy,
+) -> ClientResponse {
+    if state.is_current() {
+        ClientResponse::generated(status, try_id, None, policy)
+    } else {
+        ClientResponse::send_elsewhere(try_id)
+    }
+}
+
 /// The request bears no credential of a tenant, and its route needs one.
 struct Unauthorized;
 
--- a/crates/aspendrum-testbed/src/main.rs
+++ b/crates/aspendrum-testbed/src/main.rs
@@ -320,11 +320,12 @@
 }
 
 fn whole(name: &str, out: &std::path::Path) -> Result<bool, String> {
-    let scenario = system::library::scenario(name)?;
+    let scenario = system::library::scenario(name).map_err(|e| e.to_string())?;
     let folder = out.join(&scenario.name);
     // Disks of an earlier run would make this one no first start.
     let _ = std::fs::remove_dir_all(&folder);
-    let outcome = system::play::play(&scenario, &folder, &|text| eprintln!("{text}"))?;
+    let outcome = system::play::play(&scenario, &folder, &|text| eprintln!("{text}"));
+    let outcome = outcome.map_err(|e| e.to_string())?;
     print!("{}", system::report::table(&scenario, &outcome));
     Ok(outcome.broken(&scenario).is_empty())
 }
--- a/crates/aspendrum-testbed/src/system/library.rs
+++ b/crates/aspendrum-testbed/src/system/library.rs
@@ -1,5 +1,6 @@
 //! The scenarios of the system that come with the rig.
 
+use super::error::ScenarioError;
 use super::scenario::Scenario;
 use crate::library::{describe_all, find_text};
 
@@ -63,8 +64,11 @@
 }
 
 /// A scenario, by its name or from a file.
-pub fn scenario(name: &str) -> Result<Scenario, String> {
-    Scenario::read(&find_text(&all(), name).map_err(|e| e.to_string())?)
+///
+/// # Errors
+/// [`ScenarioError`] if there is none of that name, or it is refused.
+pub fn scenario(name: &str) -> Result<Scenario, ScenarioError> {
+    Scenario::read(&find_text(&all(), name).map_err(ScenarioError::Unknown)?)
 }
 
 /// A line for each.
--- a/crates/aspendrum-testbed/src/system/outcome.rs
+++ b/crates/aspendrum-testbed/src/system/outcome.rs
@@ -1,6 +1,6 @@
 //! What came of a run: the checker's verdict, figures, and the bounds of the scenario that were passed.
 
-use super::scenario::Scenario;
+use super::scenario::{Bounds, Scenario};
 use super::usage::Usage;
 use aspendrum_checker::system::{
     check, count_disconnects, Attempt, AttemptOutcome, DisconnectCounts, Record, Verdict,
@@ -142,67 +142,88 @@
 
     /// Every failure, broken rule and passed bound, in words.
     pub fn broken(&self, s: &Scenario) -> Vec<String> {
-        let (v, b) = (&self.verdict, &s.bounds);
-        let mut all = self.failures.clone();
-        all.extend(v.breaches.iter().map(|b| format!("rule {b}")));
-        let mut least = |name: &str, value: f64, least: Option<f64>| {
-            let short = least.filter(|least| value < *least);
-            all.extend(short.map(|least| format!("{name} is {value:.3}, and must be {least}")));
+        let rules = self.verdict.breaches.iter();
+        let rules = rules.map(|breach| format!("rule {breach}"));
+        self.failures
+            .iter()
+            .cloned()
+            .chain(rules)
+            .chain(self.low_shares(&s.bounds))
+            .chain(self.high_counts(&s.bounds))
+            .chain(self.long_times(&s.bounds))
+            .collect()
+    }
+
+    /// Shares of requests that were served, below their bounds.
+    fn low_shares(&self, bounds: &Bounds) -> Vec<String> {
+        let shares = [
+            ("the share served", self.verdict.all.share(), bounds.served),
+            (
+                "the share of once-only requests served",
+                self.verdict.once_only.share(),
+                bounds.served_once,
+            ),
+            (
+                "the share served in the end",
+                self.last.share(),
+                bounds.served_last,
+            ),
+            (
+                "the share of the second tenant",
+                self.second_tenant.share(),
+                bounds.served_second,
+            ),
+        ];
+        let is_low = |(name, share, least): &(&str, f64, Option<f64>)| {
+            let least = least.filter(|least| share < least)?;
+            Some(format!("{name} is {share:.3}, and must be {least}"))
+        };
+        shares.iter().filter_map(is_low).collect()
+    }
+
+    /// Numbers above their bounds.
+    fn high_counts(&self, bounds: &Bounds) -> Vec<String> {
+        let lost = self.verdict.count(AttemptOutcome::Lost) as u64;
+        let unready = self.verdict.count(AttemptOutcome::NotRun(503)) as u64;
+        let counts = [
+            ("connections were lost", lost, bounds.lost.map(|n| n as u64)),
+            (
+                "attempts were refused with 503",
+                unready,
+                bounds.unready.map(|n| n as u64),
+            ),
+            (
+                "violations of invariants",
+                self.violations,
+                bounds.violations,
+            ),
+        ];
+        let is_high = |(name, count, most): &(&str, u64, Option<u64>)| {
+            let most = most.filter(|most| count > most)?;
+            Some(format!("{count} {name}, and {most} may be"))
         };
-        least("the share served", v.all.share(), b.served);
-        least(
-            "the share of once-only wishes served",
-            v.once_only.share(),
-            b.served_once,
-        );
-        least(
-            "the share served in the end",
-            self.last.share(),
-            b.served_last,
-        );
-        least(
-            "the share of the second tenant",
-            self.second_tenant.share(),
-            b.served_second,
-        );
-        let refused = self.refusals();
-        let late = b.refused_ms.filter(|most| refused > *most);
-        all.extend(
-            late.map(|most| format!("refusals take {refused:.0} ms, and may take {most:.0}")),
-        );
-        let mut most = |name: &str, n: usize, most: Option<usize>| {
-            let over = most.filter(|most| n > *most);
-            all.extend(over.map(|most| format!("{n} {name}, and {most} may be")));
+        counts.iter().filter_map(is_high).collect()
+    }
+
+    /// Times above their bounds.
+    fn long_times(&self, bounds: &Bounds) -> Vec<String> {
+        let times = [
+            ("refusals take", self.refusals(), bounds.refused_ms),
+            (
+                "an added route was in force everywhere after",
+                self.times_in_force().1,
+                bounds.in_force_ms,
+            ),
+            (
+                "an acknowledgement took",
+                self.acknowledged().1,
+                bounds.acked_ms,
+            ),
+        ];
+        let is_long = |(name, time, most): &(&str, Millis, Option<Millis>)| {
+            let most = most.filter(|most| time > most)?;
+            Some(format!("{name} {time:.0} ms, and {most:.0} are allowed"))
         };
-        most(
-            "connections were lost",
-            v.count(AttemptOutcome::Lost),
-            b.lost,
-        );
-        most(
-            "tries were refused with 503",
-            v.count(AttemptOutcome::NotRun(503)),
-            b.unready,
-        );
-        let over = b.violations.filter(|most| self.violations > *most);
-        all.extend(over.map(|most| {
-            format!(
-                "{} violations of invariants, and {most} may be",
-                self.violations
-            )
-        }));
-        let in_force = self.times_in_force().1;
-        let late = b.in_force_ms.filter(|most| in_force > *most);
-        all.extend(late.map(|most| {
-            format!("an added route was in force everywhere after {in_force:.0} ms, and {most:.0} are allowed")
-        }));
-        let acked = self.acknowledged().1;
-        let late = b.acked_ms.filter(|most| acked > *most);
-        all.extend(
-            late.map(|most| {
-                format!("an acknowledgement took {acked:.0} ms, and may take {most:.0}")
-            }),
-        );
-        all
+        times.iter().filter_map(is_long).collect()
     }
 }
--- a/crates/aspendrum-testbed/src/system/play.rs
+++ b/crates/aspendrum-testbed/src/system/play.rs
@@ -1,6 +1,7 @@
 //! One run of a scenario: the system started, traffic, the steps at their times, the record and its verdict.
 
 use super::clients::Clients;
+use super::error::SystemError;
 use super::fleet::Fleet;
 use super::http_call::{call, CALL_TIMEOUT};
 use super::outcome::{Outcome, RunReport};
@@ -28,20 +29,20 @@
 /// Plays a scenario on a runtime of its own. An interrupt ends it like any other failure: with all it has started.
 ///
 /// # Errors
-/// Why the run could not be made, in words.
+/// [`SystemError`] if the run could not be made.
 pub fn play(
     scenario: &Scenario,
     folder: &Path,
     progress: &(dyn Fn(&str) + Sync),
-) -> Result<Outcome, String> {
+) -> Result<Outcome, SystemError> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build();
-    let runtime = runtime.map_err(|e| format!("the runtime: {e}"))?;
+    let runtime = runtime.map_err(SystemError::Runtime)?;
     runtime.block_on(async {
         tokio::select! {
             done = run(scenario, folder, progress) => done,
-            _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
+            _ = tokio::signal::ctrl_c() => Err(SystemError::Interrupted),
         }
     })
 }
@@ -50,7 +51,7 @@
     s: &Scenario,
     folder: &Path,
     progress: &(dyn Fn(&str) + Sync),
-) -> Result<Outcome, String> {
+) -> Result<Outcome, SystemError> {
     progress(&format!(
         "{} cores, {} proxies, {} servers start",
         s.cores,
@@ -84,16 +85,23 @@
     fleet: &Fleet,
     run: &ScenarioRun,
     folder: &Path,
-) -> Result<(), String> {
+) -> Result<(), SystemError> {
     fleet.start().await?;
     run.change(0, |_| {}).await;
     for proxy in 0..s.edges {
-        ready(fleet, proxy)
-            .await
-            .map_err(|e| format!("{e}\n{}", folder.display()))?;
+        if !is_ready(fleet, proxy).await {
+            return Err(SystemError::NotReady {
+                proxy,
+                timeout: READY_TIMEOUT,
+                logs: folder.to_path_buf(),
+            });
+        }
     }
     // Only a first start of the whole system is one.
-    fleet.settings(false).await.map_err(|e| e.to_string())
+    fleet
+        .write_settings(false)
+        .await
+        .map_err(SystemError::Settings)
 }
 
 /// The traffic is over.
@@ -108,7 +116,7 @@
     fleet: &Fleet,
     run: &Arc<ScenarioRun>,
     clients: &Arc<Clients>,
-) -> Result<TrafficEnd, String> {
+) -> Result<TrafficEnd, SystemError> {
     let mut probes = start_probes(s, run, clients);
     let used_before = Usage::of(fleet).await;
     let start = Instant::now();
@@ -143,7 +151,7 @@
     s: &Scenario,
     run: &Arc<ScenarioRun>,
     start: Instant,
-) -> Result<JoinSet<()>, String> {
+) -> Result<JoinSet<()>, SystemError> {
     let mut steps = JoinSet::new();
     for (number, step) in (1..).zip(s.steps.iter().cloned()) {
         let (run, of, others) = (run.clone(), s.who(&step.of)?, s.who(&step.from)?);
@@ -241,17 +249,23 @@
     }
 }
 
-async fn ready(fleet: &Fleet, n: usize) -> Result<(), String> {
+/// Waits until a proxy is ready. Returns false if it is not in time.
+async fn is_ready(fleet: &Fleet, proxy: usize) -> bool {
     let started_at = Instant::now();
-    let mut at = fleet.front(n);
-    at.set_port(at.port() + 1);
     while started_at.elapsed() < READY_TIMEOUT {
-        if let Some((200, _)) = call(at, "GET", "/api/readyz", "", CALL_TIMEOUT).await {
-            return Ok(());
+        let page = call(
+            fleet.readiness(proxy),
+            "GET",
+            "/api/readyz",
+            "",
+            CALL_TIMEOUT,
+        );
+        if let Some((200, _)) = page.await {
+            return true;
         }
         sleep(POLL_INTERVAL).await;
     }
-    Err(format!("the proxy {n} was not ready in {READY_TIMEOUT:?}"))
+    false
 }
 
 /// Ends everything, and says what had ended by itself, and how many violations of invariants proxies have told.
--- a/crates/aspendrum-testbed/src/system/scenario.rs
+++ b/crates/aspendrum-testbed/src/system/scenario.rs
@@ -1,9 +1,14 @@
 //! A scenario of the system: its size, its terms, what happens when, and what must hold in the end.
 
+use super::error::ScenarioError;
 use super::tamper::Tampering;
 use aspendrum_checker::Millis;
 use serde::Deserialize;
 
+/// More machines than these are not played.
+const MAX_CORES: usize = 100;
+const MAX_EDGES: usize = 150;
+
 /// A scenario.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -375,40 +380,55 @@
     /// Reads a scenario in TOML, and checks it.
     ///
     /// # Errors
-    /// What is wrong with it, in words.
-    pub fn read(text: &str) -> Result<Scenario, String> {
-        let s: Scenario = toml::from_str(text).map_err(|e| e.to_string())?;
-        if s.cores == 0 || s.edges == 0 || s.zones == 0 || s.servers == 0 {
-            return Err(format!(
-                "{}: cores, edges, zones and servers must be 1 or more",
-                s.name
-            ));
+    /// [`ScenarioError`] names the first fault.
+    pub fn read(text: &str) -> Result<Scenario, ScenarioError> {
+        let scenario: Scenario =
+            toml::from_str(text).map_err(|e| ScenarioError::Unreadable(Box::new(e)))?;
+        scenario.check_size()?;
+        scenario.check_steps()?;
+        Ok(scenario)
+    }
+
+    fn check_size(&self) -> Result<(), ScenarioError> {
+        if self.cores == 0 || self.edges == 0 || self.zones == 0 || self.servers == 0 {
+            return Err(ScenarioError::Empty(self.name.clone()));
         }
-        if s.machines() > 100 || s.edges > 150 {
-            return Err(format!("{}: at most 100 cores and 150 edges", s.name));
+        if self.machines() > MAX_CORES || self.edges > MAX_EDGES {
+            return Err(ScenarioError::TooLarge {
+                scenario: self.name.clone(),
+                max_cores: MAX_CORES,
+                max_edges: MAX_EDGES,
+            });
         }
+        Ok(())
+    }
+
+    /// All steps name machines that are there.
+    fn check_steps(&self) -> Result<(), ScenarioError> {
         let mut replaced = 0;
-        for step in &s.steps {
-            let of = s.who(&step.of)?;
-            s.who(&step.from)?;
+        for step in &self.steps {
+            let of = self.who(&step.of)?;
+            self.who(&step.from)?;
+            let is_of_control = matches!(step.what, What::Replace | What::Race);
+            let are_control = !of.is_empty() && of.iter().all(|who| matches!(who, Who::Core(_)));
+            if is_of_control && !are_control {
+                return Err(ScenarioError::NotControl {
+                    scenario: self.name.clone(),
+                    what: step.what,
+                });
+            }
             if step.what == What::Replace {
                 replaced += of.len();
             }
-            let cores = matches!(step.what, What::Replace | What::Race);
-            if cores && (of.is_empty() || !of.iter().all(|who| matches!(who, Who::Core(_)))) {
-                return Err(format!(
-                    "{}: {:?} is of machines of control",
-                    s.name, step.what
-                ));
-            }
         }
-        if replaced > s.spares {
-            return Err(format!(
-                "{}: {replaced} are replaced, and there are {} spares",
-                s.name, s.spares
-            ));
+        if replaced > self.spares {
+            return Err(ScenarioError::TooFewSpares {
+                scenario: self.name.clone(),
+                replaced,
+                spares: self.spares,
+            });
         }
-        Ok(s)
+        Ok(())
     }
 
     /// Of control, spare ones too.
@@ -426,30 +446,37 @@
         2 * self.zones * self.servers
     }
 
-    /// `core 0`, `edge 1-3`, several after commas; empty: nobody.
-    pub fn who(&self, text: &str) -> Result<Vec<Who>, String> {
+    /// Those whom a text names: `core 0`, `edge 1-3`, several after commas; empty: nobody.
+    ///
+    /// # Errors
+    /// [`ScenarioError::UnknownMachine`] if one of them is not there.
+    pub fn who(&self, text: &str) -> Result<Vec<Who>, ScenarioError> {
+        let parts = text.split(',').map(str::trim);
         let mut all = Vec::new();
-        for part in text.split(',').map(str::trim).filter(|p| !p.is_empty()) {
-            let bad = || format!("{}: {part} names nobody here", self.name);
-            let (kind, which) = part.split_once(' ').ok_or_else(bad)?;
-            let (first, last) = which.split_once('-').unwrap_or((which, which));
-            let (first, last): (usize, usize) = (
-                first.parse().map_err(|_| bad())?,
-                last.parse().map_err(|_| bad())?,
-            );
-            let (of, many): (fn(usize) -> Who, usize) = match kind {
-                "core" => (Who::Core, self.machines()),
-                "edge" => (Who::Edge, self.edges),
-                "proxy" => (Who::Proxy, self.edges),
-                "agent" => (Who::Agent, self.edges),
-                "origin" => (Who::Origin, self.origins()),
-                _ => return Err(bad()),
-            };
-            if first > last || last >= many {
-                return Err(bad());
-            }
-            all.extend((first..=last).map(of));
+        for part in parts.filter(|part| !part.is_empty()) {
+            let named = self.named(part);
+            all.extend(named.ok_or_else(|| ScenarioError::UnknownMachine {
+                scenario: self.name.clone(),
+                part: part.to_string(),
+            })?);
         }
         Ok(all)
     }
+
+    /// Of one kind: `edge 1-3`.
+    fn named(&self, part: &str) -> Option<Vec<Who>> {
+        let (kind, numbers) = part.split_once(' ')?;
+        let (first, last) = numbers.split_once('-').unwrap_or((numbers, numbers));
+        let (first, last): (usize, usize) = (first.parse().ok()?, last.parse().ok()?);
+        let (of, count): (fn(usize) -> Who, usize) = match kind {
+            "core" => (Who::Core, self.machines()),
+            "edge" => (Who::Edge, self.edges),
+            "proxy" => (Who::Proxy, self.edges),
+            "agent" => (Who::Agent, self.edges),
+            "origin" => (Who::Origin, self.origins()),
+            _ => return None,
+        };
+        let is_there = first <= last && last < count;
+        is_there.then(|| (first..=last).map(of).collect())
+    }
 }
--- a/crates/aspendrum-testbed/src/system/steps.rs
+++ b/crates/aspendrum-testbed/src/system/steps.rs
@@ -1,10 +1,11 @@
 //! What happens in a run, step by step: the operator's orders, and the faults.
 
 use super::configuration::{self, CONFIG_FAULTS};
-use super::fleet::{Fleet, Slot, SERVICES};
+use super::fleet::{Fleet, SERVICES};
 use super::operator::{Operator, OrderOutcome};
 use super::probes::{AddedRoute, Probes};
 use super::scenario::{Step, What, Who};
+use super::slot::Slot;
 use super::throttle::throttle;
 use aspendrum_checker::system::Evacuation;
 use aspendrum_checker::system::{ConfigVersion, ProxyFault, ProxyRestart, RouteRule, TenantRule};
@@ -55,6 +56,11 @@
     }
 }
 
+/// How long a step lasts.
+fn duration(step: &Step) -> Duration {
+    Duration::from_secs_f64(step.for_s.unwrap_or_default())
+}
+
 /// The once-only route goes to the other service.
 fn moved(v: &mut ConfigVersion) {
     let other = usize::from(v.routes[1].service == SERVICES[0]);
@@ -247,7 +253,7 @@
             self.stop(Who::Core(old), &self.fleet.cores[old]).await;
         }
         sleep(Duration::from_secs_f64(step.for_s.unwrap_or_default())).await;
-        if let Err(e) = self.fleet.settings(false).await {
+        if let Err(e) = self.fleet.write_settings(false).await {
             self.record_failure(&format!("the settings: {e}"));
         }
         // Whoever starts now reads them as they are.
@@ -295,9 +301,44 @@
 
     /// Carries out a step, and takes it back after its time.
     pub async fn step(&self, number: u32, step: &Step, of: &[Who], from: Vec<Who>) {
+        match step.what {
+            What::Move
+            | What::TakeKey
+            | What::GiveKey
+            | What::Changes
+            | What::InvalidChanges
+            | What::Race
+            | What::Resend
+            | What::Show
+            | What::Evacuate
+            | What::Begin
+            | What::Finish => self.order(step, of).await,
+            What::Replace | What::Kill | What::Wipe | What::Term => self.restart(step, of).await,
+            What::Freeze | What::Throttle | What::Cut | What::Tamper => {
+                self.disturb(number, step, of, from).await;
+            }
+            What::Seeds | What::Hup => self.reload_settings(step, of).await,
+            What::Die
+            | What::Drain
+            | What::Fail
+            | What::Reset
+            | What::Hang
+            | What::Deaf
+            | What::Slow
+            | What::Full
+            | What::Stall => {
+                self.origins(step, of).await;
+                if step.for_s.is_some() {
+                    sleep(duration(step)).await;
+                    self.well(step, of).await;
+                }
+            }
+        }
+    }
+
+    /// An order of the operator, to the first control node of `of` first.
+    async fn order(&self, step: &Step, of: &[Who]) {
         let first = of.first().and_then(core).unwrap_or(0);
-        let lasts = step.for_s.map(Duration::from_secs_f64);
-        let over = self.now() + step.for_s.unwrap_or(0.0) * 1000.0;
         match step.what {
             What::Move => {
                 self.change(first, moved).await;
@@ -313,23 +354,32 @@
             What::Race => self.race(of, step).await,
             What::Resend => self.resend(first, step.all).await,
             What::Show => {
-                self.operator
-                    .shown_version(first, Duration::from_secs_f64(step.wait_s))
-                    .await;
+                let wait = Duration::from_secs_f64(step.wait_s);
+                self.operator.shown_version(first, wait).await;
             }
             What::Evacuate => {
                 self.evacuate(first, &step.zone, true).await;
-                if let Some(lasts) = lasts {
-                    sleep(lasts).await;
+                if step.for_s.is_some() {
+                    sleep(duration(step)).await;
                     self.evacuate(first, &step.zone, false).await;
                 }
             }
-            What::Begin | What::Finish => {
-                self.evacuate(first, &step.zone, step.what == What::Begin)
-                    .await;
+            _ => {
+                let begins = step.what == What::Begin;
+                self.evacuate(first, &step.zone, begins).await;
             }
+        }
+    }
+
+    /// Processes end, and others come in their place.
+    async fn restart(&self, step: &Step, of: &[Who]) {
+        let lasts = step.for_s.map(Duration::from_secs_f64);
+        if step.what != What::Term {
+            let until = self.end_of(step) + self.fleet.scenario.terms.contact;
+            self.record_fault(of, until);
+        }
+        match step.what {
             What::Replace => {
-                self.record_fault(of, over + self.fleet.scenario.terms.contact);
                 let replace = |who: Who| async move {
                     if let Some(old) = core(&who) {
                         self.replace(old, step).await;
@@ -337,22 +387,28 @@
                 };
                 self.each(of, step.gap_s, replace).await;
             }
-            What::Kill | What::Wipe => {
-                self.record_fault(of, over + self.fleet.scenario.terms.contact);
-                let wipe = step.what == What::Wipe;
-                self.each(of, step.gap_s, |who| self.kill(who, wipe, lasts))
+            What::Term => self.each(of, step.gap_s, |who| self.term(who)).await,
+            _ => {
+                let wipes = step.what == What::Wipe;
+                self.each(of, step.gap_s, |who| self.kill(who, wipes, lasts))
                     .await;
             }
-            What::Term => self.each(of, step.gap_s, |who| self.term(who)).await,
+        }
+    }
+
+    /// Processes or links are disturbed for a time.
+    async fn disturb(&self, number: u32, step: &Step, of: &[Who], from: Vec<Who>) {
+        if step.what != What::Throttle {
+            self.record_fault(of, self.end_of(step));
+        }
+        match step.what {
             What::Freeze => {
-                self.record_fault(of, over);
                 self.signal(of, Signal::SIGSTOP).await;
-                sleep(lasts.unwrap_or_default()).await;
+                sleep(duration(step)).await;
                 self.signal(of, Signal::SIGCONT).await;
             }
             What::Throttle => {
-                let lasts = lasts.unwrap_or_default();
-                let errors = throttle(&self.fleet, of, step.share, lasts).await;
+                let errors = throttle(&self.fleet, of, step.share, duration(step)).await;
                 errors.iter().for_each(|error| self.record_failure(error));
             }
             What::Cut => {
@@ -361,53 +417,40 @@
                 } else {
                     from
                 };
-                self.record_fault(of, over);
                 self.fleet.cut(of, &from, step.one_way, step.form, number);
-                sleep(lasts.unwrap_or_default()).await;
+                sleep(duration(step)).await;
                 self.fleet.heal(of, &from, step.one_way, number);
             }
-            What::Tamper => {
-                self.record_fault(of, over);
+            _ => {
                 of.iter().for_each(|who| self.fleet.tamper(*who, step.how));
-                sleep(lasts.unwrap_or_default()).await;
+                sleep(duration(step)).await;
                 of.iter().for_each(|who| self.fleet.tamper(*who, None));
             }
-            What::Seeds => {
-                self.fleet.name_seeds(of.iter().filter_map(core).collect());
-                if let Err(e) = self.fleet.settings(false).await {
-                    self.record_failure(&format!("the settings: {e}"));
-                }
-                self.reload().await;
-            }
-            What::Hup => {
-                for n in 0..step.count {
-                    sleep(Duration::from_secs_f64(if n > 0 {
-                        step.gap_s
-                    } else {
-                        0.0
-                    }))
-                    .await;
-                    self.signal(of, Signal::SIGHUP).await;
-                }
+        }
+    }
+
+    /// SIGHUP, with or without other seeds in the settings.
+    async fn reload_settings(&self, step: &Step, of: &[Who]) {
+        if step.what == What::Seeds {
+            self.fleet.name_seeds(of.iter().filter_map(core).collect());
+            if let Err(e) = self.fleet.write_settings(false).await {
+                self.record_failure(&format!("the settings: {e}"));
             }
-            What::Die
-            | What::Drain
-            | What::Fail
-            | What::Reset
-            | What::Hang
-            | What::Deaf
-            | What::Slow
-            | What::Full
-            | What::Stall => {
-                self.origins(step, of).await;
-                if let Some(lasts) = lasts {
-                    sleep(lasts).await;
-                    self.well(step, of).await;
-                }
+            return self.reload().await;
+        }
+        for n in 0..step.count {
+            if n > 0 {
+                sleep(Duration::from_secs_f64(step.gap_s)).await;
             }
+            self.signal(of, Signal::SIGHUP).await;
         }
     }
 
+    /// When a step that begins now is taken back.
+    fn end_of(&self, step: &Step) -> Millis {
+        self.now() + step.for_s.unwrap_or(0.0) * 1000.0
+    }
+
     /// One after the other, `gap_s` apart; without a gap all at once.
     async fn each<F: std::future::Future<Output = ()>>(
         &self,
@@ -462,7 +505,7 @@
 
     /// SIGTERM, and its end waited for. It may be signalled, stopped and killed meanwhile.
     async fn stop(&self, who: Who, slot: &tokio::sync::Mutex<Slot>) {
-        while slot.lock().await.young() {
+        while slot.lock().await.is_loading() {
             sleep(POLL_INTERVAL).await;
         }
         let (told, id) = {
--- a/crates/aspendrum-testbed/src/system/throttle.rs
+++ b/crates/aspendrum-testbed/src/system/throttle.rs
@@ -1,7 +1,8 @@
 //! Processes with little processor time: each is stopped for a part of every tenth of a second, as by a quota that is spent.
 
-use super::fleet::{Fleet, Slot};
+use super::fleet::Fleet;
 use super::scenario::Who;
+use super::slot::Slot;
 use nix::sys::signal::Signal;
 use std::time::Duration;
 use tokio::sync::Mutex;
--- a/crates/aspendrum-testbed/src/system/usage.rs
+++ b/crates/aspendrum-testbed/src/system/usage.rs
@@ -1,6 +1,7 @@
 //! What the processes of a run have used: processor time, memory, and bytes from control to agents.
 
-use super::fleet::{Fleet, Slot};
+use super::fleet::Fleet;
+use super::slot::Slot;
 use tokio::sync::Mutex;
 
 /// What was used by a time.
--- a/crates/aspendrum-testbed/tests/operator.rs
+++ b/crates/aspendrum-testbed/tests/operator.rs
@@ -1,5 +1,6 @@
 //! The operator of the testbed: what ends an order, by the protocol.
 
+use aspendrum_testbed::system::error::ScenarioError;
 use aspendrum_testbed::system::operator::{next_step, OrderStep};
 use aspendrum_testbed::system::scenario::Scenario;
 
@@ -31,7 +32,7 @@
     );
 }
 
-fn scenario(steps: &str) -> Result<Scenario, String> {
+fn scenario(steps: &str) -> Result<Scenario, ScenarioError> {
     let text = "name = \"x\"\nabout = \"y\"\nseconds = 1.0\ncores = 3\nspares = 1\nedges = 1\n";
     Scenario::read(&format!("{text}steps = [{steps}]\n"))
 }
@@ -66,7 +67,7 @@
             "form",
         ),
     ] {
-        let said = scenario(steps).unwrap_err();
+        let said = scenario(steps).unwrap_err().to_string();
         assert!(said.contains(why), "{steps}: {said}");
     }
 }
