Test: a simulated agent may send a heartbeat before its hello

The thread that sends heartbeats sees the connection before the connecting thread has written the hello.

--- a/crates/aspendrum-benchmarks/tests/simulated_agents.rs
+++ b/crates/aspendrum-benchmarks/tests/simulated_agents.rs
@@ -114,3 +114,19 @@
     assert!(matches!(next_message(&mut stream), ToControl::Hello { .. }));
     assert!(counters.silence_timeouts.load(Relaxed) >= 1);
 }
+
+/// A control node does not know an agent whose heartbeat comes before its hello. Heartbeats are sent by another thread than
+/// the one that connects, so that many agents are needed for one of them to be late.
+#[test]
+fn it_says_hello_before_any_heartbeat() {
+    const AGENTS: usize = 400;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let counters = Arc::new(FleetCounters::default());
+    let control = [listener.local_addr().unwrap()];
+    let agents = spawn_agents(AGENTS, &control, &counters).unwrap();
+    agents.iter().for_each(|agent| agent.start());
+    for _ in 0..AGENTS {
+        let mut stream = accept(&listener);
+        assert!(matches!(next_message(&mut stream), ToControl::Hello { .. }));
+    }
+}
