benchmarks: a simulated agent says hello before another thread has its connection

Cause: the connection was in the session before the hello was written, and the thread that sends heartbeats could write to it first. Real agents and proxies write the hello on the thread that hands the connection on. Change: the hello is written before the session has the stream.

--- a/crates/aspendrum-benchmarks/src/simulated_fleet/agent.rs
+++ b/crates/aspendrum-benchmarks/src/simulated_fleet/agent.rs
@@ -181,12 +181,9 @@
         let _ = stream.set_write_timeout(Some(SILENCE_TIMEOUT));
         let stream = Arc::new(stream);
         self.counters.connections.fetch_add(1, Relaxed);
+        // Before the thread that sends heartbeats has the connection: the hello has to come first.
+        self.send_on(&stream, self.hello());
         self.on_connected(stream.clone());
-        self.send(ToControl::Hello {
-            host: format!("edge-{}", self.number),
-            proxy_addr: proxy_addr(self.number),
-            zone: zone(self.number),
-        });
         let mut reader = CountingReader {
             reader: BufReader::with_capacity(READ_BUFFER_BYTES, &*stream),
             bytes: 0,
@@ -212,11 +209,24 @@
         session.heartbeat_sent_at = None;
     }
 
+    fn hello(&self) -> ToControl {
+        ToControl::Hello {
+            host: format!("edge-{}", self.number),
+            proxy_addr: proxy_addr(self.number),
+            zone: zone(self.number),
+        }
+    }
+
     fn send(&self, message: ToControl) {
         let stream = lock(&self.session).stream.clone();
+        if let Some(stream) = stream {
+            self.send_on(&stream, message);
+        }
+    }
+
+    fn send_on(&self, mut stream: &TcpStream, message: ToControl) {
         let bytes = frames::encode_frame(&Envelope::<()>::Agent(message));
-        let Some(stream) = stream else { return };
-        if (&*stream).write_all(&bytes).is_ok() {
+        if stream.write_all(&bytes).is_ok() {
             let sent = bytes.len() as u64;
             self.counters.sent_bytes.fetch_add(sent, Relaxed);
         }
