testbed: the limiters' half in the field's terms, small modules, typed errors

They are modules of one job each; a scenario's keys in TOML are unchanged. Tests assert the same texts, through the errors' Display.

--- a/crates/aspendrum-testbed/src/bench.rs
+++ b/crates/aspendrum-testbed/src/bench.rs
@@ -1,6 +1,7 @@
-//! What one limiter costs: decisions for each second of a core, and the time it adds, against the baseline
-//! that lets all in, with the same traffic through the same links in the same run.
+//! What one limiter costs: queries for each second of a core, and the time it adds, against the baseline that admits
+//! everything, with the same traffic through the same links in the same run.
 
+use crate::error::TestbedError;
 use crate::program::Program;
 use crate::report::Row;
 use crate::run;
@@ -20,72 +21,98 @@
 plans = [{ name = 'wide', rate = 100000.0, burst = 100000.0 }]
 customers = [{ count = 50, plan = 'wide', queries_per_s = 1.0 }]
 ";
+/// How often each of the two is played.
+const PLAYS: u64 = 2;
+/// The least processor time of a run that is told from none, in seconds: the kernel counts in hundredths.
+const LEAST_CPU_S: f64 = 0.01;
 
-/// Plays both in turn, twice, and tells them side by side.
-pub fn play(limiter: Option<PathBuf>, seconds: f64, rate: f64) -> Result<String, String> {
-    let mut s = Scenario::read(SCENARIO)?;
-    s.seconds = seconds;
-    for customers in &mut s.customers {
+/// What one play measured.
+struct Measurement {
+    row: Row,
+    queries_per_core_s: f64,
+}
+
+/// Plays both in turn, twice, and returns a table of them side by side.
+///
+/// # Errors
+/// [`TestbedError`] if a run cannot be made.
+pub fn play(limiter: Option<PathBuf>, seconds: f64, rate: f64) -> Result<String, TestbedError> {
+    let mut scenario = scenario(seconds, rate)?;
+    let (mut baseline, mut limiters) = (Vec::new(), Vec::new());
+    for seed in 1..=PLAYS {
+        scenario.seed = seed;
+        scenario.limiters.pass_through = true;
+        baseline.push(measure(&scenario, limiter.clone())?);
+        scenario.limiters.pass_through = false;
+        limiters.push(measure(&scenario, limiter.clone())?);
+    }
+    Ok(table(&baseline, &limiters, seconds, rate))
+}
+
+fn scenario(seconds: f64, rate: f64) -> Result<Scenario, TestbedError> {
+    let mut scenario = Scenario::read(SCENARIO)?;
+    scenario.seconds = seconds;
+    for customers in &mut scenario.customers {
         customers.queries_per_s = rate / customers.count as f64;
     }
-    let mut out = format!("one limiter, {rate:.0} queries a second for {seconds:.0} s\n");
-    // Writing to memory does not fail.
-    let mut row = |cells: [String; 6]| {
-        let _ = writeln!(
-            out,
-            "{:<14} {:>9} {:>9} {:>9} {:>18} {:>10}",
-            cells[0], cells[1], cells[2], cells[3], cells[4], cells[5]
-        );
-    };
-    row([
-        "",
-        "answered",
-        "p50, ms",
-        "p99, ms",
-        "queries a core s",
-        "MB",
-    ]
-    .map(String::from));
-    let mut figures = [Vec::new(), Vec::new()];
-    for play in 0..2 {
-        for (n, pass_through) in [true, false].into_iter().enumerate() {
-            s.limiters.pass_through = pass_through;
-            s.seed = 1 + play;
-            let folder = tempfile::tempdir().map_err(|e| format!("a folder for the run: {e}"))?;
-            let o = run::play(
-                &s,
-                &Program::for_scenario(&s, limiter.clone()).map_err(|e| e.to_string())?,
-                folder.path(),
-                &|_| {},
-            )?;
-            let r = Row::of(&s, &o);
-            let a_core = r.queries as f64 / o.cpu_s.max(0.01);
-            let name = if pass_through {
-                "pass-through"
-            } else {
-                "limiter"
-            };
-            let told = [r.p50_ms, r.p99_ms].map(|ms| format!("{ms:.2}"));
-            let [p50, p99] = told;
-            row([
-                name.into(),
-                r.answered.to_string(),
-                p50,
-                p99,
-                format!("{a_core:.0}"),
-                format!("{:.1}", r.memory_mb),
-            ]);
-            figures[n].push([r.p50_ms, r.p99_ms, a_core]);
-        }
+    Ok(scenario)
+}
+
+fn measure(scenario: &Scenario, limiter: Option<PathBuf>) -> Result<Measurement, TestbedError> {
+    let program = Program::for_scenario(scenario, limiter)?;
+    let folder = tempfile::tempdir().map_err(TestbedError::TemporaryDirectory)?;
+    let outcome = run::play(scenario, &program, folder.path(), &|_| {})?;
+    let row = Row::new(scenario, &outcome);
+    let queries_per_core_s = row.queries as f64 / outcome.usage.cpu_s.max(LEAST_CPU_S);
+    Ok(Measurement {
+        row,
+        queries_per_core_s,
+    })
+}
+
+fn table(baseline: &[Measurement], limiters: &[Measurement], seconds: f64, rate: f64) -> String {
+    let mut text = format!("one limiter, {rate:.0} queries a second for {seconds:.0} s\n");
+    let head = ["answered", "p50, ms", "p99, ms", "queries a core s", "MB"];
+    write_line(&mut text, "", head.map(String::from));
+    for (baseline, limiter) in baseline.iter().zip(limiters) {
+        write_line(&mut text, "pass-through", cells(baseline));
+        write_line(&mut text, "limiter", cells(limiter));
     }
-    let mean = |n: usize, of: usize| figures[n].iter().map(|f: &[f64; 3]| f[of]).sum::<f64>() / 2.0;
-    let ratio = |of: usize| mean(1, of) / mean(0, of).max(f64::MIN_POSITIVE);
+    let ratio = |figure: fn(&Measurement) -> f64| {
+        mean(limiters, figure) / mean(baseline, figure).max(f64::MIN_POSITIVE)
+    };
+    // Writing to memory does not fail.
     let _ = writeln!(
-        out,
+        text,
         "limiter over pass-through, means of two plays: p50 {:.2}, p99 {:.2}, queries a core s {:.2}",
-        ratio(0),
-        ratio(1),
-        ratio(2)
+        ratio(|measurement| measurement.row.p50_ms),
+        ratio(|measurement| measurement.row.p99_ms),
+        ratio(|measurement| measurement.queries_per_core_s)
+    );
+    text
+}
+
+fn write_line(text: &mut String, name: &str, cells: [String; 5]) {
+    let [answered, p50, p99, queries_per_core_s, memory] = cells;
+    // Writing to memory does not fail.
+    let _ = writeln!(
+        text,
+        "{name:<14} {answered:>9} {p50:>9} {p99:>9} {queries_per_core_s:>18} {memory:>10}"
     );
-    Ok(out)
+}
+
+fn cells(measurement: &Measurement) -> [String; 5] {
+    let row = &measurement.row;
+    [
+        row.answered.to_string(),
+        format!("{:.2}", row.p50_ms),
+        format!("{:.2}", row.p99_ms),
+        format!("{:.0}", measurement.queries_per_core_s),
+        format!("{:.1}", row.memory_mb),
+    ]
+}
+
+fn mean(measurements: &[Measurement], figure: fn(&Measurement) -> f64) -> f64 {
+    let sum: f64 = measurements.iter().map(figure).sum();
+    sum / measurements.len() as f64
 }
--- a/crates/aspendrum-testbed/src/clients.rs
+++ b/crates/aspendrum-testbed/src/clients.rs
@@ -71,7 +71,7 @@
             .iter()
             .position(|plan| plan.name == customers.plan)
             .unwrap_or(0);
-        let limiters = ((customers.spread * fleet as f64).round() as usize).clamp(1, fleet);
+        let limiters = ((customers.limiter_share * fleet as f64).round() as usize).clamp(1, fleet);
         for _ in 0..customers.count {
             let number = all.len();
             let is_whole_fleet = limiters == fleet;
@@ -169,17 +169,17 @@
             customer,
             entry,
             busiest: 0,
-            next_move: entry.moves_s * MILLIS_PER_SECOND,
+            next_move: entry.skew_period_s * MILLIS_PER_SECOND,
         }
     }
 
     fn next(&mut self, at: Millis, rng: &mut SmallRng) -> usize {
         let limiters = self.customer.limiters;
-        while self.entry.moves_s > 0.0 && at >= self.next_move {
+        while self.entry.skew_period_s > 0.0 && at >= self.next_move {
             self.busiest = rng.random_range(0..limiters);
-            self.next_move += self.entry.moves_s * MILLIS_PER_SECOND;
+            self.next_move += self.entry.skew_period_s * MILLIS_PER_SECOND;
         }
-        let is_even = rng.random::<f64>() >= self.entry.uneven;
+        let is_even = rng.random::<f64>() >= self.entry.skewed_share;
         let offset = if is_even {
             rng.random_range(0..limiters)
         } else {
@@ -217,8 +217,8 @@
         let group = &scenario.groups[query.group];
         let request = encode_request(scenario, customers, query);
         let sent_at = self.clock.now();
-        let give_up = Instant::now() + Duration::from_secs_f64(group.limit_s) + PATIENCE;
-        let may_repeat = group.repeats != RetrySafety::NonIdempotent;
+        let give_up = Instant::now() + Duration::from_secs_f64(group.timeout_s) + PATIENCE;
+        let may_repeat = group.retry_safety != RetrySafety::NonIdempotent;
         let exchange = self.exchange(query, request.as_bytes(), may_repeat);
         let outcome = timeout_at(give_up, exchange)
             .await
@@ -230,7 +230,7 @@
             limiter: query.limiter,
             units: query.units,
             sent_at,
-            deadline: sent_at + group.limit_s * MILLIS_PER_SECOND,
+            deadline: sent_at + group.timeout_s * MILLIS_PER_SECOND,
             ended_at: self.clock.now(),
             outcome,
         }
@@ -308,7 +308,7 @@
 fn encode_request(scenario: &Scenario, customers: &[Customer], query: &PlannedQuery) -> String {
     let (customer, group) = (&customers[query.customer], &scenario.groups[query.group]);
     let with_body = "Content-Length: 2\r\n";
-    let (method, headers) = match group.repeats {
+    let (method, headers) = match group.retry_safety {
         RetrySafety::Idempotent => ("GET", String::new()),
         RetrySafety::Deduplicated => (
             "POST",
@@ -325,7 +325,7 @@
         name = group.name,
         id = query.id,
         account = customer.account,
-        limit = (group.limit_s * MILLIS_PER_SECOND) as u64,
+        limit = (group.timeout_s * MILLIS_PER_SECOND) as u64,
         units = query.units,
         limiters = customer.limiters,
         first = customer.first_limiter,
--- a/crates/aspendrum-testbed/src/config.rs
+++ b/crates/aspendrum-testbed/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration that each limiter of a scenario is started with, in the platform's form (JSON).
 
-use crate::scenario::{Group, Plan, Reports, Scenario};
+use crate::scenario::{Group, LoadReports, Plan, Scenario};
 use aspendrum_checker::limiter::RetrySafety;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -52,9 +52,9 @@
         .map(|z| format!("zone-{z}"))
         .collect();
     let (names, via): (&[&str], &str) = match scenario.servers.reports {
-        Reports::Answers => (&["busy_reqs", "pending", "cpu_share"], "inline"),
-        Reports::Probes => (&["busy_reqs", "pending", "cpu_share"], "on_probe"),
-        Reports::Off => (&[], "off"),
+        LoadReports::Answers => (&["busy_reqs", "pending", "cpu_share"], "inline"),
+        LoadReports::Probes => (&["busy_reqs", "pending", "cpu_share"], "on_probe"),
+        LoadReports::Off => (&[], "off"),
     };
     let units = scenario
         .customers
@@ -64,21 +64,21 @@
     json!({
         "Me": number, "Instances": scenario.limiters.count, "Zone": scenario.zone(number), "Zones": zones, "Kinds": ["plain"],
         "TickS": 0.004,
-        "Discovery": if scenario.discovery.asked { "ask" } else { "push" },
+        "Discovery": if scenario.discovery.is_polled { "ask" } else { "push" },
         "Feedback": {"Names": names, "Via": via},
         "Invariants": {
-            "DrainGraceS": scenario.rules.drain_grace_s, "FallMultiple": scenario.rules.fall_multiple,
-            "FallS": scenario.rules.fall_s, "GraceToAnswerS": 0.016, "RampTimeS": scenario.servers.ramp_s,
-            "StartCapacity": scenario.servers.cold_share, "MustAskInS": 10.0,
+            "DrainGraceS": scenario.rules.drain_grace_s, "FallMultiple": scenario.rules.collapse_multiple,
+            "FallS": scenario.rules.collapse_window_s, "GraceToAnswerS": 0.016, "RampTimeS": scenario.servers.slow_start_s,
+            "StartCapacity": scenario.servers.slow_start_capacity, "MustAskInS": 10.0,
         },
         "Limits": {
-            "Cancelling": true, "ConnectTimeoutS": 0.25, "KeepaliveS": 30.0, "MayTell": scenario.limiters.datagrams,
-            "Probes": scenario.servers.reports == Reports::Probes, "RetryAfter": false, "SecondCopies": false,
+            "Cancelling": true, "ConnectTimeoutS": 0.25, "KeepaliveS": 30.0, "MayTell": scenario.limiters.may_send_datagrams,
+            "Probes": scenario.servers.reports == LoadReports::Probes, "RetryAfter": false, "SecondCopies": false,
             "SendCap": 4,
         },
         "Profiles": scenario.groups.iter().map(group).collect::<Vec<_>>(),
         "Specifics": {
-            "CostAfter": false, "CountWaitS": scenario.counter.wait_ms / 1000.0, "Counter": scenario.counter.there,
+            "CostAfter": false, "CountWaitS": scenario.counter.timeout_ms / 1000.0, "Counter": scenario.counter.is_present,
             "UnitsTop": units, "PeerInPerS": scenario.limiters.datagrams_per_s,
         },
         "TiersOfService": scenario.plans.iter().map(plan).collect::<Vec<_>>(),
@@ -91,13 +91,13 @@
 pub const HARD_LIMIT_SLACK: f64 = 0.1;
 
 fn group(group: &Group) -> Value {
-    let semantics = match group.repeats {
+    let semantics = match group.retry_safety {
         RetrySafety::Idempotent => "retryable",
         RetrySafety::Deduplicated => "dedup",
         RetrySafety::NonIdempotent => "fragile",
     };
     json!({
-        "Name": group.name, "AimS": group.slo_s, "HardLimitS": group.limit_s, "Semantics": semantics, "Group": "all",
+        "Name": group.name, "AimS": group.slo_s, "HardLimitS": group.timeout_s, "Semantics": semantics, "Group": "all",
         "RepeatWindowS": DEDUPLICATION_WINDOW_S, "Credit": group.importance, "Stream": false,
     })
 }
@@ -105,7 +105,7 @@
 fn plan(plan: &Plan) -> Value {
     json!({
         "Name": plan.name, "PerSecond": plan.rate, "Depth": plan.burst, "Concurrency": 0, "WorthFactor": 1.0,
-        "NeverOverRate": plan.ceiling_rate, "NeverOverDepth": plan.ceiling_burst, "CapSlack": HARD_LIMIT_SLACK,
+        "NeverOverRate": plan.limit_rate, "NeverOverDepth": plan.limit_burst, "CapSlack": HARD_LIMIT_SLACK,
         "BeyondCosts": 1.0,
     })
 }
--- a/crates/aspendrum-testbed/src/lib.rs
+++ b/crates/aspendrum-testbed/src/lib.rs
@@ -1,13 +1,12 @@
-//! The rig: a fleet of limiters as processes, stand-ins around them, links between all, open-loop traffic and
-//! a timeline of faults; the record of it all and its judge's verdict.
-
-// Not yet finished for readers: docs/ROADMAP.md lists what is left.
+//! The testbed: a fleet of limiters, or the whole system, as processes, with fakes of what stands around them, links between
+//! all, open-loop traffic and a timeline of faults; the record of it all and the checker's verdict.
 
 pub mod bench;
 pub mod clients;
 pub mod config;
 pub mod days;
 pub mod drawn;
+pub mod error;
 pub mod library;
 pub mod pass_through;
 pub mod process;
--- a/crates/aspendrum-testbed/src/main.rs
+++ b/crates/aspendrum-testbed/src/main.rs
@@ -1,331 +1,181 @@
-//! The command line of the rig.
+//! The testbed's program: one function for each command.
 
+mod command_line;
+
+use aspendrum_testbed::error::TestbedError;
 use aspendrum_testbed::program::Program;
 use aspendrum_testbed::scenario::Scenario;
+use aspendrum_testbed::sweep::Sweep;
+use aspendrum_testbed::system::error::SystemError;
 use aspendrum_testbed::system::soak::{soak, Size, SoakKind};
-use aspendrum_testbed::{bench, days, library, pass_through, report, run, sweep, system};
-use clap::{Parser, Subcommand};
-use std::ops::RangeInclusive;
-use std::path::PathBuf;
+use aspendrum_testbed::{bench, days, library, pass_through, report, run, system};
+use clap::Parser;
+use command_line::{Command, CommandLine, DaysArgs, SoakArgs, SweepArgs};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 
-#[derive(Parser)]
-#[command(
-    name = "aspendrum-testbed",
-    about = "Several limiters as processes, with faults between them, judged"
-)]
-struct Line {
-    /// The limiter's program; without it the one beside this, built if it is not there
-    #[arg(long, global = true)]
-    limiter: Option<PathBuf>,
-    #[command(subcommand)]
-    command: Command,
-}
-
-#[derive(Subcommand)]
-enum Command {
-    /// A small fleet with stand-ins, traffic and one fault; no file needed
-    Demo,
-    /// Plays one scenario and leaves tables, charts and a report; ends with 1 if anything was broken
-    Run {
-        /// A name of the library, or a file
-        scenario: String,
-        /// Where the results go; everything of them is written anew
-        #[arg(long, default_value = "found/rig")]
-        out: PathBuf,
-    },
-    /// Plays scenarios once for each value of one key, and draws what comes of it
-    Sweep {
-        /// Names of the library or files; `all` for the whole library
-        #[arg(required = true)]
-        scenarios: Vec<String>,
-        /// As limiters.count=5,20,40 or plans.0.rate=2,4
-        #[arg(long, value_parser = sweep::Over::read)]
-        over: sweep::Over,
-        /// How often each is played, each time with the next seed
-        #[arg(long, default_value_t = 1)]
-        plays: u64,
-        #[arg(long, default_value = "found/rig")]
-        out: PathBuf,
-    },
-    /// Reads and checks a scenario; names the faulty key
-    Check {
-        /// A name of the library, or a file
-        scenario: String,
-    },
-    /// The library's scenarios
-    List,
-    /// Plays one scenario of the whole system: control, proxies, agents; ends with 1 if anything was broken
-    System {
-        /// A name of the system's library (`list` for a line each), or a file
-        scenario: String,
-        /// Where settings, logs and disks go
-        #[arg(long, default_value = "found/system")]
-        out: PathBuf,
-    },
-    /// Plays systems under troubles drawn from seeds, one line a seed; ends with 1 if any of them broke anything
-    Soak {
-        /// As 1-50
-        #[arg(long, value_parser = seeds)]
-        seeds: RangeInclusive<u64>,
-        /// Machines of control
-        #[arg(long, default_value_t = 3)]
-        cores: usize,
-        /// Machines with a proxy and an agent
-        #[arg(long, default_value_t = 6)]
-        edges: usize,
-        /// Of traffic
-        #[arg(long, default_value_t = 16.0)]
-        seconds: f64,
-        /// Configuration storms among faults, instead of faults of all kinds
-        #[arg(long)]
-        storms: bool,
-        /// How many are played side by side
-        #[arg(long, default_value_t = 1)]
-        at_once: usize,
-        /// Where the logs of seeds that failed stay
-        #[arg(long, default_value = "found/soak")]
-        out: PathBuf,
-    },
-    /// Plays days of our own on the users' bench, in the root of a checkout; ends with 1 if a rule was broken
-    Days {
-        /// Names of days (`list` for a line each); all of them without any
-        days: Vec<String>,
-        /// The bench's program
-        #[arg(long)]
-        bench: Option<PathBuf>,
-        /// A folder with site files
-        #[arg(long)]
-        sites: Vec<PathBuf>,
-        /// Only this site
-        #[arg(long)]
-        only: Vec<String>,
-        /// Only the first seed of each
-        #[arg(long)]
-        first: bool,
-        /// Cores that one play may use
-        #[arg(long)]
-        jobs: Option<usize>,
-        /// How many plays go on at once
-        #[arg(long, default_value_t = 1)]
-        at_once: usize,
-        /// Instead of the folder's days those that are drawn from these seeds, as 1-40; the sites of --only in turn
-        #[arg(long, value_parser = seeds)]
-        drawn: Option<RangeInclusive<u64>>,
-        /// Drawn days have a storm of configurations under faults of control
-        #[arg(long)]
-        storms: bool,
-        /// Where the bench's words and reports go
-        #[arg(long, default_value = "found/days")]
-        out: PathBuf,
-    },
-    /// The baseline that lets all in: forwards every query, counts nothing
-    #[command(hide = true)]
-    PassThrough {
-        #[arg(long)]
-        config: PathBuf,
-    },
-    /// Decisions and added time of one limiter against the baseline, in one run
-    Bench {
-        /// Seconds of each of the two
-        #[arg(long, default_value_t = 5.0)]
-        seconds: f64,
-        /// Queries a second
-        #[arg(long, default_value_t = 500.0)]
-        rate: f64,
-    },
-}
-
-/// Seeds from the first to the last, as 1-40.
-fn seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
-    let read = |n: &str| n.parse::<u64>().map_err(|_| format!("{n} is no seed"));
-    let (first, last) = text.split_once('-').unwrap_or((text, text));
-    Ok(read(first)?..=read(last)?)
-}
+/// The command could not do its work.
+const EXIT_FAILED: u8 = 2;
+/// In the place of a name: lists all names.
+const LIST: &str = "list";
 
 fn main() -> ExitCode {
-    let line = Line::parse();
-    let done = match line.command {
-        Command::Demo => demo(line.limiter),
-        Command::Run { scenario, out } => one(line.limiter, &scenario, &out),
-        Command::Sweep {
-            scenarios,
-            over,
-            plays,
-            out,
-        } => {
-            let texts = library::scenario_texts(&scenarios).map_err(|e| e.to_string());
-            texts.and_then(|texts| sweep::play(&texts, &over, plays, line.limiter, &out))
+    match execute(CommandLine::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("aspendrum-testbed: {error}");
+            ExitCode::from(EXIT_FAILED)
         }
-        Command::Check { scenario } => library::scenario_text(&scenario)
-            .map_err(|e| e.to_string())
-            .and_then(|text| {
-                let s = Scenario::read(&text)?;
-                println!(
-                    "{}: well-formed, {} limiters, {} faults",
-                    s.name,
-                    s.limiters.count,
-                    s.faults.len()
-                );
-                Ok(true)
-            }),
-        Command::List => {
-            print!("{}", library::list());
-            Ok(true)
+    }
+}
+
+/// Returns whether nothing was broken.
+fn execute(line: CommandLine) -> Result<bool, TestbedError> {
+    match line.command {
+        Command::Demo => play_demo(line.limiter),
+        Command::Run { scenario, out } => play_scenario(line.limiter, &scenario, &out),
+        Command::Sweep(args) => play_sweep(line.limiter, args),
+        Command::Check { scenario } => check_scenario(&scenario),
+        Command::List => print_and_succeed(&library::list()),
+        Command::System { scenario, .. } if scenario == LIST => {
+            print_and_succeed(&system::library::list())
         }
-        Command::System { scenario, .. } if scenario == "list" => {
-            print!("{}", system::library::list());
+        Command::System { scenario, out } => play_system(&scenario, &out),
+        Command::Soak(args) => Ok(play_soak(&args)),
+        Command::Days(args) if args.days == [LIST] => list_days(),
+        Command::Days(args) => play_days(args),
+        Command::PassThrough { config } => {
+            pass_through::serve(&config)?;
             Ok(true)
         }
-        Command::System { scenario, out } => whole(&scenario, &out),
-        Command::Soak {
-            seeds,
-            cores,
-            edges,
-            seconds,
-            storms,
-            at_once,
-            out,
-        } => Ok(soaked(
-            if storms {
-                SoakKind::Storms
-            } else {
-                SoakKind::Faults
-            },
-            seeds,
-            Size {
-                cores,
-                edges,
-                seconds,
-            },
-            at_once,
-            &out,
-        )),
-        Command::Days { days, .. } if days == ["list"] => {
-            days::all_days().map_err(|e| e.to_string()).map(|all| {
-                all.iter()
-                    .for_each(|d| println!("{:<20} {}", d.name, d.about));
-                true
-            })
-        }
-        Command::Days {
-            days,
-            bench,
-            sites,
-            only,
-            first,
-            jobs,
-            at_once,
-            drawn,
-            storms,
-            out,
-        } => {
-            let bench = bench.ok_or("name the bench's program with --bench".to_string());
-            bench.and_then(|bench| {
-                let options = days::PlayOptions {
-                    bench,
-                    site_dirs: sites,
-                    days,
-                    only_sites: only,
-                    first_seed_only: first,
-                    jobs,
-                    parallel_plays: at_once,
-                    storms,
-                    out,
-                };
-                let played = match drawn {
-                    Some(seeds) => days::play_drawn_days(&options, seeds),
-                    None => days::play_days(&options),
-                };
-                played.map_err(|e| e.to_string())
-            })
-        }
-        Command::PassThrough { config } => pass_through::serve(&config)
-            .map(|()| true)
-            .map_err(|e| e.to_string()),
-        Command::Bench { seconds, rate } => bench::play(line.limiter, seconds, rate).map(|text| {
-            print!("{text}");
-            true
-        }),
-    };
-    match done {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(text) => {
-            eprintln!("aspendrum-testbed: {text}");
-            ExitCode::from(2)
+        Command::Bench { seconds, rate } => {
+            print_and_succeed(&bench::play(line.limiter, seconds, rate)?)
         }
     }
 }
 
-/// Plays these seeds, so many side by side, and prints each one's line when it is done.
-fn soaked(
-    kind: SoakKind,
-    seeds: RangeInclusive<u64>,
-    size: Size,
-    at_once: usize,
-    out: &std::path::Path,
-) -> bool {
-    let waiting = Mutex::new(seeds);
-    let kept = AtomicBool::new(true);
-    let next = || {
-        waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .next()
-    };
-    std::thread::scope(|scope| {
-        for _ in 0..at_once.max(1) {
-            scope.spawn(|| {
-                while let Some(seed) = next() {
-                    let (line, well) = soak(
-                        kind,
-                        seed,
-                        size,
-                        &out.join(format!("{seed}-{}", size.edges)),
-                    );
-                    println!("{line}");
-                    kept.fetch_and(well, Ordering::Relaxed);
-                }
-            });
-        }
-    });
-    kept.into_inner()
+fn print_and_succeed(text: &str) -> Result<bool, TestbedError> {
+    print!("{text}");
+    Ok(true)
+}
+
+fn print_progress(text: &str) {
+    eprintln!("{text}");
 }
 
-fn demo(limiter: Option<PathBuf>) -> Result<bool, String> {
+fn play_demo(limiter: Option<PathBuf>) -> Result<bool, TestbedError> {
     let scenario = Scenario::read(library::DEMO)?;
-    let start = Program::for_scenario(&scenario, limiter).map_err(|e| e.to_string())?;
-    let folder = tempfile::tempdir().map_err(|e| format!("a folder for the run: {e}"))?;
-    let outcome = run::play(&scenario, &start, folder.path(), &|text| {
-        eprintln!("{text}")
-    })?;
+    let program = Program::for_scenario(&scenario, limiter)?;
+    let folder = tempfile::tempdir().map_err(TestbedError::TemporaryDirectory)?;
+    let outcome = run::play(&scenario, &program, folder.path(), &print_progress)?;
     print!("{}", report::table(&scenario, &outcome));
-    Ok(outcome.good(&scenario))
+    Ok(outcome.is_good(&scenario))
 }
 
-fn one(limiter: Option<PathBuf>, name: &str, out: &std::path::Path) -> Result<bool, String> {
-    let scenario = Scenario::read(&library::scenario_text(name).map_err(|e| e.to_string())?)?;
-    let start = Program::for_scenario(&scenario, limiter).map_err(|e| e.to_string())?;
+fn play_scenario(limiter: Option<PathBuf>, name: &str, out: &Path) -> Result<bool, TestbedError> {
+    let scenario = Scenario::read(&library::scenario_text(name)?)?;
+    let program = Program::for_scenario(&scenario, limiter)?;
     let folder = out.join(&scenario.name);
-    let outcome = run::play(&scenario, &start, &folder.join("limiters"), &|text| {
-        eprintln!("{text}")
-    })?;
+    let outcome = run::play(
+        &scenario,
+        &program,
+        &folder.join("limiters"),
+        &print_progress,
+    )?;
     report::write(&scenario, &outcome, &folder)?;
     print!("{}", report::table(&scenario, &outcome));
     eprintln!("tables, charts and the report are in {}", folder.display());
-    Ok(outcome.good(&scenario))
+    Ok(outcome.is_good(&scenario))
+}
+
+fn play_sweep(limiter: Option<PathBuf>, args: SweepArgs) -> Result<bool, TestbedError> {
+    let sweep = Sweep {
+        scenarios: library::scenario_texts(&args.scenarios)?,
+        swept: args.over,
+        plays: args.plays,
+        limiter,
+        out: args.out,
+    };
+    sweep.play()
+}
+
+fn check_scenario(name: &str) -> Result<bool, TestbedError> {
+    let scenario = Scenario::read(&library::scenario_text(name)?)?;
+    println!(
+        "{}: well-formed, {} limiters, {} faults",
+        scenario.name,
+        scenario.limiters.count,
+        scenario.faults.len()
+    );
+    Ok(true)
 }
 
-fn whole(name: &str, out: &std::path::Path) -> Result<bool, String> {
-    let scenario = system::library::scenario(name).map_err(|e| e.to_string())?;
+fn play_system(name: &str, out: &Path) -> Result<bool, TestbedError> {
+    let scenario = system::library::scenario(name).map_err(SystemError::Scenario)?;
     let folder = out.join(&scenario.name);
     // Disks of an earlier run would make this one no first start.
     let _ = std::fs::remove_dir_all(&folder);
-    let outcome = system::play::play(&scenario, &folder, &|text| eprintln!("{text}"));
-    let outcome = outcome.map_err(|e| e.to_string())?;
+    let outcome = system::play::play(&scenario, &folder, &print_progress)?;
     print!("{}", system::report::table(&scenario, &outcome));
     Ok(outcome.broken(&scenario).is_empty())
 }
+
+/// Plays the seeds, several side by side, and prints each one's line when it is done.
+fn play_soak(args: &SoakArgs) -> bool {
+    let kind = if args.storms {
+        SoakKind::Storms
+    } else {
+        SoakKind::Faults
+    };
+    let size = Size {
+        cores: args.cores,
+        edges: args.edges,
+        seconds: args.seconds,
+    };
+    let seeds = Mutex::new(args.seeds.clone());
+    let next_seed = || seeds.lock().unwrap_or_else(PoisonError::into_inner).next();
+    let all_kept = AtomicBool::new(true);
+    let play_seeds = || {
+        while let Some(seed) = next_seed() {
+            let folder = args.out.join(format!("{seed}-{}", size.edges));
+            let (line, is_kept) = soak(kind, seed, size, &folder);
+            println!("{line}");
+            all_kept.fetch_and(is_kept, Ordering::Relaxed);
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..args.at_once.max(1) {
+            scope.spawn(play_seeds);
+        }
+    });
+    all_kept.into_inner()
+}
+
+fn list_days() -> Result<bool, TestbedError> {
+    for day in days::all_days()? {
+        println!("{:<20} {}", day.name, day.about);
+    }
+    Ok(true)
+}
+
+fn play_days(args: DaysArgs) -> Result<bool, TestbedError> {
+    let options = days::PlayOptions {
+        bench: args.bench.ok_or(TestbedError::NoBench)?,
+        site_dirs: args.sites,
+        days: args.days,
+        only_sites: args.only,
+        first_seed_only: args.first,
+        jobs: args.jobs,
+        parallel_plays: args.at_once,
+        storms: args.storms,
+        out: args.out,
+    };
+    let all_kept = match args.drawn {
+        Some(seeds) => days::play_drawn_days(&options, seeds)?,
+        None => days::play_days(&options)?,
+    };
+    Ok(all_kept)
+}
--- /dev/null
+++ b/crates/aspendrum-testbed/src/run/exemptions.rs
@@ -0,0 +1,43 @@
+//! Periods in which the rules do not hold a limiter to its word, since a fault of the scenario struck it.
+
+use aspendrum_checker::limiter::ExemptPeriod;
+use aspendrum_checker::Millis;
+use aspendrum_fake_services::lock;
+use std::sync::Mutex;
+
+/// The exempt periods of a run.
+#[derive(Default)]
+pub(super) struct Exemptions(Mutex<Vec<ExemptPeriod>>);
+
+impl Exemptions {
+    /// The limiter is exempt from then on, until [`Exemptions::end`].
+    pub(super) fn begin(&self, limiter: usize, from: Millis) {
+        self.add(ExemptPeriod {
+            limiter,
+            server: None,
+            from,
+            to: f64::INFINITY,
+        });
+    }
+
+    /// The limiter takes queries again.
+    pub(super) fn end(&self, limiter: usize, now: Millis) {
+        let is_open = |period: &&mut ExemptPeriod| {
+            period.limiter == limiter && period.server.is_none() && period.to == f64::INFINITY
+        };
+        lock(&self.0)
+            .iter_mut()
+            .filter(is_open)
+            .for_each(|period| period.to = now);
+    }
+
+    /// Adds a period.
+    pub(super) fn add(&self, period: ExemptPeriod) {
+        lock(&self.0).push(period);
+    }
+
+    /// All periods so far.
+    pub(super) fn periods(&self) -> Vec<ExemptPeriod> {
+        lock(&self.0).clone()
+    }
+}
--- a/crates/aspendrum-testbed/src/sweep.rs
+++ b/crates/aspendrum-testbed/src/sweep.rs
@@ -1,136 +1,211 @@
 //! Scenarios played once for each value of one key.
 
+use crate::error::TestbedError;
 use crate::program::Program;
-use crate::report::{self, Row};
+use crate::report::{self, ReportError, Row, Series};
 use crate::run;
 use crate::scenario::Scenario;
-use std::path::{Path, PathBuf};
+use derive_more::{Display, Error};
+use std::path::PathBuf;
+use std::str::FromStr;
 
-/// One key of a scenario and the values that it takes in turn.
+/// One key of a scenario, and the values that it takes in turn.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Over {
-    /// The key of the scenario.
+pub struct SweptKey {
+    /// The key, as `limiters.count`.
     pub key: String,
     /// Its values.
     pub values: Vec<String>,
 }
 
-impl Over {
+/// A text that names no key and values.
+#[derive(Clone, Copy, Debug, PartialEq, Display, Error)]
+pub enum InvalidSweptKey {
+    /// It has no equals sign.
+    #[display("it is KEY=a,b,c")]
+    NoValues,
+    /// The key or a value is empty.
+    #[display("it is KEY=a,b,c, and neither the key nor a value may be empty")]
+    EmptyPart,
+}
+
+impl FromStr for SweptKey {
+    type Err = InvalidSweptKey;
+
     /// As `limiters.count=5,20,40`.
-    pub fn read(text: &str) -> Result<Over, String> {
-        let (key, values) = text.split_once('=').ok_or("it is KEY=a,b,c")?;
+    fn from_str(text: &str) -> Result<SweptKey, InvalidSweptKey> {
+        let (key, values) = text.split_once('=').ok_or(InvalidSweptKey::NoValues)?;
         let values: Vec<String> = values.split(',').map(|v| v.trim().to_string()).collect();
         if key.is_empty() || values.iter().any(String::is_empty) {
-            return Err("it is KEY=a,b,c, and neither the key nor a value may be empty".into());
+            return Err(InvalidSweptKey::EmptyPart);
         }
-        Ok(Over {
+        Ok(SweptKey {
             key: key.to_string(),
             values,
         })
     }
 }
 
-/// Plays them all, one after another; every scenario is checked with every value before the first begins.
-/// Whether all kept their rules and bounds.
-pub fn play(
-    texts: &[String],
-    over: &Over,
-    plays: u64,
-    limiter: Option<PathBuf>,
-    out: &Path,
-) -> Result<bool, String> {
-    let mut all = Vec::new();
-    for text in texts {
-        for value in &over.values {
-            for play in 0..plays {
-                let mut s = Scenario::with(text, &over.key, value)?;
-                s.seed += play;
-                all.push((value, s));
+/// A sweep over one key.
+#[derive(Clone, Debug)]
+pub struct Sweep {
+    /// The texts of the scenarios.
+    pub scenarios: Vec<String>,
+    /// The key and its values.
+    pub swept: SweptKey,
+    /// How often each scenario is played with each value, each time with the next seed.
+    pub plays: u64,
+    /// The limiter's program; `None`: the one of this checkout.
+    pub limiter: Option<PathBuf>,
+    /// Where the results go.
+    pub out: PathBuf,
+}
+
+/// A scenario with one of the values.
+struct PlannedRun {
+    value: String,
+    scenario: Scenario,
+}
+
+/// What one of the values came to.
+struct Measured {
+    value: String,
+    row: Row,
+}
+
+impl Sweep {
+    /// Plays all, one after another. Every scenario is checked with every value before the first begins. Returns whether all
+    /// kept their rules and bounds.
+    ///
+    /// # Errors
+    /// [`TestbedError`] if a scenario is refused, a run cannot be made, or a report cannot be written.
+    pub fn play(&self) -> Result<bool, TestbedError> {
+        let runs = self.plan()?;
+        let mut measured = Vec::new();
+        for (index, run) in runs.iter().enumerate() {
+            eprint!("{}/{} ", index + 1, runs.len());
+            measured.push(self.play_one(run)?);
+        }
+        self.write(&measured)?;
+        Ok(measured.iter().all(|run| run.row.broken == 0))
+    }
+
+    fn plan(&self) -> Result<Vec<PlannedRun>, TestbedError> {
+        let mut runs = Vec::new();
+        for text in &self.scenarios {
+            for value in &self.swept.values {
+                for play in 0..self.plays {
+                    let mut scenario = Scenario::with_value(text, &self.swept.key, value)?;
+                    scenario.seed += play;
+                    let value = value.clone();
+                    runs.push(PlannedRun { value, scenario });
+                }
             }
         }
+        Ok(runs)
     }
-    let mut rows: Vec<(String, Row)> = Vec::new();
-    for (n, (value, s)) in all.iter().enumerate() {
-        eprint!(
-            "{}/{} {} with {} = {value}, seed {} ... ",
-            n + 1,
-            all.len(),
-            s.name,
-            over.key,
-            s.seed
-        );
-        let start = Program::for_scenario(s, limiter.clone()).map_err(|e| e.to_string())?;
-        let folder = out.join(format!("{}-{value}-{}", s.name, s.seed));
-        let o = run::play(s, &start, &folder.join("limiters"), &|_| {})?;
-        report::write(s, &o, &folder)?;
-        let row = Row::of(s, &o);
+
+    fn play_one(&self, run: &PlannedRun) -> Result<Measured, TestbedError> {
+        let PlannedRun { value, scenario } = run;
+        let (name, seed) = (&scenario.name, scenario.seed);
+        eprint!("{name} with {} = {value}, seed {seed} ... ", self.swept.key);
+        let program = Program::for_scenario(scenario, self.limiter.clone())?;
+        let folder = self.out.join(format!("{name}-{value}-{seed}"));
+        let outcome = run::play(scenario, &program, &folder.join("limiters"), &|_| {})?;
+        report::write(scenario, &outcome, &folder)?;
+        let row = Row::new(scenario, &outcome);
         eprintln!(
             "{:.2} of the quota granted, {} broken",
             row.over_quota, row.broken
         );
-        rows.push((value.to_string(), row));
+        let value = value.clone();
+        Ok(Measured { value, row })
+    }
+
+    /// The table, the charts, and the table for a page.
+    fn write(&self, runs: &[Measured]) -> Result<(), ReportError> {
+        std::fs::create_dir_all(&self.out).map_err(ReportError::io(&self.out))?;
+        let rows: Vec<Row> = runs.iter().map(|run| run.row.clone()).collect();
+        report::write_rows(&self.out.join("sweep.csv"), &rows)?;
+        for chart in CHARTS {
+            let file = self.out.join(format!("{}.svg", chart.file));
+            let axes = (self.swept.key.as_str(), chart.caption);
+            report::write_lines_chart(&file, chart.caption, axes, &chart.series(runs))?;
+        }
+        let page = self.out.join("sweep.md");
+        let text = markdown(&self.swept.key, runs);
+        std::fs::write(&page, text).map_err(ReportError::io(&page))
     }
-    write(over, &rows, out)?;
-    Ok(rows.iter().all(|r| r.1.broken == 0))
 }
 
-fn write(over: &Over, rows: &[(String, Row)], out: &Path) -> Result<(), String> {
-    std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
-    let plain: Vec<Row> = rows.iter().map(|r| r.1.clone()).collect();
-    report::rows(&out.join("sweep.csv"), &plain)?;
-    type Figure = (&'static str, &'static str, fn(&Row) -> f64);
-    let figures: [Figure; 3] = [
-        ("over_quota", "granted over quota", |r| r.over_quota),
-        (
-            "refused_with_room",
-            "refused with room, of what had room",
-            |r| r.refused_with_room,
-        ),
-        ("bytes", "bytes a limiter a second", |r| {
-            r.bytes_per_limiter_s
-        }),
-    ];
-    for (file, name, figure) in figures {
-        let mut series: Vec<(String, Vec<(f64, f64)>)> = Vec::new();
-        for (value, row) in rows {
-            // A value that is no number has no place on an axis; the table has it all the same.
-            let Ok(x) = value.parse::<f64>() else {
+/// A chart of one figure over the values.
+struct Chart {
+    /// The file's name without its extension.
+    file: &'static str,
+    caption: &'static str,
+    figure: fn(&Row) -> f64,
+}
+
+const CHARTS: [Chart; 3] = [
+    Chart {
+        file: "over_quota",
+        caption: "granted over quota",
+        figure: |row| row.over_quota,
+    },
+    Chart {
+        file: "refused_with_room",
+        caption: "refused with room, of what had room",
+        figure: |row| row.refused_with_room,
+    },
+    Chart {
+        file: "bytes",
+        caption: "bytes a limiter a second",
+        figure: |row| row.bytes_per_limiter_s,
+    },
+];
+
+impl Chart {
+    /// A line for each scenario. A value that is no number has no place on an axis; only the table has it.
+    fn series(&self, runs: &[Measured]) -> Vec<Series> {
+        let mut all: Vec<Series> = Vec::new();
+        for run in runs {
+            let Ok(x) = run.value.parse::<f64>() else {
                 continue;
             };
-            match series.iter_mut().find(|s| s.0 == row.scenario) {
-                Some(s) => s.1.push((x, figure(row))),
-                None => series.push((row.scenario.clone(), vec![(x, figure(row))])),
+            let (name, point) = (&run.row.scenario, (x, (self.figure)(&run.row)));
+            match all.iter_mut().find(|series| series.name == *name) {
+                Some(series) => series.points.push(point),
+                None => all.push(Series {
+                    name: name.clone(),
+                    points: vec![point],
+                }),
             }
         }
-        let axes = (over.key.as_str(), name);
-        report::lines_chart(&out.join(format!("{file}.svg")), name, axes, &series)?;
+        all
     }
-    std::fs::write(out.join("sweep.md"), markdown(over, rows))
-        .map_err(|e| format!("{}: {e}", out.display()))
 }
 
 /// The table for a page.
-fn markdown(over: &Over, rows: &[(String, Row)]) -> String {
-    let mut out = format!(
-        "| scenario | {} | granted / quota | worst window / burst | refused with room | recovered after, s | p99, ms | \
+fn markdown(key: &str, runs: &[Measured]) -> String {
+    let mut text = format!(
+        "| scenario | {key} | granted / quota | worst window / burst | refused with room | recovered after, s | p99, ms | \
          datagrams, bytes a limiter a s | counter calls a s | broken |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
-        over.key
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
     );
-    for (value, r) in rows {
-        let recovered = r.recovery_s.map_or("-".into(), |s| format!("{s:.1}"));
-        out += &format!(
+    for Measured { value, row } in runs {
+        let recovered = row.recovery_s.map_or("-".into(), |s| format!("{s:.1}"));
+        text += &format!(
             "| {} | {value} | {:.2} | {:.1} | {:.3} | {recovered} | {:.0} | {:.1}, {:.0} | {:.0} | {} |\n",
-            r.scenario,
-            r.over_quota,
-            r.peak_over_burst,
-            r.refused_with_room,
-            r.p99_ms,
-            r.datagrams_per_limiter_s,
-            r.bytes_per_limiter_s,
-            r.counter_calls_per_s,
-            r.broken
+            row.scenario,
+            row.over_quota,
+            row.peak_over_burst,
+            row.refused_with_room,
+            row.p99_ms,
+            row.datagrams_per_limiter_s,
+            row.bytes_per_limiter_s,
+            row.counter_calls_per_s,
+            row.broken
         );
     }
-    out
+    text
 }
--- a/crates/aspendrum-testbed/src/timeline.rs
+++ b/crates/aspendrum-testbed/src/timeline.rs
@@ -73,13 +73,13 @@
 pub fn fault_periods(scenario: &Scenario, from: Millis) -> Vec<FaultPeriod> {
     let end = scenario.seconds * MILLIS_PER_SECOND;
     let period = |(index, fault): (usize, &Fault)| {
-        if fault.for_s.is_none() && !fault.what.at_once() {
+        if fault.for_s.is_none() && !fault.kind.is_instant() {
             return None;
         }
         let first = start_times(fault, end).next()?;
         let duration = fault.for_s.unwrap_or(0.0) * MILLIS_PER_SECOND;
         let last_end = start_times(fault, end).last()? + duration;
-        let name = format!("{index} {}", fault.what.kind());
+        let name = format!("{index} {}", fault.kind.name());
         let (from, to) = (from + first, from + last_end);
         (last_end < end).then_some(FaultPeriod { name, from, to })
     };
@@ -102,7 +102,7 @@
     };
     let span = |begin: &FaultTransition| {
         let from_s = begin.at / MILLIS_PER_SECOND;
-        let to_s = if scenario.faults[begin.fault].what.at_once() {
+        let to_s = if scenario.faults[begin.fault].kind.is_instant() {
             from_s + VISIBLE_S
         } else {
             end_of(begin).unwrap_or(scenario.seconds)
--- a/crates/aspendrum-testbed/tests/faults.rs
+++ b/crates/aspendrum-testbed/tests/faults.rs
@@ -310,7 +310,7 @@
     ] {
         assert!(broken.contains(what), "{what} is not in:\n{broken}");
     }
-    assert_eq!(o.failures, [] as [String; 0]);
+    assert!(o.failures.is_empty(), "{:?}", o.failures);
 }
 
 /// A limiter that ends unasked is a failed run, and so is one that does not start.
@@ -323,9 +323,8 @@
         arguments: vec![],
         config_source: ConfigSource::Argument,
     };
-    let text = run::play(&s, &nobody, folder.path(), &|_| {})
-        .err()
-        .unwrap();
+    let error = run::play(&s, &nobody, folder.path(), &|_| {}).err();
+    let text = error.unwrap().to_string();
     assert!(text.contains("ended at its start"), "{text}");
     // Ends by itself a second after its start, whatever it is asked.
     let serve = limiter();
@@ -340,7 +339,9 @@
     };
     let o = run::play(&s, &short, folder.path(), &|_| {}).unwrap();
     assert!(
-        o.failures.iter().any(|f| f.contains("ended unasked")),
+        o.failures
+            .iter()
+            .any(|f| f.to_string().contains("ended unasked")),
         "{:?}",
         o.failures
     );
@@ -394,7 +395,7 @@
     for (name, text) in library::ALL {
         assert_eq!(Scenario::read(text).unwrap().name, *name);
         for count in ["5", "20", "40"] {
-            Scenario::with(text, "limiters.count", count).unwrap();
+            Scenario::with_value(text, "limiters.count", count).unwrap();
         }
     }
     Scenario::read(library::DEMO).unwrap();
@@ -428,14 +429,18 @@
     Scenario::read(&sound).unwrap();
     for (from, to, key) in cases {
         assert!(sound.contains(from), "{from}");
-        let text = Scenario::read(&sound.replacen(from, to, 1)).err().unwrap();
+        let refused = Scenario::read(&sound.replacen(from, to, 1)).err();
+        let text = refused.unwrap().to_string();
         assert!(text.contains(key), "{to}: {text}");
     }
     for key in ["limiters.cuont", "plans.3.rate", "customers.0.plan.x"] {
-        assert!(Scenario::with(&sound, key, "3").is_err(), "{key}");
+        assert!(Scenario::with_value(&sound, key, "3").is_err(), "{key}");
     }
     assert_eq!(
-        Scenario::with(&sound, "plans.0.rate", "4").unwrap().plans[0].rate,
+        Scenario::with_value(&sound, "plans.0.rate", "4")
+            .unwrap()
+            .plans[0]
+            .rate,
         4.0
     );
 }
--- a/crates/aspendrum-testbed/tests/sweep.rs
+++ b/crates/aspendrum-testbed/tests/sweep.rs
@@ -1,18 +1,21 @@
 //! What a sweep goes over.
 
-use aspendrum_testbed::sweep::Over;
+use aspendrum_testbed::sweep::SweptKey;
 
 #[test]
 fn a_sweep_names_a_key_and_its_values() {
-    let over = Over::read("limiters.count=5, 20,40").unwrap();
+    let swept: SweptKey = "limiters.count=5, 20,40".parse().unwrap();
     let values = ["5", "20", "40"].map(String::from).to_vec();
-    assert_eq!((over.key.as_str(), over.values), ("limiters.count", values));
+    assert_eq!(
+        (swept.key.as_str(), swept.values),
+        ("limiters.count", values)
+    );
     for invalid in [
         "limiters.count",
         "=5",
         "limiters.count=",
         "limiters.count=5,,6",
     ] {
-        assert!(Over::read(invalid).is_err(), "{invalid}");
+        assert!(invalid.parse::<SweptKey>().is_err(), "{invalid}");
     }
 }
