proxy: a connection that waits rests for as long as the limits in force allow

Cause: the time-out of a connection that waits was set from the configuration of its last request; at its end the connection was closed, and a client that went by a newer configuration lost its request to the close. Change: at the time-out the limits in force decide, and what is left of them is waited for.

--- a/crates/aspendrum-proxy/src/listener.rs
+++ b/crates/aspendrum-proxy/src/listener.rs
@@ -33,6 +33,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The configuration's time-outs count for so much at least: a socket takes none of nothing.
 const MIN_TIMEOUT_MS: f64 = 1.0;
+const MILLIS_PER_SECOND: f64 = 1000.0;
 
 /// Accepts connections until the process takes no more requests. Then the clients that the system has accepted by now
 /// are answered too, and the listener is closed: a client that comes later is refused, and goes elsewhere at once.
@@ -205,6 +206,8 @@
 struct RequestBuffer {
     buffer: Option<RingBuffer>,
     read_timeout: Duration,
+    /// Since when the connection waits for its next request; `None`: it does not.
+    idle_since: Option<Instant>,
 }
 
 impl RequestBuffer {
@@ -234,27 +237,41 @@
         let stream = &*session.stream;
         let is_idle = self.is_empty();
         session.set_busy(!is_idle);
-        self.set_read_timeout(
-            stream,
-            if is_idle {
-                limits.idle_timeout_ms
-            } else {
-                limits.header_timeout_ms
-            },
-        );
+        let timeout_ms = if is_idle {
+            self.remaining_idle_ms(limits)
+        } else {
+            limits.header_timeout_ms
+        };
+        if timeout_ms <= 0.0 {
+            return Step::Close;
+        }
+        self.set_read_timeout(stream, timeout_ms);
         let Some(buffer) = &mut self.buffer else {
             return Step::Close;
         };
         match buffer.fill(&mut &*stream) {
             Ok(0) => Step::Close,
-            Ok(_) => Step::Continue,
-            Err(e) if is_timeout(&e) && is_idle => Step::Close,
+            Ok(_) => {
+                self.idle_since = None;
+                Step::Continue
+            }
+            // Unless a configuration has come meanwhile that allows more.
+            Err(e) if is_timeout(&e) && is_idle => Step::Continue,
             Err(e) if is_timeout(&e) => reject(stream, 408),
             Err(e) if e.kind() == ErrorKind::Interrupted => Step::Continue,
             Err(_) => Step::Close,
         }
     }
 
+    /// How long the connection may still wait for its next request.
+    fn remaining_idle_ms(&mut self, limits: &RequestLimits) -> f64 {
+        let Some(idle_since) = self.idle_since else {
+            self.idle_since = Some(Instant::now());
+            return limits.idle_timeout_ms.max(MIN_TIMEOUT_MS);
+        };
+        limits.idle_timeout_ms - idle_since.elapsed().as_secs_f64() * MILLIS_PER_SECOND
+    }
+
     /// Setting it again for each read would cost a system call.
     fn set_read_timeout(&mut self, stream: &TcpStream, timeout_ms: f64) {
         let timeout = duration_from_millis(timeout_ms.max(MIN_TIMEOUT_MS));
