--- a/crates/aspendrum-testbed/src/drawn.rs
+++ b/crates/aspendrum-testbed/src/drawn.rs
@@ -69,7 +69,10 @@
         "scale_in",
         true,
         2,
-        &[SHARES, &["", "how = \"spot\", x = 2"]],
+        &[
+            SHARES,
+            &["", "how = \"spot\", x = 2", "how = \"reclaim\", x = 2.5"],
+        ],
     ),
     kind(
         "cold_return",
@@ -152,7 +155,13 @@
         2,
         &[
             &["", "on = \"core\"", "share = 0.3"],
-            &["", "how = \"power\"", "how = \"taken\""],
+            &[
+                "",
+                "how = \"power\"",
+                "how = \"taken\"",
+                "how = \"taken all\"",
+                "how = \"off\"",
+            ],
             DURATIONS,
         ],
     ),
@@ -209,6 +218,9 @@
                 "how = \"leader race\"",
                 "how = \"reset\"",
                 "how = \"refuse meet\"",
+                "how = \"behind\"",
+                "how = \"split\"",
+                "how = \"relieve\"",
             ],
         ],
     ),
@@ -238,6 +250,8 @@
             "how = \"timeout\"",
             "how = \"tenant\"",
             "how = \"quota\"",
+            "how = \"quota down\"",
+            "how = \"topup\"",
             "how = \"idle\"",
         ]],
     ),
@@ -273,7 +287,16 @@
             ],
         ],
     ),
-    kind("revoke", true, 3, &[&["count = 1", "count = 4"], GAPS]),
+    kind(
+        "revoke",
+        true,
+        3,
+        &[
+            &["count = 1", "count = 4"],
+            GAPS,
+            &["", "", "how = \"last\""],
+        ],
+    ),
     kind("evacuate", true, 3, &[DURATIONS, &["", "how = \"warm\""]]),
     kind(
         "burst",
@@ -314,7 +337,17 @@
             "srv_grey",
             false,
             1,
-            &[DURATIONS, &["how = \"shed\", x = 0.4", ""]],
+            &[
+                DURATIONS,
+                &[
+                    "",
+                    "how = \"shed\", x = 0.4",
+                    "how = \"hang\"",
+                    "how = \"mute\"",
+                    "how = \"busy one_zone\"",
+                    "how = \"slow\"",
+                ],
+            ],
         ),
     ),
     with_contract(
@@ -323,7 +356,7 @@
             "srv_lying_health",
             false,
             1,
-            &[DURATIONS, &["", "how = \"reset\""]],
+            &[DURATIONS, &["", "how = \"reset\"", "how = \"bad\""]],
         ),
     ),
     with_contract(
@@ -374,6 +407,23 @@
         &[SHARES, &["", "on = \"core\", x = 1"]],
     ),
     kind("zone_cut", false, 2, &[DURATIONS]),
+    kind(
+        "srv_cut",
+        false,
+        2,
+        &[
+            DURATIONS,
+            SHARES,
+            &[
+                "",
+                "how = \"fronts\"",
+                "how = \"some\"",
+                "how = \"some lossy\"",
+                "how = \"one_way\"",
+                "how = \"reset\"",
+            ],
+        ],
+    ),
     kind("ack_lost", false, 3, &[DURATIONS, &["x = 0.7", "x = 1"]]),
 ];
 
--- a/crates/aspendrum-testbed/tests/days.rs
+++ b/crates/aspendrum-testbed/tests/days.rs
@@ -121,9 +121,10 @@
         "disk_full",
         "ack_lost",
         "zone_cut",
+        "srv_cut",
         "node_slow",
     ] {
         assert!(kinds.contains(kind), "{kind}");
     }
-    assert_eq!(kinds.len(), 44, "{kinds:?}");
+    assert_eq!(kinds.len(), 45, "{kinds:?}");
 }
