--- a/crates/aspendrum-testbed/src/drawn.rs
+++ b/crates/aspendrum-testbed/src/drawn.rs
@@ -407,22 +407,25 @@
         &[SHARES, &["", "on = \"core\", x = 1"]],
     ),
     kind("zone_cut", false, 2, &[DURATIONS]),
-    kind(
-        "srv_cut",
-        false,
-        2,
-        &[
-            DURATIONS,
-            SHARES,
+    with_contract(
+        "own",
+        kind(
+            "srv_cut",
+            false,
+            2,
             &[
-                "",
-                "how = \"fronts\"",
-                "how = \"some\"",
-                "how = \"some lossy\"",
-                "how = \"one_way\"",
-                "how = \"reset\"",
+                DURATIONS,
+                SHARES,
+                &[
+                    "",
+                    "how = \"fronts\"",
+                    "how = \"some\"",
+                    "how = \"some lossy\"",
+                    "how = \"one_way\"",
+                    "how = \"reset\"",
+                ],
             ],
-        ],
+        ),
     ),
     kind("ack_lost", false, 3, &[DURATIONS, &["x = 0.7", "x = 1"]]),
 ];
--- a/crates/aspendrum-testbed/tests/days.rs
+++ b/crates/aspendrum-testbed/tests/days.rs
@@ -102,9 +102,12 @@
 /// Danger: a day that cannot be played again, or kinds that no day ever holds.
 #[test]
 fn a_seed_draws_one_day_and_many_seeds_draw_every_kind() {
-    let all = ["base", "health", "pool"].map(str::to_string);
+    let all = ["base", "health", "own", "pool"].map(str::to_string);
     assert_eq!(drawn::draw_day("d", 7, &all), drawn::draw_day("d", 7, &all));
-    assert!((0..400).all(|seed| !drawn::draw_day("d", seed, &all[..1]).contains("srv_grey")));
+    for kind in ["srv_grey", "srv_cut"] {
+        let is_absent = |seed| !drawn::draw_day("d", seed, &all[..1]).contains(kind);
+        assert!((0..400).all(is_absent), "{kind} needs a contract");
+    }
     let mut kinds = std::collections::BTreeSet::new();
     for seed in 0..400 {
         let day: toml::Table = toml::from_str(&drawn::draw_day("d", seed, &all)).unwrap();
