review: case 1, a server that answers before a long body is in runs a request twice

A write to a server that fails or makes no progress counts as proof that the request has not run; a server that has answered early has run it. Servers, clients, operator and platform are stand-ins on loopback.

--- /dev/null
+++ b/review/stand-ins/src/services.rs
@@ -0,0 +1,168 @@
+//! The stand-ins for servers and for the platform that lists them.
+
+use crate::http::{self, Head};
+use crate::record::Record;
+use std::collections::HashMap;
+use std::io::{self, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+/// How a server handles one request after its head has been read: it reads the body, runs the request and answers.
+/// Returns false to close the connection.
+pub type Handler = dyn Fn(&Server, &Head, &mut TcpStream) -> io::Result<bool> + Send + Sync;
+
+/// A server of the platform's list.
+pub struct Server {
+    pub uid: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub record: Arc<Record>,
+    runs: Arc<Runs>,
+}
+
+/// What ran where, over all servers: the uids of the servers that ran each try, and the status that each answered.
+#[derive(Default)]
+pub struct Runs {
+    by_try: Mutex<HashMap<String, Vec<String>>>,
+    answered: Mutex<HashMap<String, Vec<u16>>>,
+}
+
+impl Runs {
+    fn push<T>(map: &Mutex<HashMap<String, Vec<T>>>, try_id: &str, value: T) {
+        let mut map = map.lock().unwrap_or_else(|e| e.into_inner());
+        map.entry(try_id.to_string()).or_default().push(value);
+    }
+
+    fn get<T: Clone>(map: &Mutex<HashMap<String, Vec<T>>>, try_id: &str) -> Vec<T> {
+        let map = map.lock().unwrap_or_else(|e| e.into_inner());
+        map.get(try_id).cloned().unwrap_or_default()
+    }
+
+    /// The servers that ran a try.
+    pub fn of(&self, try_id: &str) -> Vec<String> {
+        Self::get(&self.by_try, try_id)
+    }
+
+    /// The statuses that servers answered to a try.
+    pub fn statuses(&self, try_id: &str) -> Vec<u16> {
+        Self::get(&self.answered, try_id)
+    }
+}
+
+impl Server {
+    /// Records that the server begins to work on a request.
+    pub fn run(&self, try_id: &str) {
+        self.record
+            .line(&format!("server {} runs {try_id}", self.uid));
+        Runs::push(&self.runs.by_try, try_id, self.uid.clone());
+    }
+
+    /// Writes an answer with the server's `Seal`, and records its status.
+    pub fn answer(
+        &self,
+        stream: &mut TcpStream,
+        try_id: &str,
+        status: u16,
+        reason: &str,
+        body: &[u8],
+    ) -> io::Result<()> {
+        self.record.line(&format!(
+            "server {} answers {try_id} with {status}",
+            self.uid
+        ));
+        Runs::push(&self.runs.answered, try_id, status);
+        let seal = format!("{}.{try_id}", self.uid);
+        let fields = [("Try-Id", try_id), ("Seal", seal.as_str())];
+        stream.write_all(&http::encode(status, reason, &fields, body))
+    }
+}
+
+/// Starts a server at a free port.
+pub fn start_server(
+    ip: Ipv4Addr,
+    uid: &str,
+    service: &str,
+    record: &Arc<Record>,
+    runs: &Arc<Runs>,
+    handler: Arc<Handler>,
+) -> io::Result<Arc<Server>> {
+    let listener = TcpListener::bind((ip, 0))?;
+    let server = Arc::new(Server {
+        uid: uid.to_string(),
+        service: service.to_string(),
+        address: listener.local_addr()?,
+        record: record.clone(),
+        runs: runs.clone(),
+    });
+    let served = server.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (server, handler) = (served.clone(), handler.clone());
+            thread::spawn(move || {
+                let _ = serve(&server, stream, &*handler);
+            });
+        }
+    });
+    Ok(server)
+}
+
+fn serve(server: &Server, mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    while let Some(head) = http::read_head(&mut stream)? {
+        if head.start.starts_with("GET /healthz") {
+            let fields = [("Server-Id", server.uid.as_str()), ("Server-Load", "0,0,2")];
+            stream.write_all(&http::encode(200, "OK", &fields, b""))?;
+            continue;
+        }
+        let wanted = head.field("Want-Server");
+        if wanted.is_some_and(|wanted| wanted != server.uid) {
+            let try_id = head.field("Try-Id").unwrap_or("").to_string();
+            http::skip_body(&mut stream, head.content_length())?;
+            let fields = [("Try-Id", try_id.as_str()), ("Not-Run", "1")];
+            stream.write_all(&http::encode(421, "Misdirected Request", &fields, b""))?;
+            continue;
+        }
+        if !handler(server, &head, &mut stream)? {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Starts the platform's list of servers.
+pub fn start_platform(
+    ip: Ipv4Addr,
+    zone: &'static str,
+    servers: Vec<Arc<Server>>,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((ip, 0))?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        let entries = servers.iter().map(|server| {
+            format!(
+                r#"{{"svc":"{}","addr":"{}","az":"{zone}","gen":"v1","slots":2,"phase":"up","warm-left-ms":0,"uid":"{}"}}"#,
+                server.service, server.address, server.uid
+            )
+        });
+        let body = format!(
+            r#"{{"servers":[{}],"next":null}}"#,
+            entries.collect::<Vec<_>>().join(",")
+        );
+        for mut stream in listener.incoming().flatten() {
+            let body = body.clone();
+            thread::spawn(move || {
+                while let Ok(Some(_)) = http::read_head(&mut stream) {
+                    let fields = [("Content-Type", "application/json")];
+                    if stream
+                        .write_all(&http::encode(200, "OK", &fields, body.as_bytes()))
+                        .is_err()
+                    {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Ok(address)
+}
