review: scripts end their processes when interrupted, and wait for the directory

Cause: on a busy machine a look-up came before control listened, and a case ended with 2; an interrupted script left processes behind.

--- a/review/stand-ins/src/fleet.rs
+++ b/review/stand-ins/src/fleet.rs
@@ -5,7 +5,7 @@
 use crate::http;
 use crate::record::Record;
 use std::fs;
-use std::io;
+use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -198,6 +198,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        note_pid(child.id());
         self.processes.push(Process { role, child });
         Ok(())
     }
@@ -349,8 +350,11 @@
         let to = self.addresses.directory(0);
         let give_up = Instant::now() + Duration::from_secs(10);
         loop {
-            let answer = http::call(to.into(), "GET", &path, &[], b"", Duration::from_secs(1))?;
-            let body = String::from_utf8_lossy(&answer.body).to_string();
+            let answer = http::call(to.into(), "GET", &path, &[], b"", Duration::from_secs(1));
+            let body = answer.map_or_else(
+                |error| error.to_string(),
+                |answer| String::from_utf8_lossy(&answer.body).to_string(),
+            );
             let list = body
                 .split('[')
                 .nth(1)
@@ -366,16 +370,23 @@
                 return Ok(addresses);
             }
             if Instant::now() >= give_up {
-                return Err(io::Error::other(format!(
-                    "look-up answered {} {body}",
-                    answer.status
-                )));
+                return Err(io::Error::other(format!("look-up: {body}")));
             }
             std::thread::sleep(Duration::from_millis(100));
         }
     }
 }
 
+/// Notes the id of a process in the file that `PIDS` names, so that `run.sh` can end it if it is interrupted.
+pub fn note_pid(pid: u32) {
+    let Some(file) = std::env::var_os("PIDS") else {
+        return;
+    };
+    if let Ok(mut file) = fs::OpenOptions::new().append(true).open(file) {
+        let _ = writeln!(file, "{pid}");
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for process in &mut self.processes {
