--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -15,7 +15,7 @@
     exit 2
 }
 trap end_all TERM INT HUP
-timeout --signal=KILL 110 "$stand_ins" sealed-failure "$root" record.txt &
+timeout --signal=KILL 110 "$stand_ins" memory "$root" record.txt &
 case=$!
 wait "$case"
 status=$?
--- a/review/stand-ins/src/http.rs
+++ b/review/stand-ins/src/http.rs
@@ -31,7 +31,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
     pub status: u16,
-    pub head: Head,
     pub body: Vec<u8>,
 }
 
@@ -84,7 +83,7 @@
         .unwrap_or(0);
     let mut body = vec![0; head.content_length()];
     stream.read_exact(&mut body)?;
-    Ok(Answer { status, head, body })
+    Ok(Answer { status, body })
 }
 
 /// Sends a request on a new connection and reads its answer.
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -6,7 +6,6 @@
 mod http;
 mod memory;
 mod record;
-mod sealed_failure;
 mod services;
 
 use record::Record;
@@ -58,12 +57,12 @@
         record: Arc::new(Record::create(record)?),
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
+    fleet::note_pid(std::process::id());
     run.record
         .line(&format!("case {case}, trouble {}", run.has_trouble));
     let verdict = match case {
         "early-answer" => early_answer::play(&run)?,
         "memory" => memory::play(&run)?,
-        "sealed-failure" => sealed_failure::play(&run)?,
         _ => return Err(io::Error::other("unknown case")),
     };
     for text in &verdict.breaks {
--- a/review/stand-ins/src/services.rs
+++ b/review/stand-ins/src/services.rs
@@ -21,32 +21,25 @@
     runs: Arc<Runs>,
 }
 
-/// What ran where, over all servers: the uids of the servers that ran each try, and the status that each answered.
+/// What ran where, over all servers: the uids of the servers that ran each try.
 #[derive(Default)]
 pub struct Runs {
     by_try: Mutex<HashMap<String, Vec<String>>>,
-    answered: Mutex<HashMap<String, Vec<u16>>>,
 }
 
 impl Runs {
-    fn push<T>(map: &Mutex<HashMap<String, Vec<T>>>, try_id: &str, value: T) {
-        let mut map = map.lock().unwrap_or_else(|e| e.into_inner());
-        map.entry(try_id.to_string()).or_default().push(value);
-    }
-
-    fn get<T: Clone>(map: &Mutex<HashMap<String, Vec<T>>>, try_id: &str) -> Vec<T> {
-        let map = map.lock().unwrap_or_else(|e| e.into_inner());
-        map.get(try_id).cloned().unwrap_or_default()
+    fn record(&self, try_id: &str, uid: &str) {
+        let mut by_try = self.by_try.lock().unwrap_or_else(|e| e.into_inner());
+        by_try
+            .entry(try_id.to_string())
+            .or_default()
+            .push(uid.to_string());
     }
 
     /// The servers that ran a try.
     pub fn of(&self, try_id: &str) -> Vec<String> {
-        Self::get(&self.by_try, try_id)
-    }
-
-    /// The statuses that servers answered to a try.
-    pub fn statuses(&self, try_id: &str) -> Vec<u16> {
-        Self::get(&self.answered, try_id)
+        let by_try = self.by_try.lock().unwrap_or_else(|e| e.into_inner());
+        by_try.get(try_id).cloned().unwrap_or_default()
     }
 }
 
@@ -55,10 +48,10 @@
     pub fn run(&self, try_id: &str) {
         self.record
             .line(&format!("server {} runs {try_id}", self.uid));
-        Runs::push(&self.runs.by_try, try_id, self.uid.clone());
+        self.runs.record(try_id, &self.uid);
     }
 
-    /// Writes an answer with the server's `Seal`, and records its status.
+    /// Writes an answer with the server's `Seal`.
     pub fn answer(
         &self,
         stream: &mut TcpStream,
@@ -71,7 +64,6 @@
             "server {} answers {try_id} with {status}",
             self.uid
         ));
-        Runs::push(&self.runs.answered, try_id, status);
         let seal = format!("{}.{try_id}", self.uid);
         let fields = [("Try-Id", try_id), ("Seal", seal.as_str())];
         stream.write_all(&http::encode(status, reason, &fields, body))
