Request bodies: held once, within a memory budget of the whole proxy

A chunked body was decoded from its start after each read. Nothing bounded the sum: `memory_limit_mb` was read and never used.

Change: `net::memory_budget` reserves before memory is allocated, for the process as a whole. `http1::MessageReader` receives a body once, into memory of its final size; the ring buffer holds heads and chunk framing only. The body is written to the server from there; bodies up to 16 KB still go out with their head in one write. Half of `mem-mb` is for requests, with a part that only small ones may use, so that these are served beside large ones; connections count with their fixed memory. A request that does not fit waits for a third of its client's time, one second at most, and is then refused with 503, which promises that it did not run. A body must have arrived when its client stops waiting. `ConnectionOptions` has a budget for its buffers; the proxy's and the limiter's are unlimited for now.

Tests: tests/memory_limit.rs of the proxy counts the heap of its process. Constructors in three tests follow the new types.

--- a/crates/aspendrum-control/tests/answers.rs
+++ b/crates/aspendrum-control/tests/answers.rs
@@ -29,7 +29,7 @@
         method: method.into(),
         path: path.into(),
         headers: Vec::new(),
-        body: body.as_bytes().to_vec(),
+        body: body.as_bytes().to_vec().into(),
         closes_connection: false,
     }
 }
--- a/crates/aspendrum-net/src/connection.rs
+++ b/crates/aspendrum-net/src/connection.rs
@@ -1,11 +1,12 @@
 //! A connection to a server, which carries one request-response exchange at a time.
 
 use crate::descriptor_permit::DescriptorPermit;
-use crate::http1::Parsed;
+use crate::http1::{MessageSource, Parsed};
+use crate::memory_budget::MemoryBudget;
 use crate::ring_buffer::{is_timeout, RingBuffer};
 use aspendrum_core::api::Outcome;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -25,6 +26,8 @@
     pub read_timeout: Duration,
     /// A connection that has been idle for this long is closed, unless its server announced a different timeout.
     pub idle_timeout: Duration,
+    /// The memory for the growth of the buffers.
+    pub memory: MemoryBudget,
 }
 
 /// A connection to a server.
@@ -68,7 +71,10 @@
             .connect_timeout(&address.into(), timeout.max(options.min_timeout))?;
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(options.write_timeout))?;
-        let buffer = || RingBuffer::new(options.initial_buffer_bytes, options.max_buffer_bytes);
+        let buffer = || {
+            RingBuffer::new(options.initial_buffer_bytes, options.max_buffer_bytes)
+                .with_budget(&options.memory)
+        };
         Ok(Connection {
             stream,
             incoming: buffer(),
@@ -140,20 +146,31 @@
             .map_err(|_| Outcome::ConnectFailed)
     }
 
-    /// Reads from the connection until `parse` finds a complete response in the buffer.
+    /// Writes `bytes` directly, after the contents of [`Connection::outgoing`].
     ///
     /// # Errors
-    /// Returns `TimedOut` if the deadline passed, `Reset` if the connection ended, and `Error` if the received bytes
-    /// are not a valid response.
+    /// Returns [`Outcome::ConnectFailed`] if not everything was written.
+    pub fn send_directly(&mut self, bytes: &[u8]) -> Result<(), Outcome> {
+        self.send()?;
+        (&*self.stream)
+            .write_all(bytes)
+            .map_err(|_| Outcome::ConnectFailed)
+    }
+
+    /// Reads from the connection until `source` finds a complete response.
+    ///
+    /// # Errors
+    /// Returns `TimedOut` if the deadline passed, `Reset` if the connection ended, `Error` if the received bytes are
+    /// not a valid response, and `Cancelled` if there is no memory for the response.
     pub fn receive<T>(
         &mut self,
         deadline: Instant,
         options: &ConnectionOptions,
-        mut parse: impl FnMut(&mut RingBuffer) -> Parsed<T>,
+        mut source: impl MessageSource<T>,
     ) -> Result<T, Outcome> {
         let mut stream = &*self.stream;
         loop {
-            match parse(&mut self.incoming) {
+            match source.parse(&mut self.incoming) {
                 Parsed::Complete(response) => return Ok(response),
                 Parsed::Invalid(_) => return Err(Outcome::Error),
                 Parsed::Incomplete => {}
@@ -169,22 +186,30 @@
                 stream.set_read_timeout(Some(timeout))
             };
             self.read_timeout = timeout;
-            match timeout_set.and_then(|()| self.incoming.fill(&mut stream)) {
+            match timeout_set.and_then(|()| source.fill(&mut self.incoming, &mut stream)) {
                 Ok(0) => return Err(Outcome::Reset),
                 Ok(_) => {}
                 Err(e) if is_timeout(&e) || e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::QuotaExceeded => {
+                    if !source.await_memory(deadline) {
+                        return Err(Outcome::Cancelled);
+                    }
+                }
                 Err(_) => return Err(Outcome::Reset),
             }
         }
     }
 }
 
+/// The size of the buffer for input that is discarded.
+const DISCARD_BUFFER_BYTES: usize = 8 << 10;
+
 /// Shuts down the sending side, then discards received bytes until `timeout` has passed or `max_bytes` were received.
 /// Closing a socket with unread bytes resets the connection, and the peer might not read the response just written (RFC
 /// 9112, 9.6).
 pub fn lingering_close(mut stream: &TcpStream, timeout: Duration, max_bytes: usize) {
     let deadline = Instant::now() + timeout;
-    let mut discarded = [0; 1024];
+    let mut discarded = [0; DISCARD_BUFFER_BYTES];
     let mut remaining = max_bytes;
     let _ = stream.shutdown(Shutdown::Write);
     let _ = stream.set_read_timeout(Some(timeout));
--- a/crates/aspendrum-net/src/http1/body.rs
+++ b/crates/aspendrum-net/src/http1/body.rs
@@ -1,5 +1,6 @@
 //! The framing of bodies (RFC 9112, 6 and 7).
 
+use super::content::Content;
 use super::parsed::Parsed;
 use super::status::{BAD_GATEWAY, BAD_REQUEST, CONTENT_TOO_LARGE};
 use derive_more::{Display, Error};
@@ -30,6 +31,7 @@
 
 /// The maximum length of a chunk size line, including extensions, in bytes.
 const MAX_CHUNK_SIZE_LINE: usize = 64;
+const LINE_BREAK: &[u8] = b"\r\n";
 
 /// Determines from the header fields how the end of the body is found.
 ///
@@ -75,36 +77,159 @@
 
 /// Parses a chunked body at the start of `bytes` with at most `max_bytes` of content.
 pub fn parse_chunked(bytes: &[u8], max_bytes: usize) -> Parsed<ParsedBody> {
-    let (mut position, mut content) = (0, Vec::new());
+    let mut decoder = BodyDecoder::new(&BodyLength::Chunked, max_bytes);
+    let mut content = Content::default();
+    let mut end = 0;
     loop {
-        let (line, size) = match httparse::parse_chunk_size(&bytes[position..]) {
-            Ok(httparse::Status::Complete(chunk)) => chunk,
-            Ok(httparse::Status::Partial) if bytes.len() - position < MAX_CHUNK_SIZE_LINE => {
-                return Parsed::Incomplete;
-            }
-            _ => return Parsed::Invalid(BAD_GATEWAY),
+        if let Some(growth) = decoder.needed_growth(&content) {
+            content.try_grow(growth);
+        }
+        match decoder.decode(&bytes[end..], &mut content) {
+            Err(FramingError) => return Parsed::Invalid(BAD_GATEWAY),
+            Ok(0) => return Parsed::Incomplete,
+            Ok(decoded) => end += decoded,
+        }
+        if decoder.is_complete() {
+            let content = content.bytes;
+            return Parsed::Complete(ParsedBody { end, content });
+        }
+    }
+}
+
+/// Removes the framing from a body that arrives in pieces.
+pub(super) struct BodyDecoder {
+    position: Position,
+    /// The content length that may still be announced by chunks.
+    remaining_limit: usize,
+}
+
+/// What follows in the body. Lengths are in bytes.
+enum Position {
+    /// The rest of a body of known length.
+    Content(usize),
+    ChunkSize,
+    /// The rest of a chunk.
+    Chunk(usize),
+    /// The line break behind a chunk.
+    ChunkEnd,
+    Trailers,
+    End,
+}
+
+impl BodyDecoder {
+    /// Creates a decoder for a body with at most `max_bytes` of content.
+    pub(super) fn new(length: &BodyLength, max_bytes: usize) -> BodyDecoder {
+        let position = match length {
+            BodyLength::Known(0) | BodyLength::Unknown => Position::End,
+            BodyLength::Known(length) => Position::Content(*length),
+            BodyLength::Chunked => Position::ChunkSize,
         };
-        if size > (max_bytes - content.len()) as u64 {
-            return Parsed::Invalid(BAD_GATEWAY);
+        BodyDecoder {
+            position,
+            remaining_limit: max_bytes,
+        }
+    }
+
+    pub(super) fn is_complete(&self) -> bool {
+        matches!(self.position, Position::End)
+    }
+
+    /// Whether the next bytes of the message are content without framing, and how many.
+    pub(super) fn unframed_bytes(&self) -> Option<usize> {
+        match self.position {
+            Position::Content(remaining) => Some(remaining),
+            _ => None,
         }
-        let (start, end) = (position + line, position + line + size as usize);
-        if size == 0 {
-            return match end_of_trailers(&bytes[start..]) {
-                Some(trailers) => Parsed::Complete(ParsedBody {
-                    end: start + trailers,
-                    content,
-                }),
-                None => Parsed::Incomplete,
+    }
+
+    /// Returns by how many bytes the content must grow before more of it can be decoded.
+    pub(super) fn needed_growth(&self, content: &Content) -> Option<usize> {
+        let room = content.room();
+        match self.position {
+            Position::Content(remaining) if room < remaining => Some(remaining - room),
+            Position::Chunk(remaining) if room == 0 => {
+                let doubling = content.len().min(remaining + self.remaining_limit);
+                Some(remaining.max(doubling))
+            }
+            _ => None,
+        }
+    }
+
+    /// Decodes bytes of the message into the free space of `content`. Returns the number of decoded bytes.
+    pub(super) fn decode(
+        &mut self,
+        bytes: &[u8],
+        content: &mut Content,
+    ) -> Result<usize, FramingError> {
+        let mut decoded = 0;
+        loop {
+            match self.decode_part(&bytes[decoded..], content)? {
+                0 => return Ok(decoded),
+                part => decoded += part,
+            }
+        }
+    }
+
+    /// Records that `bytes` bytes of unframed content were received without [`BodyDecoder::decode`].
+    pub(super) fn advance_unframed(&mut self, bytes: usize) {
+        if let Position::Content(remaining) = self.position {
+            self.position = match remaining.saturating_sub(bytes) {
+                0 => Position::End,
+                remaining => Position::Content(remaining),
             };
         }
-        if bytes.len() < end + 2 {
-            return Parsed::Incomplete;
+    }
+
+    /// Decodes the part of the body at the current position. Returns its length, or 0 if more bytes or free space are
+    /// needed.
+    fn decode_part(&mut self, bytes: &[u8], content: &mut Content) -> Result<usize, FramingError> {
+        match self.position {
+            Position::Content(remaining) => {
+                let size = content.append_within_room(bytes, remaining);
+                self.advance_unframed(size);
+                Ok(size)
+            }
+            Position::ChunkSize => self.decode_chunk_size(bytes),
+            Position::Chunk(remaining) => {
+                let size = content.append_within_room(bytes, remaining);
+                self.position = match remaining - size {
+                    0 => Position::ChunkEnd,
+                    remaining => Position::Chunk(remaining),
+                };
+                Ok(size)
+            }
+            Position::ChunkEnd if bytes.len() < LINE_BREAK.len() => Ok(0),
+            Position::ChunkEnd if !bytes.starts_with(LINE_BREAK) => Err(FramingError),
+            Position::ChunkEnd => {
+                self.position = Position::ChunkSize;
+                Ok(LINE_BREAK.len())
+            }
+            Position::Trailers => {
+                let end = end_of_trailers(bytes);
+                if end.is_some() {
+                    self.position = Position::End;
+                }
+                Ok(end.unwrap_or(0))
+            }
+            Position::End => Ok(0),
         }
-        if &bytes[end..end + 2] != b"\r\n" {
-            return Parsed::Invalid(BAD_GATEWAY);
+    }
+
+    fn decode_chunk_size(&mut self, bytes: &[u8]) -> Result<usize, FramingError> {
+        let (line, size) = match httparse::parse_chunk_size(bytes) {
+            Ok(httparse::Status::Complete(chunk)) => chunk,
+            Ok(httparse::Status::Partial) if bytes.len() < MAX_CHUNK_SIZE_LINE => return Ok(0),
+            _ => return Err(FramingError),
+        };
+        if size > self.remaining_limit as u64 {
+            return Err(FramingError);
         }
-        content.extend_from_slice(&bytes[start..end]);
-        position = end + 2;
+        self.remaining_limit -= size as usize;
+        self.position = match size {
+            0 => Position::Trailers,
+            size => Position::Chunk(size as usize),
+        };
+        Ok(line)
     }
 }
 
--- a/crates/aspendrum-net/src/http1/parse.rs
+++ b/crates/aspendrum-net/src/http1/parse.rs
@@ -1,6 +1,7 @@
 //! Parsing of complete requests and responses from the buffer of a connection.
 
-use super::body::{body_length, parse_body, BodyLength};
+use super::body::{body_length, parse_body, BodyLength, FramingError};
+use super::content::Content;
 use super::header::{to_owned, wants_close, Headers};
 use super::parsed::Parsed;
 use super::status::{
@@ -22,7 +23,7 @@
 }
 
 /// A complete request.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub struct Request {
     /// The method.
     pub method: String,
@@ -31,13 +32,13 @@
     /// The header fields.
     pub headers: Headers,
     /// The content, without framing.
-    pub body: Vec<u8>,
+    pub body: Content,
     /// Whether the client wants the connection closed after the response.
     pub closes_connection: bool,
 }
 
 /// A complete response.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub struct Response {
     /// The status code.
     pub status: u16,
@@ -46,18 +47,46 @@
     /// The header fields.
     pub headers: Headers,
     /// The content, without framing.
-    pub body: Vec<u8>,
+    pub body: Content,
     /// Whether the server closes the connection after the response.
     pub close: bool,
 }
 
+/// The head of a message, without its content.
+pub(super) struct Head<M> {
+    /// The message with empty content.
+    pub(super) message: M,
+    /// The offset in the buffer at which the head ends.
+    pub(super) end: usize,
+    pub(super) body_length: Result<BodyLength, FramingError>,
+}
+
 /// Removes a request from the front of the buffer if it has been received completely. [`Parsed::Invalid`] carries the
 /// status code for the sender.
 pub fn parse_request(buffer: &mut RingBuffer, limits: &MessageLimits) -> Parsed<Request> {
+    let bytes = buffer.contiguous();
+    let head = match parse_request_head(bytes, limits) {
+        Parsed::Complete(head) => head,
+        Parsed::Incomplete => return Parsed::Incomplete,
+        Parsed::Invalid(status) => return Parsed::Invalid(status),
+    };
+    let body = match parse_body(bytes, head.end, head.body_length, limits.body_bytes) {
+        Parsed::Complete(body) => body,
+        Parsed::Incomplete => return Parsed::Incomplete,
+        Parsed::Invalid(status) => return Parsed::Invalid(status),
+    };
+    buffer.consume(body.end);
+    Parsed::Complete(Request {
+        body: body.content.into(),
+        ..head.message
+    })
+}
+
+/// Parses the head of a request at the start of `bytes`.
+pub(super) fn parse_request_head(bytes: &[u8], limits: &MessageLimits) -> Parsed<Head<Request>> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Request::new(&mut fields);
-    let bytes = buffer.contiguous();
-    let head_end = match head.parse(bytes) {
+    let end = match head.parse(bytes) {
         Ok(httparse::Status::Complete(end)) if end <= limits.head_bytes => end,
         Ok(httparse::Status::Partial) if bytes.len() < limits.head_bytes => {
             return Parsed::Incomplete
@@ -67,39 +96,54 @@
         }
         Err(_) => return Parsed::Invalid(BAD_REQUEST),
     };
-    let body = match parse_body(
-        bytes,
-        head_end,
-        body_length(head.headers),
-        limits.body_bytes,
-    ) {
-        Parsed::Complete(body) => body,
-        Parsed::Incomplete => return Parsed::Incomplete,
-        Parsed::Invalid(status) => return Parsed::Invalid(status),
-    };
     let (Some(method), Some(path)) = (head.method, head.path) else {
         return Parsed::Invalid(BAD_REQUEST);
     };
-    let request = Request {
-        method: method.to_string(),
-        path: path.to_string(),
-        closes_connection: wants_close(head.headers, head.version),
-        headers: to_owned(head.headers),
-        body: body.content,
-    };
-    buffer.consume(body.end);
-    Parsed::Complete(request)
+    Parsed::Complete(Head {
+        message: Request {
+            method: method.to_string(),
+            path: path.to_string(),
+            closes_connection: wants_close(head.headers, head.version),
+            headers: to_owned(head.headers),
+            body: Content::default(),
+        },
+        end,
+        body_length: body_length(head.headers),
+    })
 }
 
 /// Removes a response from the front of the buffer if it has been received completely, and the interim responses (1xx)
 /// before it. A response without a length, which ends with the connection, is invalid because it cannot be
 /// distinguished from a truncated one.
 pub fn parse_response(buffer: &mut RingBuffer, limits: &MessageLimits) -> Parsed<Response> {
+    let head = match parse_response_head(buffer, limits) {
+        Parsed::Complete(head) => head,
+        Parsed::Incomplete => return Parsed::Incomplete,
+        Parsed::Invalid(status) => return Parsed::Invalid(status),
+    };
+    let bytes = buffer.contiguous();
+    let body = match parse_body(bytes, head.end, head.body_length, limits.body_bytes) {
+        Parsed::Complete(body) => body,
+        Parsed::Incomplete => return Parsed::Incomplete,
+        Parsed::Invalid(_) => return Parsed::Invalid(BAD_GATEWAY),
+    };
+    buffer.consume(body.end);
+    Parsed::Complete(Response {
+        body: body.content.into(),
+        ..head.message
+    })
+}
+
+/// Parses the head of a response at the front of the buffer, and removes the interim responses before it.
+pub(super) fn parse_response_head(
+    buffer: &mut RingBuffer,
+    limits: &MessageLimits,
+) -> Parsed<Head<Response>> {
     loop {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Response::new(&mut fields);
         let bytes = buffer.contiguous();
-        let head_end = match head.parse(bytes) {
+        let end = match head.parse(bytes) {
             Ok(httparse::Status::Complete(end)) if end <= limits.head_bytes => end,
             Ok(httparse::Status::Partial) if bytes.len() < limits.head_bytes => {
                 return Parsed::Incomplete
@@ -111,27 +155,25 @@
             return Parsed::Invalid(BAD_GATEWAY);
         }
         if status < 200 {
-            buffer.consume(head_end);
+            buffer.consume(end);
             continue;
         }
-        let length = match body_length(head.headers) {
+        let body_length = match body_length(head.headers) {
             _ if status == NO_CONTENT || status == NOT_MODIFIED => Ok(BodyLength::Known(0)),
             Ok(BodyLength::Unknown) => return Parsed::Invalid(BAD_GATEWAY),
             length => length,
         };
-        let body = match parse_body(bytes, head_end, length, limits.body_bytes) {
-            Parsed::Complete(body) => body,
-            Parsed::Incomplete => return Parsed::Incomplete,
-            Parsed::Invalid(_) => return Parsed::Invalid(BAD_GATEWAY),
-        };
-        let response = Response {
+        let message = Response {
             status,
             reason: head.reason.unwrap_or("").to_string(),
             close: wants_close(head.headers, head.version),
             headers: to_owned(head.headers),
-            body: body.content,
+            body: Content::default(),
         };
-        buffer.consume(body.end);
-        return Parsed::Complete(response);
+        return Parsed::Complete(Head {
+            message,
+            end,
+            body_length,
+        });
     }
 }
--- a/crates/aspendrum-net/src/http1/status.rs
+++ b/crates/aspendrum-net/src/http1/status.rs
@@ -10,3 +10,5 @@
 pub const HEADER_FIELDS_TOO_LARGE: u16 = 431;
 /// The server did not send a valid response.
 pub const BAD_GATEWAY: u16 = 502;
+/// The server cannot handle the request now.
+pub const SERVICE_UNAVAILABLE: u16 = 503;
--- a/crates/aspendrum-net/src/http_client.rs
+++ b/crates/aspendrum-net/src/http_client.rs
@@ -2,7 +2,8 @@
 //! calls.
 
 use crate::connection::{Connection, ConnectionOptions};
-use crate::http1::{parse_response, MessageLimits, Response};
+use crate::http1::{MessageLimits, MessageReader, Response};
+use crate::memory_budget::MemoryBudget;
 use aspendrum_core::api::Outcome;
 use derive_more::{Display, Error};
 use std::io::{self, Write};
@@ -51,6 +52,7 @@
             write_timeout: Duration::from_millis(500),
             read_timeout: Duration::from_millis(500),
             idle_timeout: Duration::from_secs(3),
+            memory: MemoryBudget::unlimited(),
         };
         HttpClient {
             server,
@@ -96,9 +98,8 @@
         write_request(buffer, self.server, method, path, body)
             .map_err(HttpClientError::RequestTooLarge)?;
         connection.send().map_err(HttpClientError::Exchange)?;
-        let response = connection.receive(deadline, &self.options, |buffer| {
-            parse_response(buffer, &self.limits)
-        });
+        let reader = MessageReader::<Response>::new(self.limits, &self.options.memory);
+        let response = connection.receive(deadline, &self.options, reader);
         let response = response.map_err(HttpClientError::Exchange)?;
         if !response.close {
             self.connection = Some(connection);
--- a/crates/aspendrum-net/src/lib.rs
+++ b/crates/aspendrum-net/src/lib.rs
@@ -8,8 +8,8 @@
 //! through a [`mailbox`]. Timeouts are socket timeouts. A thread aborts the exchange of another thread by shutting down
 //! its socket, which is synchronized by [`forward`].
 //!
-//! Received bytes are collected in a [`ring_buffer`]. [`http1`] parses complete messages from it and rejects messages
-//! with ambiguous framing. A [`connection::Connection`] carries one exchange at a time; [`pool`] stores idle
+//! Received bytes are collected in a [`ring_buffer`]. [`http1`] parses messages from it and rejects messages with
+//! ambiguous framing. The content of a message is stored once, within the [`memory_budget`] of the process. A [`connection::Connection`] carries one exchange at a time; [`pool`] stores idle
 //! connections.
 //!
 //! A thread that waits for a server does not read from its client. [`disconnects`] therefore polls the client
@@ -17,7 +17,7 @@
 //!
 //! # Reading order
 //!
-//! 1. [`threads`], [`mailbox`], [`worker_pool`] and [`ring_buffer`]: the foundations.
+//! 1. [`threads`], [`mailbox`], [`worker_pool`], [`memory_budget`] and [`ring_buffer`]: the foundations.
 //! 2. [`http1`], then [`connection`] and [`pool`]: messages, and connections to servers.
 //! 3. [`forward`], [`disconnects`] and [`disconnect_metrics`]: aborting requests whose clients have disconnected.
 //! 4. [`http_client`], [`http_server`] and [`path_matcher`]: short calls.
@@ -35,6 +35,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod mailbox;
+pub mod memory_budget;
 pub mod path_matcher;
 pub mod pool;
 pub mod process_signals;
--- a/crates/aspendrum-net/src/ring_buffer.rs
+++ b/crates/aspendrum-net/src/ring_buffer.rs
@@ -1,6 +1,7 @@
 //! A ring buffer for one direction of a connection. It starts small, grows up to a limit, and releases grown storage
 //! when it becomes empty.
 
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use std::io::{self, Read, Write};
 
 /// A ring buffer of bytes.
@@ -10,6 +11,8 @@
     len: usize,
     initial_bytes: usize,
     max_bytes: usize,
+    /// The memory reserved for storage beyond the initial size.
+    growth: MemoryReservation,
 }
 
 /// When the buffer becomes empty, storage larger than this multiple of the initial size is released.
@@ -25,9 +28,16 @@
             len: 0,
             initial_bytes,
             max_bytes,
+            growth: MemoryReservation::default(),
         }
     }
 
+    /// Takes the memory for growth beyond the initial size from `budget`. The buffer must be empty.
+    pub fn with_budget(mut self, budget: &MemoryBudget) -> RingBuffer {
+        self.growth = budget.reservation();
+        self
+    }
+
     /// Changes the size limit. The limit is never set below the current length or the initial size.
     pub fn set_max_bytes(&mut self, max_bytes: usize) {
         self.max_bytes = max_bytes.max(self.len).max(self.initial_bytes);
@@ -41,7 +51,8 @@
     /// Reads once into the free space. `Ok(0)` indicates the end of the input.
     ///
     /// # Errors
-    /// Returns the error of the read, or `OutOfMemory` if the buffer has reached its size limit.
+    /// Returns the error of the read, `OutOfMemory` if the buffer has reached its size limit, or `QuotaExceeded` if the
+    /// memory budget has no room for its growth.
     pub fn fill(&mut self, from: &mut impl Read) -> io::Result<usize> {
         if self.len == self.max_bytes {
             return Err(io::Error::new(
@@ -49,7 +60,9 @@
                 "ring buffer size limit reached",
             ));
         }
-        self.reserve(1);
+        if !self.reserve(1) {
+            return Err(io::ErrorKind::QuotaExceeded.into());
+        }
         let (size, end) = (self.storage.len(), self.start + self.len);
         let free = if end < size {
             end..size
@@ -61,12 +74,11 @@
         Ok(read)
     }
 
-    /// Appends all of `data`. Returns false and appends nothing if that would exceed the limit.
+    /// Appends all of `data`. Returns false and appends nothing if that would exceed the limit or the memory budget.
     pub fn append(&mut self, data: &[u8]) -> bool {
-        if self.len + data.len() > self.max_bytes {
+        if self.len + data.len() > self.max_bytes || !self.reserve(data.len()) {
             return false;
         }
-        self.reserve(data.len());
         let size = self.storage.len();
         let end = (self.start + self.len) % size.max(1);
         let until_wrap = data.len().min(size - end);
@@ -96,6 +108,7 @@
         };
         if self.len == 0 && self.storage.len() > MAX_RETAINED_GROWTH * self.initial_bytes {
             self.storage = Vec::new();
+            self.growth.shrink_to(0);
         }
     }
 
@@ -115,19 +128,32 @@
         Ok(())
     }
 
-    /// Ensures that there is free space for `additional` bytes.
-    fn reserve(&mut self, additional: usize) {
+    /// Grows the storage to at least `bytes`, within the limit and the memory budget, so that a read can return more.
+    pub(crate) fn grow_to(&mut self, bytes: usize) {
+        let bytes = bytes.min(self.max_bytes);
+        if bytes > self.len {
+            self.reserve(bytes - self.len);
+        }
+    }
+
+    /// Ensures that there is free space for `additional` bytes. Returns false if the memory budget has no room for it.
+    fn reserve(&mut self, additional: usize) -> bool {
         let needed = self.len + additional;
         if needed <= self.storage.len() {
-            return;
+            return true;
         }
         let size = needed
             .next_power_of_two()
             .clamp(self.initial_bytes, self.max_bytes);
+        let growth = (size - self.initial_bytes).saturating_sub(self.growth.bytes());
+        if !self.growth.try_extend(growth) {
+            return false;
+        }
         self.storage.rotate_left(self.start);
         self.start = 0;
         self.storage.reserve_exact(size - self.storage.len());
         self.storage.resize(size, 0);
+        true
     }
 }
 
--- a/crates/aspendrum-net/tests/wire_bytes.rs
+++ b/crates/aspendrum-net/tests/wire_bytes.rs
@@ -171,7 +171,7 @@
             method,
             path,
             headers,
-            body,
+            body: body.into(),
             closes_connection: false
         }
     );
@@ -239,7 +239,7 @@
             status: 200,
             reason,
             headers,
-            body,
+            body: body.into(),
             close: false
         }
     );
--- a/crates/aspendrum-proxy/src/health_check.rs
+++ b/crates/aspendrum-proxy/src/health_check.rs
@@ -5,6 +5,7 @@
 use crate::wire;
 use aspendrum_core::api::{LoadReport, Outcome, ServerId};
 use aspendrum_net::http1;
+use aspendrum_net::ring_buffer::RingBuffer;
 use std::time::{Duration, Instant};
 
 /// A server's response to a health check.
@@ -65,9 +66,11 @@
         &address.to_string(),
     ));
     connection.send()?;
-    let response = connection.receive(deadline, pool.connection_options(), |buffer| {
-        http1::parse_response(buffer, &wire::RESPONSE_LIMITS)
-    })?;
+    let response = connection.receive(
+        deadline,
+        pool.connection_options(),
+        |buffer: &mut RingBuffer| http1::parse_response(buffer, &wire::RESPONSE_LIMITS),
+    )?;
     // The address may belong to another server by now.
     let is_same_server = wire::server_id(&response) == Some(target.server.uid.as_str());
     let health = HealthResponse {
--- a/crates/aspendrum-proxy/src/lib.rs
+++ b/crates/aspendrum-proxy/src/lib.rs
@@ -1,7 +1,7 @@
 //! The proxy, which forwards clients' requests to servers. It receives all state that requests need from its agent in
 //! advance; the only remote call that a request may need is to another proxy for its tenant's counter.
 //!
-//! Request path: [`listener`] reads a request, [`request`] finds its route and passes it to the [`dispatcher`],
+//! Request path: [`listener`] reads a request within the process's [`memory`] budget, [`request`] finds its route and passes it to the [`dispatcher`],
 //! which decides based on the [`endpoints`] and the tenant's [`counter`]; then `request` forwards it to a
 //! server and responds to the client.
 //!
@@ -15,6 +15,7 @@
 pub mod endpoints;
 pub mod idle_limit;
 pub mod listener;
+pub mod memory;
 pub mod periodic;
 pub mod request;
 pub mod response;
@@ -27,6 +28,7 @@
 mod error;
 mod health_check;
 mod process;
+mod request_buffer;
 mod shutdown;
 
 pub use error::ProxyError;
--- /dev/null
+++ b/crates/aspendrum-proxy/src/memory.rs
@@ -0,0 +1,25 @@
+//! How the memory of the process is divided among the messages that it holds. What remains is for code, tables, threads
+//! and idle connections to servers.
+
+use aspendrum_model::settings::Settings;
+use aspendrum_net::memory_budget::MemoryBudget;
+
+const BYTES_PER_MB: u64 = 1 << 20;
+/// The part of the memory for requests of clients and their connections.
+const REQUEST_DIVISOR: usize = 2;
+
+/// The budgets of a proxy process.
+pub struct MemoryBudgets {
+    /// For the requests of clients, and the fixed memory of their connections.
+    pub requests: MemoryBudget,
+}
+
+impl MemoryBudgets {
+    /// Divides the memory limit of the settings.
+    pub fn new(settings: &Settings) -> MemoryBudgets {
+        let limit_bytes = settings.memory_limit_mb.saturating_mul(BYTES_PER_MB) as usize;
+        MemoryBudgets {
+            requests: MemoryBudget::new(limit_bytes / REQUEST_DIVISOR),
+        }
+    }
+}
--- a/crates/aspendrum-proxy/src/request/context.rs
+++ b/crates/aspendrum-proxy/src/request/context.rs
@@ -157,7 +157,7 @@
     }
 
     /// Completes a request on a decision other than a valid forward.
-    fn finish(&self, id: RequestId, decision: RequestDecision) -> ClientResponse {
+    fn finish(&mut self, id: RequestId, decision: RequestDecision) -> ClientResponse {
         if let RequestDecision::Forward { attempt, server } = decision {
             self.discard(id, attempt, server);
         }
@@ -184,7 +184,7 @@
 
     /// Completes a request for which no decision arrived in time.
     fn finish_without_decision(
-        &self,
+        &mut self,
         id: RequestId,
         decisions: &MailboxReceiver<RequestDecision>,
     ) -> ClientResponse {
@@ -210,7 +210,7 @@
     }
 
     /// Returns the response for a request that no server can take now.
-    fn respond_unavailable(&self) -> ClientResponse {
+    fn respond_unavailable(&mut self) -> ClientResponse {
         if self.may_have_run {
             self.fail_to_proxy()
         } else {
@@ -220,7 +220,7 @@
 
     /// Rejects the request with a status that promises that it did not run, unless a non-idempotent request may have
     /// run.
-    fn reject(&self, status: u16, retry_after: Millis) -> ClientResponse {
+    fn reject(&mut self, status: u16, retry_after: Millis) -> ClientResponse {
         if self.may_have_run && !self.upstream.is_idempotent() {
             return self.fail_to_proxy();
         }
@@ -241,9 +241,9 @@
     }
 
     /// Returns the response for a request that no server completed.
-    fn fail_to_proxy(&self) -> ClientResponse {
-        if let Some(failure) = &self.failure {
-            return self.forward_response(failure.clone());
+    fn fail_to_proxy(&mut self) -> ClientResponse {
+        if let Some(failure) = self.failure.take() {
+            return self.forward_response(failure);
         }
         let (try_id, policy) = (
             self.upstream.target.head.try_id,
--- a/crates/aspendrum-proxy/src/request/upstream.rs
+++ b/crates/aspendrum-proxy/src/request/upstream.rs
@@ -9,6 +9,7 @@
 use aspendrum_net::connection::Connection;
 use aspendrum_net::forward::{ForwardHandle, ForwardStage, RequestKind};
 use aspendrum_net::http1::{self, Request, Response};
+use aspendrum_net::ring_buffer::RingBuffer;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -199,7 +200,10 @@
                 .disconnect_metrics
                 .record_send(self.forward_handle.kind, disconnected_for);
         }
-        peer.connection.send()?;
+        match wire::separate_body(&self.request.body) {
+            Some(body) => peer.connection.send_directly(body)?,
+            None => peer.connection.send()?,
+        }
         self.forward_handle.advance(attempt, ForwardStage::AtServer);
         self.read_response(&mut peer.connection, deadline)
     }
@@ -213,7 +217,7 @@
         let limits = self.state.server_pool.connection_options();
         for _ in 0..=MAX_STALE_RESPONSES {
             let response = connection
-                .receive(deadline, limits, |buffer| {
+                .receive(deadline, limits, |buffer: &mut RingBuffer| {
                     http1::parse_response(buffer, &wire::RESPONSE_LIMITS)
                 })
                 .inspect_err(|outcome| self.record_reset(connection, *outcome))?;
--- a/crates/aspendrum-proxy/src/state.rs
+++ b/crates/aspendrum-proxy/src/state.rs
@@ -5,12 +5,14 @@
 use crate::dispatcher::Dispatcher;
 use crate::drain::DrainSchedule;
 use crate::idle_limit::IdleConnectionLimit;
+use crate::memory::MemoryBudgets;
 use crate::session::SessionRegistry;
 use aspendrum_model::message::{Readiness, StateDigest};
 use aspendrum_model::settings::Settings;
 use aspendrum_net::connection::ConnectionOptions;
 use aspendrum_net::disconnect_metrics::DisconnectMetrics;
 use aspendrum_net::disconnects::DisconnectWatcher;
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::pool::{Pool, PoolLimits};
 use aspendrum_net::threads::lock;
 use aspendrum_net::worker_pool::WorkerPool;
@@ -34,6 +36,8 @@
 pub struct ProxyState {
     /// Schedules requests on servers.
     pub dispatcher: Dispatcher,
+    /// The memory for the messages of clients and servers.
+    pub memory: MemoryBudgets,
     /// Connections to servers.
     pub server_pool: Pool,
     /// Connections of clients.
@@ -73,6 +77,7 @@
         ProxyState {
             dispatcher: Dispatcher::new(settings, counter_socket),
             server_pool: Pool::new(pool_limits(settings)),
+            memory: MemoryBudgets::new(settings),
             sessions: SessionRegistry::default(),
             agent_link: AgentLink::default(),
             workers: WorkerPool::new(STACK_BYTES, WORKER_IDLE_TIMEOUT),
@@ -261,6 +266,7 @@
             write_timeout: Duration::from_secs(2),
             read_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(4),
+            memory: MemoryBudget::unlimited(),
         },
     }
 }
--- a/crates/aspendrum-proxy/src/wire.rs
+++ b/crates/aspendrum-proxy/src/wire.rs
@@ -79,14 +79,30 @@
         .filter(|ms| ms.is_finite() && *ms >= 0.0)
 }
 
-/// Encodes a request for a server. `budget_ms` is the remaining time budget of the client.
+/// Bodies up to this size are copied behind their head, so that both are sent with one write.
+const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
+
+/// Returns the body of a message if it is sent directly instead of being copied behind the encoded head.
+pub(crate) fn separate_body(body: &[u8]) -> Option<&[u8]> {
+    (body.len() > MAX_COPIED_BODY_BYTES).then_some(body)
+}
+
+/// Appends the body to an encoded head unless it is sent separately.
+fn put_body(out: &mut Vec<u8>, body: &[u8]) {
+    if separate_body(body).is_none() {
+        out.extend_from_slice(body);
+    }
+}
+
+/// Encodes a request for a server, without a body that is sent separately. `budget_ms` is the remaining time budget of
+/// the client.
 pub fn encode_forward(
     request: &Request,
     server: &str,
     tenant: Option<&str>,
     budget_ms: u64,
 ) -> Vec<u8> {
-    let mut out = Vec::with_capacity(REQUEST_HEAD_CAPACITY + request.body.len());
+    let mut out = Vec::with_capacity(REQUEST_HEAD_CAPACITY);
     // Writing to a `Vec` does not fail.
     let _ = write!(out, "{} {} HTTP/1.1\r\n", request.method, request.path);
     for (name, value) in &request.headers {
@@ -113,7 +129,7 @@
         let _ = write!(out, "Content-Length: {}\r\n", request.body.len());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&request.body);
+    put_body(&mut out, &request.body);
     out
 }
 
@@ -217,7 +233,7 @@
     } else {
         reason_phrase(status)
     };
-    let mut out = Vec::with_capacity(RESPONSE_HEAD_CAPACITY + response.body.len());
+    let mut out = Vec::with_capacity(RESPONSE_HEAD_CAPACITY);
     let _ = write!(out, "HTTP/1.1 {status} {text}\r\n");
     for (name, value) in &response.headers {
         let is_dropped = NOT_RETURNED
--- a/crates/aspendrum-proxy/tests/common/mod.rs
+++ b/crates/aspendrum-proxy/tests/common/mod.rs
@@ -89,9 +89,20 @@
 /// Returns a proxy with the given configuration and servers `i-0`, `i-1` and so on, and with a report from
 /// control that this is the decided state.
 pub(crate) fn proxy(bounds: &str, config: &str, servers: &[SocketAddr]) -> Arc<ProxyState> {
-    let settings = r#"{"self":{"host-name":"e1","ip":"127.0.0.1","az":"poa-a","geo":"poa"},"net":{"binds":{"front":"127.0.0.1:1"},
+    proxy_with_caps("", bounds, config, servers)
+}
+
+/// Like [`proxy`], with the given resource limits of the process.
+pub(crate) fn proxy_with_caps(
+    caps: &str,
+    bounds: &str,
+    config: &str,
+    servers: &[SocketAddr],
+) -> Arc<ProxyState> {
+    let settings = r#"{"self":{"host-name":"e1","ip":"127.0.0.1","az":"poa-a","geo":"poa","caps":{CAPS}},"net":{"binds":{"front":"127.0.0.1:1"},
         "port-range":[7600,7615],"zones":{"poa-a":"poa"}},"terms":{"bounds":{"apply-ms":600000,BOUNDS}}}"#;
-    let settings = Settings::read(settings.replace("BOUNDS", bounds).as_bytes());
+    let settings = settings.replace("BOUNDS", bounds).replace("CAPS", caps);
+    let settings = Settings::read(settings.as_bytes());
     let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
     let state = Arc::new(ProxyState::new(&settings.unwrap(), socket));
     let list = servers.iter().enumerate().map(|(n, addr)| ServerInstance {
--- a/crates/aspendrum-proxy/tests/idle_limit.rs
+++ b/crates/aspendrum-proxy/tests/idle_limit.rs
@@ -1,6 +1,7 @@
 //! Idle connections that a server may have dropped: which requests use them, and how long a limit applies.
 
 use aspendrum_net::connection::ConnectionOptions;
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::pool::{Pool, PoolLimits};
 use aspendrum_proxy::idle_limit::IdleConnectionLimit;
 use std::net::TcpListener;
@@ -40,6 +41,7 @@
             write_timeout: second,
             read_timeout: second,
             idle_timeout: 60 * second,
+            memory: MemoryBudget::unlimited(),
         },
     });
     pool.set_address(1, listener.local_addr().unwrap());
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -6,6 +6,7 @@
 use crate::config::Config;
 use aspendrum_net::connection::ConnectionOptions;
 use aspendrum_net::http1::MessageLimits;
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::pool::PoolLimits;
 use std::time::Duration;
 
@@ -226,6 +227,8 @@
                 write_timeout: self.servers.write_timeout,
                 read_timeout: self.servers.read_timeout,
                 idle_timeout: self.servers.idle_timeout,
+                // Messages are small, and the number of clients is limited by the memory for each.
+                memory: MemoryBudget::unlimited(),
             },
         }
     }
--- a/crates/aspendrum/src/state.rs
+++ b/crates/aspendrum/src/state.rs
@@ -10,6 +10,7 @@
 use aspendrum_net::disconnect_metrics::DisconnectMetrics;
 use aspendrum_net::disconnects::DisconnectWatcher;
 use aspendrum_net::pool::Pool;
+use aspendrum_net::ring_buffer::RingBuffer;
 use aspendrum_net::worker_pool::WorkerPool;
 use std::sync::Arc;
 use std::time::Instant;
@@ -53,8 +54,9 @@
         connection: &mut Connection,
         deadline: Instant,
     ) -> Result<ServerResponse, Outcome> {
-        connection.receive(deadline, self.pool.connection_options(), |buffer| {
+        let parse = |buffer: &mut RingBuffer| {
             parse_server_response(buffer, &self.schema, &self.limits.messages)
-        })
+        };
+        connection.receive(deadline, self.pool.connection_options(), parse)
     }
 }
