Responses of servers: held once, within a memory budget of the whole proxy

A server's body was held in `Connection::incoming` (powers of two, up to 128 MB), in `Response::body` and in the encoded answer, and once more as the failure kept for the client; over connections nothing bounded the sum. A client that read slowly kept its answer.

Change: responses, those to health checks too, are read by `http1::MessageReader` within a quarter of `mem-mb` that requests cannot take, so that requests which wait for their responses do not wait for each other. A response that does not fit waits for others until the client's deadline; one that can never fit ends as Cancelled, which is neither the server's failure nor a promise, and the client gets 502. Long bodies are written from where they were received, until the client's deadline. The buffers of pooled connections grow within the same budget.

Tests: on the code before, `response_bodies_keep_the_process_within_its_memory` failed with 38,362,990 bytes on the heap against 33,554,432 (6 clients, answers of 7,000,000 bytes), and `a_response_beyond_the_memory_is_answered_as_a_failure` with 200 for an answer as large as the whole memory. They pass now.

--- a/crates/aspendrum-proxy/src/health_check.rs
+++ b/crates/aspendrum-proxy/src/health_check.rs
@@ -4,8 +4,7 @@
 use crate::state::ProxyState;
 use crate::wire;
 use aspendrum_core::api::{LoadReport, Outcome, ServerId};
-use aspendrum_net::http1;
-use aspendrum_net::ring_buffer::RingBuffer;
+use aspendrum_net::http1::{MessageReader, Response};
 use std::time::{Duration, Instant};
 
 /// A server's response to a health check.
@@ -66,11 +65,8 @@
         &address.to_string(),
     ));
     connection.send()?;
-    let response = connection.receive(
-        deadline,
-        pool.connection_options(),
-        |buffer: &mut RingBuffer| http1::parse_response(buffer, &wire::RESPONSE_LIMITS),
-    )?;
+    let reader = MessageReader::<Response>::new(wire::RESPONSE_LIMITS, &state.memory.responses);
+    let response = connection.receive(deadline, pool.connection_options(), reader)?;
     // The address may belong to another server by now.
     let is_same_server = wire::server_id(&response) == Some(target.server.uid.as_str());
     let health = HealthResponse {
--- a/crates/aspendrum-proxy/src/listener.rs
+++ b/crates/aspendrum-proxy/src/listener.rs
@@ -181,9 +181,7 @@
     let wants_close = state.is_draining() || state.sessions.exceeds_keep_alive_limit();
     let closes = response.closes_connection(wants_close, is_pipelined);
     // A client that closed only its sending side still reads the response to a non-idempotent request.
-    let is_written = (&*session.stream)
-        .write_all(&response.encode(closes))
-        .is_ok();
+    let is_written = response.write(&mut &*session.stream, closes).is_ok();
     if session.connection.has_disconnected() {
         return Step::Close;
     }
--- a/crates/aspendrum-proxy/src/memory.rs
+++ b/crates/aspendrum-proxy/src/memory.rs
@@ -7,11 +7,16 @@
 const BYTES_PER_MB: u64 = 1 << 20;
 /// The part of the memory for requests of clients and their connections.
 const REQUEST_DIVISOR: usize = 2;
+/// The part of the memory for responses of servers. It is separate, so that requests that wait for their responses
+/// cannot take the memory that these need.
+const RESPONSE_DIVISOR: usize = 4;
 
 /// The budgets of a proxy process.
 pub struct MemoryBudgets {
     /// For the requests of clients, and the fixed memory of their connections.
     pub requests: MemoryBudget,
+    /// For the responses of servers.
+    pub responses: MemoryBudget,
 }
 
 impl MemoryBudgets {
@@ -20,6 +25,7 @@
         let limit_bytes = settings.memory_limit_mb.saturating_mul(BYTES_PER_MB) as usize;
         MemoryBudgets {
             requests: MemoryBudget::new(limit_bytes / REQUEST_DIVISOR),
+            responses: MemoryBudget::new(limit_bytes / RESPONSE_DIVISOR),
         }
     }
 }
--- a/crates/aspendrum-proxy/src/request/context.rs
+++ b/crates/aspendrum-proxy/src/request/context.rs
@@ -271,6 +271,9 @@
         } else {
             response.status
         };
-        ClientResponse::forwarded(response, status, self.upstream.target.policy)
+        let UpstreamRequest {
+            deadline, target, ..
+        } = &self.upstream;
+        ClientResponse::forwarded(response, status, *deadline, target.policy)
     }
 }
--- a/crates/aspendrum-proxy/src/request/filter.rs
+++ b/crates/aspendrum-proxy/src/request/filter.rs
@@ -44,7 +44,7 @@
 pub(super) fn request_filter<'r>(
     state: &ProxyState,
     request: &'r Request,
-) -> Result<RequestTarget<'r>, ClientResponse> {
+) -> Result<RequestTarget<'r>, Box<ClientResponse>> {
     let policy = if request.closes_connection {
         ConnectionPolicy::Close
     } else {
@@ -67,7 +67,7 @@
     // request is therefore left to one that is.
     let may_run = || route_config.is_idempotent || state.is_current();
     if !is_authentic || !may_run() {
-        return Err(ClientResponse::retry_on_other_proxy(head.try_id));
+        return Err(ClientResponse::retry_on_other_proxy(head.try_id).into());
     }
     let tenant_regions = tenant.map_or(u64::MAX, |tenant| snapshot.tenant_regions[tenant]);
     let regions = snapshot.route_regions[route] & tenant_regions;
--- a/crates/aspendrum-proxy/src/request/mod.rs
+++ b/crates/aspendrum-proxy/src/request/mod.rs
@@ -33,7 +33,7 @@
 ) -> ClientResponse {
     let target = match filter::request_filter(state, request) {
         Ok(target) => target,
-        Err(rejection) => return rejection,
+        Err(rejection) => return *rejection,
     };
     let upstream = UpstreamRequest::new(state, session, request, received_at, target);
     let response = RequestContext::new(upstream).proxy();
--- a/crates/aspendrum-proxy/src/request/upstream.rs
+++ b/crates/aspendrum-proxy/src/request/upstream.rs
@@ -8,8 +8,7 @@
 use aspendrum_model::time::duration_from_millis;
 use aspendrum_net::connection::Connection;
 use aspendrum_net::forward::{ForwardHandle, ForwardStage, RequestKind};
-use aspendrum_net::http1::{self, Request, Response};
-use aspendrum_net::ring_buffer::RingBuffer;
+use aspendrum_net::http1::{MessageReader, Request, Response};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -217,9 +216,11 @@
         let limits = self.state.server_pool.connection_options();
         for _ in 0..=MAX_STALE_RESPONSES {
             let response = connection
-                .receive(deadline, limits, |buffer: &mut RingBuffer| {
-                    http1::parse_response(buffer, &wire::RESPONSE_LIMITS)
-                })
+                .receive(
+                    deadline,
+                    limits,
+                    MessageReader::new(wire::RESPONSE_LIMITS, &self.state.memory.responses),
+                )
                 .inspect_err(|outcome| self.record_reset(connection, *outcome))?;
             if wire::is_response_to(&response, self.target.head.try_id)
                 || is_unread_rejection(&response)
--- a/crates/aspendrum-proxy/src/response.rs
+++ b/crates/aspendrum-proxy/src/response.rs
@@ -3,6 +3,11 @@
 use crate::wire;
 use aspendrum_core::api::Millis;
 use aspendrum_net::http1::Response;
+use std::io::{self, ErrorKind, Write};
+use std::time::Instant;
+
+/// The size of the pieces in which a long body is written.
+const WRITE_BYTES: usize = 64 << 10;
 
 /// The `Retry-After` value in milliseconds if no better estimate is available.
 pub(crate) const DEFAULT_RETRY_AFTER: Millis = 150.0;
@@ -32,8 +37,12 @@
         try_id: String,
         retry_after: Option<Millis>,
     },
-    /// A server's response, sent with the given status.
-    Forwarded { response: Response, status: u16 },
+    /// A server's response, sent with the given status until the client's deadline.
+    Forwarded {
+        response: Response,
+        status: u16,
+        deadline: Instant,
+    },
     /// No response, because the client has disconnected.
     Empty,
 }
@@ -61,10 +70,19 @@
         ClientResponse::generated(503, try_id, Some(DEFAULT_RETRY_AFTER), policy)
     }
 
-    /// A server's response, sent with the given status.
-    pub fn forwarded(response: Response, status: u16, policy: ConnectionPolicy) -> ClientResponse {
+    /// A server's response, sent with the given status until the client's `deadline`.
+    pub fn forwarded(
+        response: Response,
+        status: u16,
+        deadline: Instant,
+        policy: ConnectionPolicy,
+    ) -> ClientResponse {
         ClientResponse {
-            content: Content::Forwarded { response, status },
+            content: Content::Forwarded {
+                response,
+                status,
+                deadline,
+            },
             policy,
         }
     }
@@ -88,7 +106,24 @@
         }
     }
 
-    /// Encodes the response. `closes` announces the end of the connection.
+    /// Writes the response. `closes` announces the end of the connection.
+    ///
+    /// # Errors
+    /// Returns the error of a write, or `TimedOut` if the client has not received a long body by its deadline.
+    pub(crate) fn write(&self, to: &mut impl Write, closes: bool) -> io::Result<()> {
+        to.write_all(&self.encode(closes))?;
+        match &self.content {
+            Content::Forwarded {
+                response, deadline, ..
+            } => match wire::separate_body(&response.body) {
+                Some(body) => write_until(to, body, *deadline),
+                None => Ok(()),
+            },
+            Content::Generated { .. } | Content::Empty => Ok(()),
+        }
+    }
+
+    /// Encodes the response, without a body that is sent separately. `closes` announces the end of the connection.
     pub fn encode(&self, closes: bool) -> Vec<u8> {
         match &self.content {
             Content::Generated {
@@ -96,10 +131,22 @@
                 try_id,
                 retry_after,
             } => wire::encode_generated(*status, try_id, *retry_after, closes),
-            Content::Forwarded { response, status } => {
-                wire::encode_forwarded(response, *status, closes)
-            }
+            Content::Forwarded {
+                response, status, ..
+            } => wire::encode_forwarded(response, *status, closes),
             Content::Empty => Vec::new(),
         }
     }
 }
+
+/// Writes `bytes` in pieces until `deadline`. A client that reads slowly must not keep the memory of its response for
+/// longer than it waits.
+fn write_until(to: &mut impl Write, bytes: &[u8], deadline: Instant) -> io::Result<()> {
+    for piece in bytes.chunks(WRITE_BYTES) {
+        if Instant::now() >= deadline {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        to.write_all(piece)?;
+    }
+    Ok(())
+}
--- a/crates/aspendrum-proxy/src/state.rs
+++ b/crates/aspendrum-proxy/src/state.rs
@@ -12,7 +12,6 @@
 use aspendrum_net::connection::ConnectionOptions;
 use aspendrum_net::disconnect_metrics::DisconnectMetrics;
 use aspendrum_net::disconnects::DisconnectWatcher;
-use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::pool::{Pool, PoolLimits};
 use aspendrum_net::threads::lock;
 use aspendrum_net::worker_pool::WorkerPool;
@@ -74,10 +73,11 @@
 impl ProxyState {
     /// Creates the state of a proxy without any configuration. `counter_socket` is bound to the counter port.
     pub fn new(settings: &Settings, counter_socket: UdpSocket) -> ProxyState {
+        let memory = MemoryBudgets::new(settings);
         ProxyState {
             dispatcher: Dispatcher::new(settings, counter_socket),
-            server_pool: Pool::new(pool_limits(settings)),
-            memory: MemoryBudgets::new(settings),
+            server_pool: Pool::new(pool_limits(settings, &memory)),
+            memory,
             sessions: SessionRegistry::default(),
             agent_link: AgentLink::default(),
             workers: WorkerPool::new(STACK_BYTES, WORKER_IDLE_TIMEOUT),
@@ -255,7 +255,7 @@
 }
 
 /// Returns the limits of the pool of connections to servers.
-fn pool_limits(settings: &Settings) -> PoolLimits {
+fn pool_limits(settings: &Settings, memory: &MemoryBudgets) -> PoolLimits {
     PoolLimits {
         max_connections: settings.max_open_files as usize / 3,
         min_idle: Duration::from_millis(2),
@@ -266,7 +266,7 @@
             write_timeout: Duration::from_secs(2),
             read_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(4),
-            memory: MemoryBudget::unlimited(),
+            memory: memory.responses.clone(),
         },
     }
 }
--- a/crates/aspendrum-proxy/src/wire.rs
+++ b/crates/aspendrum-proxy/src/wire.rs
@@ -25,7 +25,8 @@
 const NOT_FORWARDED: [&str; 4] = [BUDGET_MS, CREDENTIAL, TENANT, WANT_SERVER];
 /// Response headers that are not returned to clients.
 const NOT_RETURNED: [&str; 3] = [SERVER_LOAD, WARM_MS, SERVER_ID];
-/// The size limits of server responses, which are as large as the service makes them.
+/// The size limits of server responses, which are as large as the service makes them. The memory for a response is
+/// limited by the budget of the process.
 pub(crate) const RESPONSE_LIMITS: MessageLimits = MessageLimits {
     head_bytes: 32 << 10,
     body_bytes: 64 << 20,
@@ -226,7 +227,7 @@
         .filter(|seconds| *seconds >= 0.0)
 }
 
-/// Encodes a server's response for the client with the given status. `closes` announces the end of the connection.
+/// Encodes a server's response for the client with the given status, without a body that is sent separately. `closes` announces the end of the connection.
 pub fn encode_forwarded(response: &Response, status: u16, closes: bool) -> Vec<u8> {
     let text = if status == response.status && !response.reason.is_empty() {
         response.reason.as_str()
@@ -249,7 +250,7 @@
     } else {
         b"\r\n"
     });
-    out.extend_from_slice(&response.body);
+    put_body(&mut out, &response.body);
     out
 }
 
--- a/crates/aspendrum-proxy/tests/memory/mod.rs
+++ b/crates/aspendrum-proxy/tests/memory/mod.rs
@@ -17,6 +17,8 @@
 /// `body-bytes`, which is half of `mem-mb`.
 pub(crate) const BODY_LIMIT_BYTES: usize = 16 << 20;
 pub(crate) const SMALL_BODY_BYTES: usize = 7200;
+/// A response that leaves no room for a second one in the memory for responses.
+pub(crate) const LARGE_RESPONSE_BYTES: usize = 7_000_000;
 /// A body just within `body-bytes`.
 pub(crate) const LARGE_BODY_BYTES: usize = 16_000_000;
 /// The pieces in which clients and servers send bodies.
--- a/crates/aspendrum-proxy/tests/memory_limit.rs
+++ b/crates/aspendrum-proxy/tests/memory_limit.rs
@@ -6,7 +6,7 @@
 
 use memory::{
     measure_peak, Client, Front, MeasuredServer, Upload, BODY_LIMIT_BYTES, LARGE_BODY_BYTES,
-    MEMORY_LIMIT_BYTES, SMALL_BODY_BYTES,
+    LARGE_RESPONSE_BYTES, MEMORY_LIMIT_BYTES, SMALL_BODY_BYTES,
 };
 use std::thread;
 
@@ -78,3 +78,30 @@
     });
     assert_eq!(statuses, [503, 200]);
 }
+
+/// Guards against responses that take the memory of the process: each was held up to three times, several at once.
+#[test]
+fn response_bodies_keep_the_process_within_its_memory() {
+    let (statuses, peak) = measure_peak(|| {
+        let front = Front::start(MeasuredServer::answering(LARGE_RESPONSE_BYTES));
+        upload_at_once(&front, Upload::WithLength(4))
+    });
+    // Responses wait for each other. A server has run the request, so none is refused with a promise.
+    assert_eq!(statuses, [200; CLIENTS]);
+    assert!(peak <= MEMORY_LIMIT_BYTES, "{peak} bytes on the heap");
+}
+
+/// Guards against a response that fits no budget: its client is answered, and the next request is served.
+#[test]
+fn a_response_beyond_the_memory_is_answered_as_a_failure() {
+    let (statuses, peak) = measure_peak(|| {
+        let front = Front::start(MeasuredServer::answering(MEMORY_LIMIT_BYTES));
+        let mut client = Client::connect(&front);
+        [
+            client.post("t0", Upload::WithLength(4)),
+            client.post("t1", Upload::WithLength(4)),
+        ]
+    });
+    assert_eq!(statuses, [502, 502]);
+    assert!(peak <= MEMORY_LIMIT_BYTES, "{peak} bytes on the heap");
+}
--- a/crates/aspendrum-proxy/tests/wire_messages.rs
+++ b/crates/aspendrum-proxy/tests/wire_messages.rs
@@ -14,7 +14,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The fixture has one section per message, below its name. Lines end with LF here and with CRLF on the wire.
 const MESSAGES: &str = include_str!("fixtures/http_messages.txt");
@@ -141,8 +141,13 @@
         ),
         (
             "answer passed on",
-            ClientResponse::forwarded(server_response, 200, ConnectionPolicy::KeepAlive)
-                .encode(true),
+            ClientResponse::forwarded(
+                server_response,
+                200,
+                Instant::now(),
+                ConnectionPolicy::KeepAlive,
+            )
+            .encode(true),
         ),
         ("answer to nobody", ClientResponse::empty().encode(true)),
         (
