Control's calls: configurations and connections within a memory budget of the process

Each call to `ctl` was held in the ring buffer of its connection and again in `Request::body`, 16 MB each, for as many callers as came; each caller of `Cfg.Show` held a decompressed configuration and its encoded copy until it had read them.

Operators have a quarter of `mem-mb`, lookups a sixteenth, the proxy's readiness and metrics pages share its requests' budget. `Cfg.Show` reserves before it decompresses and until its answer is written; one configuration is parsed at a time.

Tests: `large_operator_calls_keep_the_process_within_its_memory` runs three real nodes; 12 callers at once send 16 MB each. Options and replies in tests and benchmarks follow the new fields.

--- a/crates/aspendrum-benchmarks/src/simulated_fleet/platform.rs
+++ b/crates/aspendrum-benchmarks/src/simulated_fleet/platform.rs
@@ -5,6 +5,7 @@
 use aspendrum_model::servers::ServerInstance;
 use aspendrum_net::http1::{MessageLimits, Request};
 use aspendrum_net::http_server::{self, Reply, ServerOptions};
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::path_matcher::query_parameter;
 use aspendrum_net::threads::lock;
 use std::net::SocketAddrV4;
@@ -91,6 +92,7 @@
             limits: LIMITS,
             idle_timeout: IDLE_TIMEOUT,
             worker_idle_timeout: IDLE_TIMEOUT,
+            memory: MemoryBudget::unlimited(),
         };
         let handler = platform.clone();
         http_server::listen(addr, options, move |request| {
--- a/crates/aspendrum-client/tests/transcripts.rs
+++ b/crates/aspendrum-client/tests/transcripts.rs
@@ -2,6 +2,7 @@
 
 use aspendrum_net::http1::{MessageLimits, Request};
 use aspendrum_net::http_server::{listen, Reply, ServerOptions};
+use aspendrum_net::memory_budget::MemoryBudget;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
@@ -34,9 +35,8 @@
         ("GET", "/api/Cfg.Show") => json(CONFIG),
         // Only the second node has a majority.
         ("POST", "/api/Cfg.Set") if request.body.starts_with(b"{\"gen\":\"00000008\"") => Reply {
-            status: 409,
-            headers: Vec::new(),
             body: b"older than 00000009\n".to_vec(),
+            ..Reply::empty(409)
         },
         ("POST", "/api/Cfg.Set" | "/api/Evac.Begin/z1") if node == 1 => Reply::empty(200),
         ("POST", "/api/Cfg.Set" | "/api/Evac.Begin/z1") => Reply::empty(503),
@@ -54,6 +54,7 @@
         },
         idle_timeout: Duration::from_secs(5),
         worker_idle_timeout: Duration::from_secs(1),
+        memory: MemoryBudget::unlimited(),
     };
     let port = (20_000..30_000).find(|port| {
         let address = |n: u8| SocketAddrV4::new(Ipv4Addr::new(127, 0, 7, n), *port);
--- a/crates/aspendrum-control/src/api.rs
+++ b/crates/aspendrum-control/src/api.rs
@@ -2,6 +2,7 @@
 
 use crate::directory::Directory;
 use crate::event::{Event, ReportQuery};
+use crate::memory::MAX_CONFIG_BYTES;
 use aspendrum_consensus::{Command, CommandOutcome, Millis, ReplicatedState};
 use aspendrum_model::compression::{compress, decompress};
 use aspendrum_model::config::Config;
@@ -9,10 +10,12 @@
 use aspendrum_net::http1::Request;
 use aspendrum_net::http_server::Reply;
 use aspendrum_net::mailbox::MailboxSender;
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::path_matcher::{match_path, query_parameter, PathMatch, PathNode};
+use aspendrum_net::threads::lock;
 use crossbeam_channel::bounded;
 use std::collections::BTreeMap;
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 /// The maximum time that a call waits for a majority. It is below the timeout of one second that callers use.
@@ -77,19 +80,26 @@
     events: Arc<MailboxSender<Event>>,
     /// The region of each zone.
     region_by_zone: BTreeMap<String, String>,
+    /// The memory for configurations that are read by callers.
+    memory: MemoryBudget,
+    /// Held while a configuration is parsed, which takes a multiple of its size.
+    parsing: Mutex<()>,
 }
 
 impl OperatorApi {
     /// Creates the API. `events` is the mailbox of the node's thread; `region_by_zone` contains all zones that can be
-    /// evacuated.
+    /// evacuated; the configurations in replies are taken from `memory`.
     pub fn new(
         events: Arc<MailboxSender<Event>>,
         region_by_zone: BTreeMap<String, String>,
+        memory: MemoryBudget,
     ) -> OperatorApi {
         OperatorApi {
             routes: operator_routes(),
             events,
             region_by_zone,
+            memory,
+            parsing: Mutex::new(()),
         }
     }
 
@@ -106,7 +116,7 @@
         };
         match call {
             Call::SetConfig => self.set_config(&request.body),
-            Call::ShowConfig => self.submit(Command::Read, show_config),
+            Call::ShowConfig => self.show_config(),
             Call::BeginEvacuation => self.set_evacuation(zone.unwrap_or_default(), true),
             Call::FinishEvacuation => self.set_evacuation(zone.unwrap_or_default(), false),
             Call::ReportNodes => self.report(ReportQuery::Nodes),
@@ -116,6 +126,7 @@
     }
 
     fn set_config(&self, text: &[u8]) -> Reply {
+        let parsing = lock(&self.parsing);
         let config = match Config::read(text) {
             Ok(config) => config,
             Err(error) => {
@@ -134,9 +145,24 @@
             compressed_text: compress(text),
             digest,
         };
+        drop(config);
+        drop(parsing);
         self.submit(command, |_| Reply::empty(200))
     }
 
+    /// Returns the newest configuration. Its memory is reserved before it is decompressed, and until it is written.
+    fn show_config(&self) -> Reply {
+        let deadline = Instant::now() + CALL_TIMEOUT;
+        let max_bytes = MAX_CONFIG_BYTES.min(self.memory.max_reservation_bytes());
+        let Some(memory) = self.memory.reserve_until(max_bytes, deadline) else {
+            return Reply::empty(503);
+        };
+        Reply {
+            memory,
+            ..self.submit(Command::Read, show_config)
+        }
+    }
+
     fn set_evacuation(&self, zone: &str, is_evacuated: bool) -> Reply {
         if !self.region_by_zone.contains_key(zone) {
             return Reply::empty(404);
--- a/crates/aspendrum-control/src/lib.rs
+++ b/crates/aspendrum-control/src/lib.rs
@@ -25,8 +25,8 @@
 //! 3. Replicated state: [`replica_driver`], [`storage`], [`store`], [`legacy`], [`decided`].
 //! 4. Other control nodes: [`peers`], [`membership`], [`shutdown`].
 //! 5. Agents and proxies: [`agents`], [`sections`], [`proxy_table`], [`directory`].
-//! 6. External interfaces: [`api`], [`report`], [`server_list`], [`platform`], [`connections`], and [`startup`], which
-//!    assembles the process.
+//! 6. External interfaces: [`api`], [`report`], [`server_list`], [`platform`], [`connections`], [`memory`], and [`startup`],
+//!    which assembles the process.
 
 pub mod agents;
 pub mod api;
@@ -38,6 +38,7 @@
 pub mod event;
 pub mod legacy;
 pub mod membership;
+pub mod memory;
 pub mod node;
 pub mod peer_message;
 pub mod peers;
--- /dev/null
+++ b/crates/aspendrum-control/src/memory.rs
@@ -0,0 +1,32 @@
+//! How the memory of the process is divided among its callers. What remains is for code, the replicated state, tables
+//! and threads.
+
+use aspendrum_model::settings::Settings;
+use aspendrum_net::memory_budget::MemoryBudget;
+
+/// The maximum size of a configuration's text, in bytes.
+pub const MAX_CONFIG_BYTES: usize = 16 << 20;
+const BYTES_PER_MB: u64 = 1 << 20;
+/// The part of the memory for operators' calls and the configurations in them.
+const OPERATOR_DIVISOR: usize = 4;
+/// The part of the memory for lookups of clients.
+const LOOKUP_DIVISOR: usize = 16;
+
+/// The budgets of a control node.
+pub struct MemoryBudgets {
+    /// For the calls of operators.
+    pub operators: MemoryBudget,
+    /// For the lookups of clients.
+    pub lookups: MemoryBudget,
+}
+
+impl MemoryBudgets {
+    /// Divides the memory limit of the settings.
+    pub fn new(settings: &Settings) -> MemoryBudgets {
+        let limit_bytes = settings.memory_limit_mb.saturating_mul(BYTES_PER_MB) as usize;
+        MemoryBudgets {
+            operators: MemoryBudget::new(limit_bytes / OPERATOR_DIVISOR),
+            lookups: MemoryBudget::new(limit_bytes / LOOKUP_DIVISOR),
+        }
+    }
+}
--- a/crates/aspendrum-control/src/startup.rs
+++ b/crates/aspendrum-control/src/startup.rs
@@ -6,6 +6,7 @@
 use crate::directory::Directory;
 use crate::errors::StartError;
 use crate::event::Event;
+use crate::memory::{MemoryBudgets, MAX_CONFIG_BYTES};
 use crate::node::{ControlNode, ControlNodeOptions};
 use crate::peers;
 use crate::platform;
@@ -20,6 +21,7 @@
 use aspendrum_net::http_client::HttpClient;
 use aspendrum_net::http_server::{self, ServerOptions};
 use aspendrum_net::mailbox::{self, MailboxReceiver, MailboxSender};
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::process_signals::ProcessSignals;
 use aspendrum_net::threads::spawn;
 use crossbeam_channel::{bounded, Receiver, Sender};
@@ -42,7 +44,7 @@
 /// The size limits of operator calls. A configuration with thousands of routes is a few megabytes in size.
 const OPERATOR_LIMITS: MessageLimits = MessageLimits {
     head_bytes: 16 << 10,
-    body_bytes: 16 << 20,
+    body_bytes: MAX_CONFIG_BYTES,
 };
 const LOOKUP_LIMITS: MessageLimits = MessageLimits {
     head_bytes: 16 << 10,
@@ -199,16 +201,19 @@
     events: &Arc<MailboxSender<Event>>,
     clock: Clock,
 ) -> Result<(), StartError> {
-    let options = |stack_bytes, limits| ServerOptions {
+    let memory = MemoryBudgets::new(settings);
+    let options = |stack_bytes, limits, memory: &MemoryBudget| ServerOptions {
         stack_bytes,
         limits,
         idle_timeout: Duration::from_secs(10),
         worker_idle_timeout: Duration::from_secs(3),
+        memory: memory.clone(),
     };
     if let Some(address) = settings.operator_addr {
-        let api = OperatorApi::new(events.clone(), settings.zone_regions.clone());
+        let zones = settings.zone_regions.clone();
+        let api = OperatorApi::new(events.clone(), zones, memory.operators.clone());
         let handle = move |request| api.handle(&request);
-        let options = options(OPERATOR_STACK_BYTES, OPERATOR_LIMITS);
+        let options = options(OPERATOR_STACK_BYTES, OPERATOR_LIMITS, &memory.operators);
         http_server::listen(address, options, handle).map_err(resource_error("ctl"))?;
     }
     if let Some(address) = settings.directory_addr {
@@ -216,7 +221,7 @@
         // addresses that fail.
         let api = LookupApi::new(directory.clone(), settings.max_ttl_s);
         let handle = move |request| api.handle(clock.now(), &request);
-        let options = options(STACK_BYTES, LOOKUP_LIMITS);
+        let options = options(STACK_BYTES, LOOKUP_LIMITS, &memory.lookups);
         http_server::listen(address, options, handle).map_err(resource_error("dir"))?;
     }
     Ok(())
--- a/crates/aspendrum-control/tests/answers.rs
+++ b/crates/aspendrum-control/tests/answers.rs
@@ -13,6 +13,7 @@
 use aspendrum_net::http1::Request;
 use aspendrum_net::http_server::Reply;
 use aspendrum_net::mailbox;
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_reconcile::SyncStatus;
 use std::sync::{Arc, RwLock};
 use std::thread;
@@ -80,7 +81,7 @@
     };
     let events = Arc::new(mailbox::spawn_receiver(8, start).unwrap());
     let zones = [("z1".to_string(), "g".to_string())].into();
-    let reply = OperatorApi::new(events.clone(), zones).handle(request);
+    let reply = OperatorApi::new(events.clone(), zones, MemoryBudget::unlimited()).handle(request);
     Arc::into_inner(events).unwrap().close();
     (format_reply(&reply), commands.iter().collect())
 }
--- a/crates/aspendrum-control/tests/processes.rs
+++ b/crates/aspendrum-control/tests/processes.rs
@@ -10,6 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Barrier;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -109,6 +110,45 @@
         Some((head.get(9..12)?.parse().ok()?, body.to_string()))
     }
 
+    /// Returns the most memory that a node's process has had resident so far, in bytes.
+    fn peak_resident_bytes(&self, n: usize) -> usize {
+        let pid = self.processes[n].as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes: usize = line
+            .unwrap()
+            .split_whitespace()
+            .nth(1)
+            .unwrap()
+            .parse()
+            .unwrap();
+        kilobytes << 10
+    }
+
+    /// Sends a call whose last byte follows when all callers have sent the rest. Returns the status.
+    fn call_together(&self, n: usize, body: &[u8], barrier: &Barrier) -> u16 {
+        let address = SocketAddr::from((self.ip(n), OPERATOR_PORT));
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        stream.set_write_timeout(Some(TIMEOUT)).unwrap();
+        let head = format!(
+            "POST /api/Cfg.Set HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        let (last, rest) = body.split_last().unwrap();
+        stream.write_all(head.as_bytes()).unwrap();
+        // The rest of a refused body is not read to its end.
+        let _ = stream.write_all(rest);
+        barrier.wait();
+        let _ = stream.write_all(&[*last]);
+        let mut status_line = [0; "HTTP/1.1 200".len()];
+        stream.read_exact(&mut status_line).unwrap();
+        std::str::from_utf8(&status_line[9..])
+            .unwrap()
+            .parse()
+            .unwrap()
+    }
+
     fn status(&self, n: usize, method: &str, path: &str, body: &str) -> u16 {
         self.call(n, method, path, body).unwrap().0
     }
@@ -410,3 +450,33 @@
     assert!(sent.len() <= allowed, "{sent:?} exceeds {allowed}");
     agent.receive_until(|m| config_version(m) == Some(CHANGES));
 }
+
+/// Guards against a control node that goes over its memory: configurations within the size limit, several at once, were
+/// each held twice.
+#[test]
+fn large_operator_calls_keep_the_process_within_its_memory() {
+    const CALLERS: usize = 12;
+    const BODY_BYTES: usize = 16 << 20;
+    /// `mem-mb` of the settings, which these tests leave out.
+    const DEFAULT_MEMORY_BYTES: usize = 128 << 20;
+    let cluster = Cluster::start(11);
+    cluster.set_config(0, &config(1));
+    let (body, barrier) = (vec![b'x'; BODY_BYTES], Barrier::new(CALLERS));
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let call = || scope.spawn(|| cluster.call_together(0, &body, &barrier));
+        let callers: Vec<_> = (0..CALLERS).map(|_| call()).collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .collect()
+    });
+    // An invalid configuration is rejected, unless there is no memory to read it.
+    assert!(
+        statuses.iter().all(|status| matches!(status, 400 | 503)),
+        "{statuses:?}"
+    );
+    assert!(statuses.contains(&400), "{statuses:?}");
+    let peak = cluster.peak_resident_bytes(0);
+    assert!(peak <= DEFAULT_MEMORY_BYTES, "{peak} bytes resident");
+    cluster.set_config(0, &config(2));
+}
--- a/crates/aspendrum-net/src/http1.rs
+++ b/crates/aspendrum-net/src/http1.rs
@@ -14,7 +14,7 @@
 
 pub use body::{body_length, parse_chunked, BodyLength, FramingError, ParsedBody};
 pub use content::Content;
-pub use encode::{encode_response, reason_phrase};
+pub use encode::{encode_response, encode_response_head, reason_phrase};
 pub use header::{
     has_header, header, is_hop_by_hop, raw_header, single_header, wants_close, Headers,
 };
--- a/crates/aspendrum-net/src/http1/encode.rs
+++ b/crates/aspendrum-net/src/http1/encode.rs
@@ -25,11 +25,20 @@
 
 /// Encodes a complete response. `close` adds a header field that announces the end of the connection.
 pub fn encode_response(status: u16, headers: &[(&str, &str)], close: bool, body: &[u8]) -> Vec<u8> {
+    let mut response = encode_response_head(status, headers, close, body.len());
+    response.extend_from_slice(body);
+    response
+}
+
+/// Encodes the head of a response whose body has `body_bytes` bytes. `close` is as for [`encode_response`].
+pub fn encode_response_head(
+    status: u16,
+    headers: &[(&str, &str)],
+    close: bool,
+    body_bytes: usize,
+) -> Vec<u8> {
     let reason = reason_phrase(status);
-    let mut head = format!(
-        "HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n",
-        body.len()
-    );
+    let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Length: {body_bytes}\r\n");
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
@@ -38,7 +47,5 @@
     } else {
         "\r\n"
     };
-    let mut response = head.into_bytes();
-    response.extend_from_slice(body);
-    response
+    head.into_bytes()
 }
--- a/crates/aspendrum-net/src/memory_budget.rs
+++ b/crates/aspendrum-net/src/memory_budget.rs
@@ -86,6 +86,11 @@
         MemoryBudget::new(usize::MAX)
     }
 
+    /// Returns the size of the largest reservation that is ever granted.
+    pub fn max_reservation_bytes(&self) -> usize {
+        self.shared.large.max_bytes
+    }
+
     /// Returns the number of reserved bytes.
     pub fn used_bytes(&self) -> usize {
         self.shared.total.used_bytes.load(Ordering::SeqCst)
--- a/crates/aspendrum-net/tests/disconnects.rs
+++ b/crates/aspendrum-net/tests/disconnects.rs
@@ -5,6 +5,7 @@
 use aspendrum_net::forward::{ForwardHandle, ForwardStage, RequestKind};
 use aspendrum_net::http1::{MessageLimits, Request};
 use aspendrum_net::http_server::{self, Reply, ServerOptions};
+use aspendrum_net::memory_budget::MemoryBudget;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::channel;
@@ -281,6 +282,7 @@
             limits,
             idle_timeout: TEST_TIMEOUT,
             worker_idle_timeout: TEST_TIMEOUT,
+            memory: MemoryBudget::unlimited(),
         },
         serve,
     )
--- a/crates/aspendrum-net/tests/wire_bytes.rs
+++ b/crates/aspendrum-net/tests/wire_bytes.rs
@@ -6,6 +6,7 @@
 use aspendrum_net::http1::{self, MessageLimits, Parsed, Request, Response};
 use aspendrum_net::http_client::HttpClient;
 use aspendrum_net::http_server::{self, Reply, ServerOptions};
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::path_matcher::{match_path, query_parameter, PathMatch, PathNode};
 use aspendrum_net::ring_buffer::RingBuffer;
 use serde::{Deserialize, Serialize};
@@ -380,7 +381,7 @@
         "/moved" => Reply {
             status: 307,
             headers: vec![("Location", "/there".to_string())],
-            body: Vec::new(),
+            ..Reply::empty(307)
         },
         _ => Reply::empty(404),
     };
@@ -389,6 +390,7 @@
         limits: LIMITS,
         idle_timeout: TEST_TIMEOUT,
         worker_idle_timeout: TEST_TIMEOUT,
+        memory: MemoryBudget::unlimited(),
     };
     let address_with_port = |port| SocketAddrV4::new(Ipv4Addr::new(127, 0, 8, 1), port);
     let port = (20_000..30_000)
--- a/crates/aspendrum-proxy/src/process.rs
+++ b/crates/aspendrum-proxy/src/process.rs
@@ -56,16 +56,17 @@
 
 /// Starts the HTTP servers for the readiness and metrics pages.
 fn start_http_servers(state: &Arc<ProxyState>, settings: &Settings) -> Result<(), ProxyError> {
+    let options = http_server_options(state);
     if let Some(address) = settings.readiness_addr {
         let state = state.clone();
         let page = move |request: Request| readiness_page(&state, &request);
-        http_server::listen(address, http_server_options(), page)
+        http_server::listen(address, options.clone(), page)
             .map_err(ProxyError::for_component("readyz"))?;
     }
     let state = state.clone();
     let page = move |request: Request| metrics_page(&state, &request);
     let address = SocketAddrV4::new(settings.ip, settings.metrics_port());
-    if let Err(e) = http_server::listen(address, http_server_options(), page) {
+    if let Err(e) = http_server::listen(address, options, page) {
         // The proxy can serve requests without its metrics page.
         log::warn!("event=metrics_not_bound at={address} why=\"{e}\"");
     }
@@ -88,7 +89,7 @@
 }
 
 /// Returns the options of the HTTP servers, which handle short calls by the platform and operators.
-fn http_server_options() -> ServerOptions {
+fn http_server_options(state: &ProxyState) -> ServerOptions {
     ServerOptions {
         stack_bytes: STACK_BYTES,
         limits: MessageLimits {
@@ -97,6 +98,7 @@
         },
         idle_timeout: Duration::from_secs(10),
         worker_idle_timeout: Duration::from_secs(5),
+        memory: state.memory.requests.clone(),
     }
 }
 
