Frames between processes: received within a memory budget of the process

Each connection could hold a frame of 32 MB, for as many connections as came, and a mailbox of 4,096 events could hold as many messages.

Change: `read_frame_within` reserves as the bytes arrive, for the bytes and the decoded message, until the node's thread or the coordinator has handled it; a frame that finds no memory within a second closes its connection.

--- a/crates/aspendrum-agent/src/control_connection.rs
+++ b/crates/aspendrum-agent/src/control_connection.rs
@@ -4,8 +4,9 @@
 use crate::event::Event;
 use aspendrum_model::message::FromControl;
 use aspendrum_model::settings::Settings;
-use aspendrum_net::frames::{self, FrameSender};
+use aspendrum_net::frames::{self, Frame, FrameSender};
 use aspendrum_net::mailbox::MailboxSender;
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::threads::spawn;
 use std::io::{self, BufReader};
 use std::net::{Ipv4Addr, TcpStream};
@@ -24,7 +25,7 @@
 /// After a connection that lasted longer than this, reconnection starts with the nearest node again.
 const STABLE_CONNECTION_AGE: Duration = Duration::from_secs(4);
 
-/// Spawns the thread that keeps one connection open while the process runs. The coordinator closes connections that are
+/// Spawns the thread that keeps one connection open while the process runs. Messages take their memory from `memory`. The coordinator closes connections that are
 /// unresponsive or stale.
 ///
 /// # Errors
@@ -34,15 +35,21 @@
     endpoints: &ControlEndpoints,
     settings: &Settings,
     events: &Arc<MailboxSender<Event>>,
+    memory: MemoryBudget,
 ) -> io::Result<()> {
     let (endpoints, settings, events) = (endpoints.clone(), settings.clone(), events.clone());
     spawn("control", STACK_BYTES, move || {
-        run(&endpoints, &settings, &events)
+        run(&endpoints, &settings, &events, &memory)
     })?;
     Ok(())
 }
 
-fn run(endpoints: &ControlEndpoints, settings: &Settings, events: &MailboxSender<Event>) {
+fn run(
+    endpoints: &ControlEndpoints,
+    settings: &Settings,
+    events: &MailboxSender<Event>,
+    budget: &MemoryBudget,
+) {
     let (mut attempt, mut last_id) = (0, 0);
     loop {
         if let Some(ip) = endpoints.address_for_attempt(attempt) {
@@ -58,7 +65,7 @@
                     },
                     None,
                 );
-                receive(last_id, &stream, events);
+                receive(last_id, &stream, events, budget);
                 let is_stable = connected_at.elapsed() > STABLE_CONNECTION_AGE;
                 if is_stable || last_id == 1 {
                     attempt = 0;
@@ -76,10 +83,16 @@
 }
 
 /// Forwards messages to the coordinator until the connection ends.
-fn receive(id: u64, stream: &TcpStream, events: &MailboxSender<Event>) {
+fn receive(id: u64, stream: &TcpStream, events: &MailboxSender<Event>, budget: &MemoryBudget) {
     let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, stream);
-    while let Ok(message) = frames::read_frame::<FromControl>(&mut reader) {
-        events.send(Event::ControlMessage { id, message }, None);
+    while let Ok(frame) = frames::read_frame_within::<FromControl>(&mut reader, budget) {
+        let Frame { message, memory } = frame;
+        let event = Event::ControlMessage {
+            id,
+            message,
+            memory,
+        };
+        events.send(event, None);
     }
     events.send(Event::ControlDisconnected { id }, None);
 }
--- a/crates/aspendrum-agent/src/coordinator/mod.rs
+++ b/crates/aspendrum-agent/src/coordinator/mod.rs
@@ -117,7 +117,11 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::ControlConnected { id, ip, link } => self.on_control_connected(id, ip, link),
-            Event::ControlMessage { id, message } if self.is_current_control(id) => {
+            Event::ControlMessage {
+                id,
+                message,
+                memory: _reserved,
+            } if self.is_current_control(id) => {
                 self.on_control_message(message);
             }
             Event::ControlDisconnected { id } if self.is_current_control(id) => {
@@ -129,11 +133,18 @@
             Event::ProxyConnected { id, link } => {
                 self.proxy = Some(ProxySession::new(id, link, self.now()))
             }
-            Event::ProxyMessage { id, message } => self.on_proxy_message(id, message),
+            Event::ProxyMessage {
+                id,
+                message,
+                memory: _reserved,
+            } => self.on_proxy_message(id, message),
             Event::ProxyDisconnected { id } => self.on_proxy_disconnected(id),
             Event::Gossip { from, message } => self.on_gossip_message(from, message),
             Event::SnapshotRequest { reply } => self.send_snapshot(&reply),
-            Event::SnapshotSection(section) => self.on_snapshot_section(section),
+            Event::SnapshotSection {
+                section,
+                memory: _reserved,
+            } => self.on_snapshot_section(section),
             Event::SettingsChanged(settings) => {
                 self.settings = *settings;
                 self.endpoints.update(&self.settings, &[]);
--- a/crates/aspendrum-agent/src/event.rs
+++ b/crates/aspendrum-agent/src/event.rs
@@ -4,6 +4,7 @@
 use aspendrum_model::message::{FromControl, StateSection, ToControl};
 use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::FrameSender;
+use aspendrum_net::memory_budget::MemoryReservation;
 use crossbeam_channel::Sender;
 use std::net::Ipv4Addr;
 
@@ -25,6 +26,8 @@
         id: u64,
         /// The message.
         message: FromControl,
+        /// The memory reserved for it.
+        memory: MemoryReservation,
     },
     /// The connection to control has ended.
     ControlDisconnected {
@@ -44,6 +47,8 @@
         id: u64,
         /// The message.
         message: ToControl,
+        /// The memory reserved for it.
+        memory: MemoryReservation,
     },
     /// The connection to the proxy has ended.
     ProxyDisconnected {
@@ -63,7 +68,12 @@
         reply: Sender<Vec<u8>>,
     },
     /// One section of a snapshot fetched from another agent.
-    SnapshotSection(StateSection),
+    SnapshotSection {
+        /// The section.
+        section: StateSection,
+        /// The memory reserved for it.
+        memory: MemoryReservation,
+    },
     /// The settings were reloaded.
     SettingsChanged(Box<Settings>),
     /// The process is shutting down.
--- a/crates/aspendrum-agent/src/lib.rs
+++ b/crates/aspendrum-agent/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod snapshot;
 
 mod error;
+mod memory;
 mod process;
 
 pub use error::AgentError;
--- a/crates/aspendrum-agent/src/process.rs
+++ b/crates/aspendrum-agent/src/process.rs
@@ -5,6 +5,7 @@
 use crate::error::AgentError;
 use crate::event::Event;
 use crate::gossip_socket::GossipSocket;
+use crate::memory::MemoryBudgets;
 use crate::snapshot::{self, SnapshotClient};
 use crate::{control_connection, proxy_listener};
 use aspendrum_model::settings::{Settings, SettingsError, SETTINGS_VARIABLE};
@@ -31,14 +32,15 @@
     let settings = Settings::load().map_err(AgentError::Settings)?;
     let (events, coordinator) = start_coordinator()?;
     let endpoints = ControlEndpoints::new(&settings);
-    control_connection::start(&endpoints, &settings, &events)
+    let memory = MemoryBudgets::new(&settings);
+    control_connection::start(&endpoints, &settings, &events, memory.updates.clone())
         .map_err(AgentError::start("control connection"))?;
-    proxy_listener::start(settings.agent_addr(), &events)
+    proxy_listener::start(settings.agent_addr(), &events, memory.local.clone())
         .map_err(AgentError::start("proxy listener"))?;
     let gossip =
         GossipSocket::open(&settings, &events).map_err(AgentError::start("gossip socket"))?;
     snapshot::start_server(&settings, &events).map_err(AgentError::start("snapshot server"))?;
-    let snapshots = SnapshotClient::new(&settings, &events);
+    let snapshots = SnapshotClient::new(&settings, &events, memory.updates.clone());
     let started = coordinator.send(Coordinator::new(
         settings.clone(),
         endpoints,
--- a/crates/aspendrum-agent/src/snapshot.rs
+++ b/crates/aspendrum-agent/src/snapshot.rs
@@ -4,8 +4,9 @@
 use crate::event::Event;
 use aspendrum_model::message::FromControl;
 use aspendrum_model::settings::Settings;
-use aspendrum_net::frames::{self, FrameSender};
+use aspendrum_net::frames::{self, Frame, FrameSender};
 use aspendrum_net::mailbox::MailboxSender;
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::threads::spawn;
 use crossbeam_channel::bounded;
 use std::io::{self, BufReader, Write};
@@ -54,14 +55,21 @@
 pub struct SnapshotClient {
     settings: Settings,
     events: Arc<MailboxSender<Event>>,
+    memory: MemoryBudget,
 }
 
 impl SnapshotClient {
-    /// Creates a client that sends each section of a fetched snapshot to `events`.
-    pub fn new(settings: &Settings, events: &Arc<MailboxSender<Event>>) -> SnapshotClient {
+    /// Creates a client that sends each section of a fetched snapshot to `events`, with its memory
+    /// taken from `memory`.
+    pub fn new(
+        settings: &Settings,
+        events: &Arc<MailboxSender<Event>>,
+        memory: MemoryBudget,
+    ) -> SnapshotClient {
         SnapshotClient {
             settings: settings.clone(),
             events: events.clone(),
+            memory,
         }
     }
 
@@ -69,10 +77,10 @@
     pub fn fetch(&self, from: Ipv4Addr) {
         let port = self.settings.snapshot_port();
         let address = self.settings.dial_addr(SocketAddrV4::new(from, port));
-        let events = self.events.clone();
+        let (events, memory) = (self.events.clone(), self.memory.clone());
         let started = spawn("fetch", STACK_BYTES, move || {
             // Errors are ignored: the gossip protocol retries the fetch or selects another agent.
-            let _ = receive(address, &events);
+            let _ = receive(address, &events, &memory);
         });
         if let Err(e) = started {
             log::warn!("event=snapshot_not_asked why=\"{e}\"");
@@ -80,13 +88,20 @@
     }
 }
 
-fn receive(address: SocketAddrV4, events: &MailboxSender<Event>) -> io::Result<()> {
+fn receive(
+    address: SocketAddrV4,
+    events: &MailboxSender<Event>,
+    budget: &MemoryBudget,
+) -> io::Result<()> {
     let stream = FrameSender::connect(address, CONNECT_TIMEOUT)?;
     let _ = stream.set_read_timeout(Some(TRANSFER_TIMEOUT));
     let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, &*stream);
-    while let FromControl::Update { section, .. } = frames::read_frame::<FromControl>(&mut reader)?
-    {
-        events.send(Event::SnapshotSection(section), None);
+    loop {
+        let Frame { message, memory } =
+            frames::read_frame_within::<FromControl>(&mut reader, budget)?;
+        let FromControl::Update { section, .. } = message else {
+            return Ok(());
+        };
+        events.send(Event::SnapshotSection { section, memory }, None);
     }
-    Ok(())
 }
--- a/crates/aspendrum-control/src/connections.rs
+++ b/crates/aspendrum-control/src/connections.rs
@@ -6,15 +6,16 @@
 use crate::peer_message::PeerMessage;
 use aspendrum_consensus::NodeId;
 use aspendrum_model::message::Envelope;
-use aspendrum_net::frames::{self, FrameSender};
+use aspendrum_net::frames::{self, FrameSender, CONNECTION_BYTES};
 use aspendrum_net::mailbox::MailboxSender;
+use aspendrum_net::memory_budget::MemoryBudget;
 use aspendrum_net::threads::spawn;
 use std::io::{self, Read};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const STACK_BYTES: usize = 96 << 10;
 /// The delay before the next attempt to connect to a node.
@@ -26,6 +27,8 @@
 const LINK_CAPACITY: usize = 256;
 /// The read timeout of an incoming connection, as a multiple of the peer timeout.
 const READ_TIMEOUT_FACTOR: u32 = 4;
+/// How long the listener waits for the memory of a connection before it tries again.
+const MEMORY_WAIT: Duration = Duration::from_millis(100);
 const READ_BUFFER_BYTES: usize = 2 << 10;
 
 /// Wraps a message for another control node in the envelope in which it is sent.
@@ -75,6 +78,7 @@
 }
 
 /// Starts a thread that accepts connections from control nodes and agents, and a reader thread for each connection.
+/// Connections and messages take their memory from `memory`.
 ///
 /// # Errors
 /// Returns an error if the address cannot be bound or the thread cannot be started.
@@ -82,21 +86,28 @@
     address: SocketAddrV4,
     peer_timeout: Duration,
     events: &Arc<MailboxSender<Event>>,
+    memory: MemoryBudget,
 ) -> io::Result<()> {
     let listener = TcpListener::bind(address)?;
     let events = events.clone();
     spawn("listen", STACK_BYTES, move || {
         let next_id = AtomicU64::new(1);
         loop {
+            // Peers wait in the accept queue while there is no memory for their connections.
+            let deadline = Instant::now() + MEMORY_WAIT;
+            let Some(reserved) = memory.reserve_until(CONNECTION_BYTES, deadline) else {
+                continue;
+            };
             let Ok((stream, _)) = listener.accept() else {
                 sleep(ACCEPT_RETRY_INTERVAL);
                 continue;
             };
             let id = next_id.fetch_add(1, Ordering::Relaxed);
-            let events = events.clone();
+            let (events, memory) = (events.clone(), memory.clone());
             let started = spawn("reader", STACK_BYTES, move || {
-                read_messages(id, &Arc::new(stream), peer_timeout, &events);
+                read_messages(id, &Arc::new(stream), peer_timeout, &events, &memory);
                 events.send(Event::Disconnected { id }, None);
+                drop(reserved);
             });
             if let Err(error) = started {
                 log::warn!("event=reader_not_started why=\"{error}\"");
@@ -113,13 +124,15 @@
     stream: &Arc<TcpStream>,
     peer_timeout: Duration,
     events: &MailboxSender<Event>,
+    memory: &MemoryBudget,
 ) {
     // All senders send heartbeats, so silence for this time means that the connection or the sender is lost.
     let _ = stream.set_read_timeout(Some(READ_TIMEOUT_FACTOR * peer_timeout));
     let mut reader = io::BufReader::with_capacity(READ_BUFFER_BYTES, &**stream);
     let (mut peer, mut is_agent) = (None, false);
-    while let Ok(envelope) = frames::read_frame::<Envelope<PeerMessage>>(&mut reader) {
-        let event = match envelope {
+    while let Ok(frame) = frames::read_frame_within::<Envelope<PeerMessage>>(&mut reader, memory) {
+        let memory = frame.memory;
+        let event = match frame.message {
             Envelope::Peer(message) => {
                 if let PeerMessage::Hello(hello) = &message {
                     peer = Some(hello.node);
@@ -127,7 +140,11 @@
                 let Some(from) = peer else {
                     return;
                 };
-                Event::PeerMessage { from, message }
+                Event::PeerMessage {
+                    from,
+                    message,
+                    memory,
+                }
             }
             Envelope::Agent(message) => {
                 if !is_agent {
@@ -139,7 +156,11 @@
                     events.send(Event::AgentConnected { id, link }, None);
                     is_agent = true;
                 }
-                Event::AgentMessage { id, message }
+                Event::AgentMessage {
+                    id,
+                    message,
+                    memory,
+                }
             }
         };
         if !events.send(event, None) {
--- a/crates/aspendrum-control/src/event.rs
+++ b/crates/aspendrum-control/src/event.rs
@@ -8,6 +8,7 @@
 use aspendrum_model::servers::ServerInstance;
 use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::FrameSender;
+use aspendrum_net::memory_budget::MemoryReservation;
 use crossbeam_channel::Sender;
 use serde_json::Value;
 use std::time::Instant;
@@ -37,6 +38,8 @@
         from: NodeId,
         /// The message.
         message: PeerMessage,
+        /// The memory reserved for it.
+        memory: MemoryReservation,
     },
     /// The connection to another control node was established or lost.
     PeerLink {
@@ -58,6 +61,8 @@
         id: ConnectionId,
         /// The message.
         message: ToControl,
+        /// The memory reserved for it.
+        memory: MemoryReservation,
     },
     /// An incoming connection was closed. It may have been that of an agent or of a control node.
     Disconnected {
--- a/crates/aspendrum-control/src/memory.rs
+++ b/crates/aspendrum-control/src/memory.rs
@@ -9,6 +9,8 @@
 const BYTES_PER_MB: u64 = 1 << 20;
 /// The part of the memory for operators' calls and the configurations in them.
 const OPERATOR_DIVISOR: usize = 4;
+/// The part of the memory for the messages of control nodes and agents, and their connections.
+const PEER_DIVISOR: usize = 4;
 /// The part of the memory for lookups of clients.
 const LOOKUP_DIVISOR: usize = 16;
 
@@ -16,6 +18,8 @@
 pub struct MemoryBudgets {
     /// For the calls of operators.
     pub operators: MemoryBudget,
+    /// For the messages of control nodes and agents.
+    pub peers: MemoryBudget,
     /// For the lookups of clients.
     pub lookups: MemoryBudget,
 }
@@ -26,6 +30,7 @@
         let limit_bytes = settings.memory_limit_mb.saturating_mul(BYTES_PER_MB) as usize;
         MemoryBudgets {
             operators: MemoryBudget::new(limit_bytes / OPERATOR_DIVISOR),
+            peers: MemoryBudget::new(limit_bytes / PEER_DIVISOR),
             lookups: MemoryBudget::new(limit_bytes / LOOKUP_DIVISOR),
         }
     }
--- a/crates/aspendrum-control/src/node.rs
+++ b/crates/aspendrum-control/src/node.rs
@@ -139,12 +139,20 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::PeerMessage { from, message } => self.on_peer_message(from, message),
+            Event::PeerMessage {
+                from,
+                message,
+                memory: _reserved,
+            } => self.on_peer_message(from, message),
             Event::PeerLink { node, link } => self.on_peer_link(node, link),
             Event::AgentConnected { id, link } => {
                 self.agents.on_connected(self.clock.now(), id, link);
             }
-            Event::AgentMessage { id, message } => self.on_agent_message(id, message),
+            Event::AgentMessage {
+                id,
+                message,
+                memory: _reserved,
+            } => self.on_agent_message(id, message),
             Event::Disconnected { id } => {
                 if self.agents.on_disconnected(self.clock.now(), id) {
                     self.on_local_proxies_changed();
--- a/crates/aspendrum-control/src/startup.rs
+++ b/crates/aspendrum-control/src/startup.rs
@@ -67,8 +67,9 @@
     let settings = Settings::load().map_err(StartError::Settings)?;
     let clock = Clock::start();
     let directory = Arc::new(RwLock::new(Directory::new(0.0, &settings.zone_regions)));
-    let events = start_node(&settings, &directory, clock)?;
-    open_apis(&settings, &directory, &events, clock)?;
+    let memory = MemoryBudgets::new(&settings);
+    let events = start_node(&settings, &memory, &directory, clock)?;
+    open_apis(&settings, &memory, &directory, &events, clock)?;
     let reload = || -> Result<(), SettingsError> {
         let settings = Box::new(Settings::load()?);
         events.send(Event::SettingsReloaded(settings), None);
@@ -89,6 +90,7 @@
 /// node's thread.
 fn start_node(
     settings: &Settings,
+    memory: &MemoryBudgets,
     directory: &Arc<RwLock<Directory>>,
     clock: Clock,
 ) -> Result<Arc<MailboxSender<Event>>, StartError> {
@@ -116,7 +118,8 @@
     });
     let address = SocketAddrV4::new(settings.ip, settings.control_port());
     let peer_timeout = Duration::from_millis(peers::PEER_TIMEOUT as u64);
-    connections::listen(address, peer_timeout, &events).map_err(resource_error("control port"))?;
+    connections::listen(address, peer_timeout, &events, memory.peers.clone())
+        .map_err(resource_error("control port"))?;
     node_sender
         .send(node)
         .map_err(|_| StartError::NodeThreadEnded)?;
@@ -197,11 +200,11 @@
 /// Starts the HTTP servers of the operator API and the lookup API, if their addresses are configured.
 fn open_apis(
     settings: &Settings,
+    memory: &MemoryBudgets,
     directory: &Arc<RwLock<Directory>>,
     events: &Arc<MailboxSender<Event>>,
     clock: Clock,
 ) -> Result<(), StartError> {
-    let memory = MemoryBudgets::new(settings);
     let options = |stack_bytes, limits, memory: &MemoryBudget| ServerOptions {
         stack_bytes,
         limits,
--- a/crates/aspendrum-control/tests/processes.rs
+++ b/crates/aspendrum-control/tests/processes.rs
@@ -451,14 +451,15 @@
     agent.receive_until(|m| config_version(m) == Some(CHANGES));
 }
 
+/// `mem-mb` of the settings, which these tests leave out.
+const DEFAULT_MEMORY_BYTES: usize = 128 << 20;
+
 /// Guards against a control node that goes over its memory: configurations within the size limit, several at once, were
 /// each held twice.
 #[test]
 fn large_operator_calls_keep_the_process_within_its_memory() {
     const CALLERS: usize = 12;
     const BODY_BYTES: usize = 16 << 20;
-    /// `mem-mb` of the settings, which these tests leave out.
-    const DEFAULT_MEMORY_BYTES: usize = 128 << 20;
     let cluster = Cluster::start(11);
     cluster.set_config(0, &config(1));
     let (body, barrier) = (vec![b'x'; BODY_BYTES], Barrier::new(CALLERS));
@@ -480,3 +481,26 @@
     assert!(peak <= DEFAULT_MEMORY_BYTES, "{peak} bytes resident");
     cluster.set_config(0, &config(2));
 }
+
+/// Guards against a control node that goes over its memory: frames within the size limit, several at once, were
+/// received without a bound on their sum.
+#[test]
+fn large_frames_keep_the_process_within_its_memory() {
+    const PEERS: usize = 12;
+    let cluster = Cluster::start(12);
+    cluster.set_config(0, &config(1));
+    let length = u32::try_from(frames::MAX_FRAME_BYTES).unwrap();
+    let (body, barrier) = (vec![0xff; frames::MAX_FRAME_BYTES], Barrier::new(PEERS));
+    let send = || {
+        let mut stream = TcpStream::connect((cluster.ip(0), FIRST_PORT)).unwrap();
+        stream.set_write_timeout(Some(TIMEOUT)).unwrap();
+        stream.write_all(&length.to_le_bytes()).unwrap();
+        // The connection of a peer whose frame does not fit is closed.
+        let _ = stream.write_all(&body[1..]);
+        barrier.wait();
+    };
+    thread::scope(|scope| (0..PEERS).for_each(|_| drop(scope.spawn(send))));
+    let peak = cluster.peak_resident_bytes(0);
+    assert!(peak <= DEFAULT_MEMORY_BYTES, "{peak} bytes resident");
+    cluster.set_config(0, &config(2));
+}
--- a/crates/aspendrum-net/src/frames.rs
+++ b/crates/aspendrum-net/src/frames.rs
@@ -2,6 +2,7 @@
 //! little-endian integer, followed by the message encoded with postcard.
 
 use crate::mailbox::{self, MailboxReceiver, MailboxSender};
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::threads::spawn;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -10,12 +11,20 @@
 use std::net::{Shutdown, SocketAddrV4, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The maximum length of a message in a frame, which bounds the memory that a faulty sender can make a receiver
 /// allocate.
 pub const MAX_FRAME_BYTES: usize = 32 << 20;
 const LENGTH_BYTES: usize = 4;
+/// The size of the first piece in which a frame is read.
+const FIRST_PIECE_BYTES: usize = 16 << 10;
+/// How often a message is held while it is decoded: as bytes and as values.
+const FRAME_COPIES: usize = 2;
+/// How long a frame waits for memory before its connection is closed.
+const MEMORY_WAIT: Duration = Duration::from_secs(1);
+/// The fixed memory of a connection with a reader and a writer thread: the used parts of their stacks, and buffers.
+pub const CONNECTION_BYTES: usize = 32 << 10;
 const WRITER_STACK_BYTES: usize = 96 << 10;
 
 /// Encodes a message as a frame. A message that cannot be encoded results in an empty frame, which receivers reject.
@@ -26,24 +35,62 @@
     frame
 }
 
+/// A received message, with the memory reserved for it until it has been handled.
+pub struct Frame<T> {
+    /// The message.
+    pub message: T,
+    /// The reservation of its memory.
+    pub memory: MemoryReservation,
+}
+
 /// Reads one frame.
 ///
 /// # Errors
 /// Returns the error of the read, `UnexpectedEof` if the input ends within the frame, or `InvalidData` if the frame is
 /// too long or cannot be decoded.
 pub fn read_frame<T: DeserializeOwned>(from: &mut impl Read) -> io::Result<T> {
+    read_frame_within(from, &MemoryBudget::unlimited()).map(|frame| frame.message)
+}
+
+/// Reads one frame, whose memory is reserved as its bytes arrive.
+///
+/// # Errors
+/// As [`read_frame`], and `QuotaExceeded` if the budget has no room for the frame in time.
+pub fn read_frame_within<T: DeserializeOwned>(
+    from: &mut impl Read,
+    budget: &MemoryBudget,
+) -> io::Result<Frame<T>> {
     let mut length = [0; LENGTH_BYTES];
     from.read_exact(&mut length)?;
     let length = u32::from_le_bytes(length) as usize;
     if length > MAX_FRAME_BYTES {
         return Err(io::ErrorKind::InvalidData.into());
     }
+    let mut memory = budget.reservation();
+    let body = read_body(from, length, &mut memory)?;
+    let message = postcard::from_bytes(&body).map_err(|_| io::ErrorKind::InvalidData)?;
+    Ok(Frame { message, memory })
+}
+
+/// Reads the body of a frame in pieces that at most double its length.
+fn read_body(
+    from: &mut impl Read,
+    length: usize,
+    memory: &mut MemoryReservation,
+) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
-    from.take(length as u64).read_to_end(&mut body)?;
-    if body.len() < length {
-        return Err(io::ErrorKind::UnexpectedEof.into());
+    while body.len() < length {
+        let piece = body.len().max(FIRST_PIECE_BYTES).min(length - body.len());
+        if !memory.extend_until(FRAME_COPIES * piece, Instant::now() + MEMORY_WAIT) {
+            return Err(io::ErrorKind::QuotaExceeded.into());
+        }
+        body.reserve_exact(piece);
+        let read = from.take(piece as u64).read_to_end(&mut body)?;
+        if read < piece {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
     }
-    postcard::from_bytes(&body).map_err(|_| io::ErrorKind::InvalidData.into())
+    Ok(body)
 }
 
 /// The sending half of a framed connection. Sending never blocks: if the peer reads too slowly and the queue is full,
