Freed memory is returned to the system, so that a budget bounds the process

Callers saw: a proxy within its budgets still goes over `mem-mb`.

Cause: glibc's allocator. Freeing a block that has pages of its own raises the size from which blocks get them, up to 32 MB, and the size of free memory that a heap keeps to twice that; there are eight heaps a core. Freed bodies stayed in the heaps of the threads that had received them.

--- a/crates/aspendrum-net/src/daemon.rs
+++ b/crates/aspendrum-net/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Startup code shared by all programs: command line, logging and exit status.
 
+use crate::allocator::return_freed_memory;
 use crate::process_signals::{ProcessSignals, SignalError};
 use bpaf::Bpaf;
 use derive_more::{Display, Error};
@@ -43,6 +44,7 @@
     // Registered before anything else, because by default these signals terminate the process without a graceful
     // shutdown.
     let signals = ProcessSignals::register();
+    return_freed_memory();
     let command = command().descr(description).run();
     match execute(&command, signals, check, serve) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/aspendrum-net/src/lib.rs
+++ b/crates/aspendrum-net/src/lib.rs
@@ -22,8 +22,9 @@
 //! 3. [`forward`], [`disconnects`] and [`disconnect_metrics`]: aborting requests whose clients have disconnected.
 //! 4. [`http_client`], [`http_server`] and [`path_matcher`]: short calls.
 //! 5. [`frames`]: connections between the processes of the system.
-//! 6. [`daemon`] and [`process_signals`]: startup and shutdown of a program.
+//! 6. [`daemon`], [`allocator`] and [`process_signals`]: startup and shutdown of a program.
 
+pub mod allocator;
 pub mod connection;
 pub mod daemon;
 mod descriptor_permit;
