The platform's list of servers is read up to a part of the memory

A poll read pages of up to 4 MB for as long as the platform named another one, for 1.5 s, and kept all entries.

Change: the pages of a poll have a sixteenth of `mem-mb` together; beyond it the poll fails as for an invalid page, and the last list stays in use.

Test: `a_list_of_servers_without_an_end_is_an_error`. Without the check it failed with 3,142 pages of 16 KB read where 4 fit; it passes now.

--- a/crates/aspendrum-control/src/errors.rs
+++ b/crates/aspendrum-control/src/errors.rs
@@ -62,6 +62,9 @@
     /// A page of the list cannot be parsed.
     #[display("{_0}")]
     InvalidPage(InvalidServerPage),
+    /// The pages together are larger than the memory for the list.
+    #[display("the list of servers is longer than {_0} bytes")]
+    ListTooLong(#[error(not(source))] usize),
 }
 
 /// An error that prevents a control node from starting, or from waiting for its shutdown.
--- a/crates/aspendrum-control/src/memory.rs
+++ b/crates/aspendrum-control/src/memory.rs
@@ -14,6 +14,9 @@
 /// The part of the memory for lookups of clients.
 const LOOKUP_DIVISOR: usize = 16;
 
+/// The part of the memory for the text of the platform's list of servers.
+const SERVER_LIST_DIVISOR: usize = 16;
+
 /// The budgets of a control node.
 pub struct MemoryBudgets {
     /// For the calls of operators.
@@ -22,6 +25,8 @@
     pub peers: MemoryBudget,
     /// For the lookups of clients.
     pub lookups: MemoryBudget,
+    /// The maximum size of the text of the platform's list of servers, in bytes.
+    pub max_server_list_bytes: usize,
 }
 
 impl MemoryBudgets {
@@ -32,6 +37,7 @@
             operators: MemoryBudget::new(limit_bytes / OPERATOR_DIVISOR),
             peers: MemoryBudget::new(limit_bytes / PEER_DIVISOR),
             lookups: MemoryBudget::new(limit_bytes / LOOKUP_DIVISOR),
+            max_server_list_bytes: limit_bytes / SERVER_LIST_DIVISOR,
         }
     }
 }
--- a/crates/aspendrum-control/src/platform.rs
+++ b/crates/aspendrum-control/src/platform.rs
@@ -15,14 +15,18 @@
 /// with the first page.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Reads all pages of the list.
+/// Reads all pages of the list, which may have `max_bytes` bytes together.
 ///
 /// # Errors
 /// Returns an error if the platform does not respond in time, responds with a status other than 200, or sends a page
-/// that cannot be parsed.
-pub fn read_server_list(platform: &mut HttpClient) -> Result<Vec<ServerInstance>, PlatformError> {
+/// that cannot be parsed or pages that are too long together.
+pub fn read_server_list(
+    platform: &mut HttpClient,
+    max_bytes: usize,
+) -> Result<Vec<ServerInstance>, PlatformError> {
     let deadline = Instant::now() + LIST_TIMEOUT;
     let mut list = Vec::new();
+    let mut list_bytes = 0;
     let mut path = "/servers".to_string();
     loop {
         let remaining = deadline.saturating_duration_since(Instant::now());
@@ -31,6 +35,10 @@
         if response.status != 200 {
             return Err(PlatformError::Status(response.status));
         }
+        list_bytes += response.body.len();
+        if list_bytes > max_bytes {
+            return Err(PlatformError::ListTooLong(max_bytes));
+        }
         let page = servers::parse_page(&response.body);
         let page = page.map_err(PlatformError::InvalidPage)?;
         list.extend(page.servers);
--- a/crates/aspendrum-control/src/startup.rs
+++ b/crates/aspendrum-control/src/startup.rs
@@ -124,7 +124,8 @@
         .send(node)
         .map_err(|_| StartError::NodeThreadEnded)?;
     let own_events = events.clone();
-    let poll = move || poll_platform(&requested_polls, &own_events);
+    let max_bytes = memory.max_server_list_bytes;
+    let poll = move || poll_platform(&requested_polls, &own_events, max_bytes);
     spawn("poller", STACK_BYTES, poll).map_err(resource_error("poller"))?;
     Ok(events)
 }
@@ -184,14 +185,18 @@
 
 /// Runs the polling thread: reads the platform's list of servers once per request. The HTTP client is reused until a
 /// poll fails or the address changes.
-fn poll_platform(requests: &Receiver<SocketAddrV4>, events: &MailboxSender<Event>) {
+fn poll_platform(
+    requests: &Receiver<SocketAddrV4>,
+    events: &MailboxSender<Event>,
+    max_list_bytes: usize,
+) {
     let mut platform: Option<HttpClient> = None;
     while let Ok(address) = requests.recv() {
         let started_at = Instant::now();
         let reusable = platform.take().filter(|client| client.server() == address);
         let connect = || HttpClient::new(address, platform::PAGE_LIMITS);
         let mut client = reusable.unwrap_or_else(connect);
-        let result = platform::read_server_list(&mut client);
+        let result = platform::read_server_list(&mut client, max_list_bytes);
         platform = result.is_ok().then_some(client);
         events.send(Event::ServerListPolled { started_at, result }, None);
     }
