Encoded heads are allocated with room for the body that is copied behind them

Since bodies above 16 KB are sent separately, the capacity for the encoded message left out every body, so that each request and answer with a small one was reallocated on its way.

Change: the capacity counts the bytes that are copied. Three doc comments are wrapped at the line width.

--- a/crates/aspendrum-agent/src/control_connection.rs
+++ b/crates/aspendrum-agent/src/control_connection.rs
@@ -25,8 +25,8 @@
 /// After a connection that lasted longer than this, reconnection starts with the nearest node again.
 const STABLE_CONNECTION_AGE: Duration = Duration::from_secs(4);
 
-/// Spawns the thread that keeps one connection open while the process runs. Messages take their memory from `memory`. The coordinator closes connections that are
-/// unresponsive or stale.
+/// Spawns the thread that keeps one connection open while the process runs. Messages take their memory from `memory`.
+/// The coordinator closes connections that are unresponsive or stale.
 ///
 /// # Errors
 ///
--- a/crates/aspendrum-net/src/lib.rs
+++ b/crates/aspendrum-net/src/lib.rs
@@ -9,8 +9,8 @@
 //! its socket, which is synchronized by [`forward`].
 //!
 //! Received bytes are collected in a [`ring_buffer`]. [`http1`] parses messages from it and rejects messages with
-//! ambiguous framing. The content of a message is stored once, within the [`memory_budget`] of the process. A [`connection::Connection`] carries one exchange at a time; [`pool`] stores idle
-//! connections.
+//! ambiguous framing. The content of a message is stored once, within the [`memory_budget`] of the process. A
+//! [`connection::Connection`] carries one exchange at a time; [`pool`] stores idle connections.
 //!
 //! A thread that waits for a server does not read from its client. [`disconnects`] therefore polls the client
 //! connections from a single thread, and [`disconnect_metrics`] counts late reactions to disconnects.
--- a/crates/aspendrum-proxy/src/wire.rs
+++ b/crates/aspendrum-proxy/src/wire.rs
@@ -88,13 +88,20 @@
     (body.len() > MAX_COPIED_BODY_BYTES).then_some(body)
 }
 
-/// Appends the body to an encoded head unless it is sent separately.
-fn put_body(out: &mut Vec<u8>, body: &[u8]) {
+/// Returns how many bytes of the body are copied behind the encoded head.
+fn copied_bytes(body: &[u8]) -> usize {
     if separate_body(body).is_none() {
-        out.extend_from_slice(body);
+        body.len()
+    } else {
+        0
     }
 }
 
+/// Appends the body to an encoded head unless it is sent separately.
+fn put_body(out: &mut Vec<u8>, body: &[u8]) {
+    out.extend_from_slice(&body[..copied_bytes(body)]);
+}
+
 /// Encodes a request for a server, without a body that is sent separately. `budget_ms` is the remaining time budget of
 /// the client.
 pub fn encode_forward(
@@ -103,7 +110,7 @@
     tenant: Option<&str>,
     budget_ms: u64,
 ) -> Vec<u8> {
-    let mut out = Vec::with_capacity(REQUEST_HEAD_CAPACITY);
+    let mut out = Vec::with_capacity(REQUEST_HEAD_CAPACITY + copied_bytes(&request.body));
     // Writing to a `Vec` does not fail.
     let _ = write!(out, "{} {} HTTP/1.1\r\n", request.method, request.path);
     for (name, value) in &request.headers {
@@ -227,14 +234,15 @@
         .filter(|seconds| *seconds >= 0.0)
 }
 
-/// Encodes a server's response for the client with the given status, without a body that is sent separately. `closes` announces the end of the connection.
+/// Encodes a server's response for the client with the given status, without a body that is sent separately. `closes`
+/// announces the end of the connection.
 pub fn encode_forwarded(response: &Response, status: u16, closes: bool) -> Vec<u8> {
     let text = if status == response.status && !response.reason.is_empty() {
         response.reason.as_str()
     } else {
         reason_phrase(status)
     };
-    let mut out = Vec::with_capacity(RESPONSE_HEAD_CAPACITY);
+    let mut out = Vec::with_capacity(RESPONSE_HEAD_CAPACITY + copied_bytes(&response.body));
     let _ = write!(out, "HTTP/1.1 {status} {text}\r\n");
     for (name, value) in &response.headers {
         let is_dropped = NOT_RETURNED
