A peer that reads a trickle no longer keeps the memory of its answer

The deadline of a long answer was checked between pieces of 64 KB only, and a piece was written by as many writes as its reader liked; control's answers had no deadline at all. A caller of `Cfg.Show` kept 16 MB reserved for a text of any size, so that four slow ones on a machine with mem-mb 256 kept large configurations out.

Change: `net::connection::write_until` checks before each write; the proxy writes until the client's deadline by it, control within 30 s. One write can still wait for the socket's time limit of 10 s beyond that. `Cfg.Show` keeps what the text takes, once it is known.

--- a/crates/aspendrum-control/src/api.rs
+++ b/crates/aspendrum-control/src/api.rs
@@ -152,17 +152,17 @@
         self.submit(command, |_| Reply::empty(200))
     }
 
-    /// Returns the newest configuration. Its memory is reserved before it is decompressed, and until it is written.
+    /// Returns the newest configuration. Memory for the largest one is reserved before it is decompressed, and for this
+    /// one until it is written.
     fn show_config(&self) -> Reply {
         let deadline = Instant::now() + CALL_TIMEOUT;
         let max_bytes = MAX_CONFIG_BYTES.min(self.memory.max_reservation_bytes());
-        let Some(memory) = self.memory.reserve_until(max_bytes, deadline) else {
+        let Some(mut memory) = self.memory.reserve_until(max_bytes, deadline) else {
             return Reply::empty(503);
         };
-        Reply {
-            memory,
-            ..self.submit(Command::Read, show_config)
-        }
+        let reply = self.submit(Command::Read, show_config);
+        memory.shrink_to(reply.body.len());
+        Reply { memory, ..reply }
     }
 
     fn set_evacuation(&self, zone: &str, is_evacuated: bool) -> Reply {
--- a/crates/aspendrum-net/src/connection.rs
+++ b/crates/aspendrum-net/src/connection.rs
@@ -201,6 +201,29 @@
     }
 }
 
+/// The size of the pieces in which [`write_until`] writes.
+const WRITE_BYTES: usize = 64 << 10;
+
+/// Writes `bytes` until `deadline`, which is checked before each write. A peer that reads slowly must not keep the memory
+/// of a message for longer.
+///
+/// # Errors
+/// Returns the error of a write, or `TimedOut` at the deadline.
+pub fn write_until(to: &mut impl Write, mut bytes: &[u8], deadline: Instant) -> io::Result<()> {
+    while !bytes.is_empty() {
+        if Instant::now() >= deadline {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        match to.write(&bytes[..bytes.len().min(WRITE_BYTES)]) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(written) => bytes = &bytes[written..],
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// The size of the buffer for input that is discarded.
 const DISCARD_BUFFER_BYTES: usize = 8 << 10;
 
--- a/crates/aspendrum-net/src/http_server.rs
+++ b/crates/aspendrum-net/src/http_server.rs
@@ -1,7 +1,7 @@
 //! A server for short HTTP calls with a single handler function. Each connection is served by a thread of a worker
 //! pool.
 
-use crate::connection::lingering_close;
+use crate::connection::{lingering_close, write_until};
 use crate::disconnects::has_hung_up;
 use crate::http1::status::SERVICE_UNAVAILABLE;
 use crate::http1::{
@@ -91,7 +91,8 @@
 const REQUEST_MEMORY_WAIT: Duration = Duration::from_secs(1);
 /// How long the rest of a refused body is discarded, so that a client that sends all of it reads the response.
 const REFUSED_BODY_LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// The time within which the body of a request must arrive, so that it does not hold its memory for longer.
+/// The time within which the body of a request must arrive, and that of a reply be read, so that they do not hold their
+/// memory for longer.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Bodies up to this size are copied behind their head, so that both are sent with one write.
 const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
@@ -243,5 +244,5 @@
         return stream.write_all(&head);
     }
     stream.write_all(&head)?;
-    stream.write_all(&reply.body)
+    write_until(&mut stream, &reply.body, Instant::now() + BODY_TIMEOUT)
 }
--- a/crates/aspendrum-proxy/src/response.rs
+++ b/crates/aspendrum-proxy/src/response.rs
@@ -2,13 +2,11 @@
 
 use crate::wire;
 use aspendrum_core::api::Millis;
+use aspendrum_net::connection::write_until;
 use aspendrum_net::http1::Response;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, Write};
 use std::time::Instant;
 
-/// The size of the pieces in which a long body is written.
-const WRITE_BYTES: usize = 64 << 10;
-
 /// The `Retry-After` value in milliseconds if no better estimate is available.
 pub(crate) const DEFAULT_RETRY_AFTER: Millis = 150.0;
 
@@ -138,15 +136,3 @@
         }
     }
 }
-
-/// Writes `bytes` in pieces until `deadline`. A client that reads slowly must not keep the memory of its response for
-/// longer than it waits.
-fn write_until(to: &mut impl Write, bytes: &[u8], deadline: Instant) -> io::Result<()> {
-    for piece in bytes.chunks(WRITE_BYTES) {
-        if Instant::now() >= deadline {
-            return Err(ErrorKind::TimedOut.into());
-        }
-        to.write_all(piece)?;
-    }
-    Ok(())
-}
