Settings say how many bytes mem-mb is, in place of three programs

Proxy, control and agent each turned `mem-mb` into bytes.

Change: `Settings::memory_limit_bytes`. Result: no change of behaviour; the divisors stay with the programs, since each divides its memory differently.

--- a/crates/aspendrum-agent/src/memory.rs
+++ b/crates/aspendrum-agent/src/memory.rs
@@ -4,7 +4,6 @@
 use aspendrum_model::settings::Settings;
 use aspendrum_net::memory_budget::MemoryBudget;
 
-const BYTES_PER_MB: u64 = 1 << 20;
 /// The part of the memory for updates from control and snapshots from other agents.
 const UPDATE_DIVISOR: usize = 4;
 /// The part of the memory for connections on this machine and their messages, which are small.
@@ -21,7 +20,7 @@
 impl MemoryBudgets {
     /// Divides the memory limit of the settings.
     pub(crate) fn new(settings: &Settings) -> MemoryBudgets {
-        let limit_bytes = settings.memory_limit_mb.saturating_mul(BYTES_PER_MB) as usize;
+        let limit_bytes = settings.memory_limit_bytes();
         MemoryBudgets {
             updates: MemoryBudget::new(limit_bytes / UPDATE_DIVISOR),
             local: MemoryBudget::new(limit_bytes / LOCAL_DIVISOR),
--- a/crates/aspendrum-control/src/memory.rs
+++ b/crates/aspendrum-control/src/memory.rs
@@ -6,7 +6,6 @@
 
 /// The maximum size of a configuration's text, in bytes.
 pub const MAX_CONFIG_BYTES: usize = 16 << 20;
-const BYTES_PER_MB: u64 = 1 << 20;
 /// The part of the memory for operators' calls and the configurations in them.
 const OPERATOR_DIVISOR: usize = 4;
 /// The part of the memory for the messages of control nodes and agents, and their connections.
@@ -32,7 +31,7 @@
 impl MemoryBudgets {
     /// Divides the memory limit of the settings.
     pub fn new(settings: &Settings) -> MemoryBudgets {
-        let limit_bytes = settings.memory_limit_mb.saturating_mul(BYTES_PER_MB) as usize;
+        let limit_bytes = settings.memory_limit_bytes();
         MemoryBudgets {
             operators: MemoryBudget::new(limit_bytes / OPERATOR_DIVISOR),
             peers: MemoryBudget::new(limit_bytes / PEER_DIVISOR),
--- a/crates/aspendrum-model/src/settings.rs
+++ b/crates/aspendrum-model/src/settings.rs
@@ -63,6 +63,7 @@
     *value >= 0.0 && value.is_finite()
 }
 
+const BYTES_PER_MB: u64 = 1 << 20;
 /// The exclusive upper bound of `tolerated_losses`.
 const MAX_TOLERATED_LOSSES: u64 = 50;
 // Offsets of ports in the reserved port range. The last port of the range serves metrics.
@@ -187,6 +188,11 @@
         }
     }
 
+    /// Returns the maximum memory usage of the process, in bytes.
+    pub fn memory_limit_bytes(&self) -> usize {
+        self.memory_limit_mb.saturating_mul(BYTES_PER_MB) as usize
+    }
+
     /// Returns the port on which control accepts agents and other control nodes.
     pub fn control_port(&self) -> u16 {
         self.port_range.first + CONTROL_PORT
--- a/crates/aspendrum-proxy/src/memory.rs
+++ b/crates/aspendrum-proxy/src/memory.rs
@@ -4,7 +4,6 @@
 use aspendrum_model::settings::Settings;
 use aspendrum_net::memory_budget::MemoryBudget;
 
-const BYTES_PER_MB: u64 = 1 << 20;
 /// The part of the memory for requests of clients and their connections.
 const REQUEST_DIVISOR: usize = 2;
 /// The part of the memory for responses of servers. It is separate, so that requests that wait for their responses
@@ -22,7 +21,7 @@
 impl MemoryBudgets {
     /// Divides the memory limit of the settings.
     pub fn new(settings: &Settings) -> MemoryBudgets {
-        let limit_bytes = settings.memory_limit_mb.saturating_mul(BYTES_PER_MB) as usize;
+        let limit_bytes = settings.memory_limit_bytes();
         MemoryBudgets {
             requests: MemoryBudget::new(limit_bytes / REQUEST_DIVISOR),
             responses: MemoryBudget::new(limit_bytes / RESPONSE_DIVISOR),
