The platform's readiness check no longer waits for the memory that clients hold

Test: `readiness_and_metrics_pages_follow_what_the_agent_sends` now holds 200 silent connections at a proxy whose half of `mem-mb` is enough for 144, and checks 50 times. Its `idle-ms` is longer, so that the connections stay.

--- a/crates/aspendrum-proxy/src/process.rs
+++ b/crates/aspendrum-proxy/src/process.rs
@@ -98,7 +98,7 @@
         },
         idle_timeout: Duration::from_secs(10),
         worker_idle_timeout: Duration::from_secs(5),
-        memory: state.memory.requests.clone(),
+        memory: state.memory.pages.clone(),
     }
 }
 
--- a/crates/aspendrum-proxy/tests/process.rs
+++ b/crates/aspendrum-proxy/tests/process.rs
@@ -17,9 +17,16 @@
 const METRICS_PORT: u16 = 23_015;
 const READINESS_PORT: u16 = 23_100;
 const PROXY_PORT: u16 = 23_101;
+/// `mem-mb` of the proxy, whose half is enough for fewer connections than [`SILENT_CLIENTS`].
+const MEMORY_MB: usize = 4;
+const SILENT_CLIENTS: usize = 200;
+/// The number of readiness checks while clients take the rest of the memory.
+const READINESS_CHECKS: usize = 50;
+/// The number of threads of a proxy that has hardly any memory for another client.
+const THREADS_WHEN_FULL: usize = 140;
 /// An upper bound for each wait of the test.
 const TIMEOUT: Duration = Duration::from_secs(30);
-const CONFIG: &str = r#"{"gen":"00000001","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":15000},
+const CONFIG: &str = r#"{"gen":"00000001","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":60000},
 "ports":[{"vhost":"a.example","rules":[{"name":"r","type":"idem","goal-ms":500,"match":{"pfx":"/a/"},
 "action":{"svc":"s1","limit-ms":2000,"tries":2}}]}],"pools":[{"name":"s1","check":"/healthz"}]}"#;
 
@@ -31,7 +38,7 @@
 impl ProxyProcess {
     fn start(agent: SocketAddr) -> ProxyProcess {
         let text = format!(
-            r#"{{"self":{{"host-name":"edge-1","ip":"{IP}","az":"poa-a","geo":"poa"}},
+            r#"{{"self":{{"host-name":"edge-1","ip":"{IP}","az":"poa-a","geo":"poa","caps":{{"mem-mb":{MEMORY_MB},"nofile":1024}}}},
 "net":{{"binds":{{"front":"{IP}:{PROXY_PORT}","readyz":"{IP}:{READINESS_PORT}"}},
 "port-range":[{FIRST_PORT},{METRICS_PORT}],"zones":{{"poa-a":"poa"}},
 "ways":{{"127.0.0.1:{}":"{agent}"}}}}}}"#,
@@ -48,6 +55,22 @@
             .unwrap();
         ProxyProcess { child, settings }
     }
+
+    /// Waits until the process has this many threads; each accepted connection has one.
+    fn await_threads(&self, count: usize) {
+        let path = format!("/proc/{}/status", self.child.id());
+        let started_at = Instant::now();
+        loop {
+            let status = std::fs::read_to_string(&path).unwrap();
+            let line = status.lines().find(|line| line.starts_with("Threads:"));
+            let threads = line.unwrap().split_whitespace().nth(1).unwrap();
+            if threads.parse::<usize>().unwrap() >= count {
+                return;
+            }
+            assert!(started_at.elapsed() < TIMEOUT, "{threads} threads");
+            thread::yield_now();
+        }
+    }
 }
 
 impl Drop for ProxyProcess {
@@ -113,7 +136,7 @@
 #[test]
 fn readiness_and_metrics_pages_follow_what_the_agent_sends() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let _proxy = ProxyProcess::start(listener.local_addr().unwrap());
+    let proxy = ProxyProcess::start(listener.local_addr().unwrap());
     assert_eq!(
         get(READINESS_PORT, "/api/readyz"),
         empty_response("503 Service Unavailable")
@@ -167,4 +190,11 @@
         "HTTP/1.1 400 Bad Request\nContent-Length: 0\nConnection: close\n\n",
         "clients are accepted"
     );
+    // Guards against a platform that takes a proxy for dead: its check waited for the memory that clients hold.
+    let connect = |_| TcpStream::connect((IP, PROXY_PORT)).unwrap();
+    let _silent_clients: Vec<TcpStream> = (0..SILENT_CLIENTS).map(connect).collect();
+    proxy.await_threads(THREADS_WHEN_FULL);
+    for _ in 0..READINESS_CHECKS {
+        assert_eq!(get(READINESS_PORT, "/api/readyz"), empty_response("200 OK"));
+    }
 }
