--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -1,12 +1,12 @@
 //! Starts a small deployment of the project's programs on loopback addresses: three control nodes with disks, and edge
 //! machines with a proxy and an agent each. The settings have the form that the platform writes.
 
-use crate::http::{call, Seen};
+use crate::http::call;
 use crate::record::Record;
 use crate::signals;
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -261,18 +261,6 @@
         }
         Ok(())
     }
-
-    /// Stops and continues a machine: its proxy and its agent.
-    pub fn signal_edge(&self, n: usize, signal: i32) {
-        for process in [&self.proxies[n], &self.agents[n]] {
-            signals::send(process.pid(), signal);
-        }
-    }
-
-    /// Returns the folder of the run, with the logs.
-    pub fn directory(&self) -> &Path {
-        &self.directory
-    }
 }
 
 impl Drop for Deployment {
@@ -295,8 +283,3 @@
     let root = std::env::var_os("REPOSITORY").map(PathBuf::from);
     root.ok_or_else(|| "REPOSITORY is not set".to_string())
 }
-
-/// Returns whether a reply is one of the statuses that promise that the request has not run and never will.
-pub fn promises_not_run(seen: &Seen) -> bool {
-    matches!(seen.status(), 408 | 421 | 429 | 503)
-}
--- a/review/stand-ins-2/src/signals.rs
+++ b/review/stand-ins-2/src/signals.rs
@@ -5,9 +5,7 @@
 
 const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
