Review: a tenant taken out and put back is granted its windows again

A tenant's quota holds over changes of the configuration.

No code of the project changes.

Servers and clients are stand-ins.

--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod first_version;
 mod seal_status;
+mod tenant_returns;
 mod withheld_answer;
 
 use review_stand_ins_2::record::Record;
@@ -12,6 +13,7 @@
     match name {
         "withheld-answer" => withheld_answer::run(record, has_trouble),
         "first-version" => first_version::run(record, has_trouble),
+        "tenant-returns" => tenant_returns::run(record, has_trouble),
         "seal-status" => seal_status::run(record, has_trouble),
         _ => Err(format!("no case {name}")),
     }
