--- a/crates/aspendrum-agent/src/coordinator/mod.rs
+++ b/crates/aspendrum-agent/src/coordinator/mod.rs
@@ -11,6 +11,7 @@
 use crate::gossip_socket::GossipSocket;
 use crate::snapshot::SnapshotClient;
 use aspendrum_gossip::{GossipAction, GossipMessage, GossipNode};
+use aspendrum_model::config::format_version;
 use aspendrum_model::message::{
     ControlAddress, FromControl, ProxyEndpoint, StateDigest, StateSection, ToControl,
 };
@@ -224,8 +225,10 @@
             // are queried in the meantime.
             let (new, old) = (decided.revision.config, desired.revision.config);
             log::warn!(
-                "event=update_gap status={} decided={new:08x} held={old:08x}",
-                status.as_str()
+                "event=update_gap status={} decided={} held={}",
+                status.as_str(),
+                format_version(new),
+                format_version(old)
             );
             control.disconnect();
         }
--- a/crates/aspendrum-agent/src/coordinator/proxy_session.rs
+++ b/crates/aspendrum-agent/src/coordinator/proxy_session.rs
@@ -1,6 +1,7 @@
 //! The coordinator's state of the connection to the proxy.
 
 use super::desired_state::{DesiredState, CONFIG, EVACUATED};
+use aspendrum_model::config::format_version;
 use aspendrum_model::message::{FromControl, Readiness, StateDigest, StateSection};
 use aspendrum_net::frames::FrameSender;
 use aspendrum_reconcile::{
@@ -154,10 +155,11 @@
         let Some(step) = self.repair.next_step(now, status, &differing) else {
             return RepairActions::default();
         };
-        let (applied, desired) = (self.applied.revision.config, desired.revision.config);
         log::warn!(
-            "event=proxy_differs status={} applied={applied:08x} held={desired:08x} sections={differing:?} step={step:?}",
-            status.as_str()
+            "event=proxy_differs status={} applied={} held={} sections={differing:?} step={step:?}",
+            status.as_str(),
+            format_version(self.applied.revision.config),
+            format_version(desired.revision.config)
         );
         RepairActions::for_step(&step)
     }
--- a/crates/aspendrum-agent/tests/process.rs
+++ b/crates/aspendrum-agent/tests/process.rs
@@ -23,7 +23,8 @@
 const SNAPSHOT_PORT: u16 = FIRST_PORT + 4;
 /// The timeout of all waits in this test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
-const CONFIG: &str = r#"{"gen":"00000001","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":15000},
+/// A configuration with the lowest version, which must not count as none.
+const CONFIG: &str = r#"{"gen":"00000000","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":15000},
 "ports":[{"vhost":"a.example","rules":[{"name":"r","type":"idem","goal-ms":500,"match":{"pfx":"/a/"},
 "action":{"svc":"s1","limit-ms":2000,"tries":2}}]}],"pools":[{"name":"s1","check":"/healthz"}]}"#;
 
@@ -130,7 +131,7 @@
 
 fn sections() -> Vec<StateSection> {
     vec![
-        StateSection::config(1, compress(CONFIG.as_bytes())),
+        StateSection::config(0, compress(CONFIG.as_bytes())),
         StateSection::EvacuatedZones {
             revision: 7,
             zones: vec!["poa-b".into()],
--- a/crates/aspendrum-agent/tests/wire_bytes.rs
+++ b/crates/aspendrum-agent/tests/wire_bytes.rs
@@ -32,7 +32,7 @@
 fn state_digest() -> StateDigest {
     StateDigest {
         revision: Revision {
-            config: 300,
+            config: Some(300),
             evacuation: 7,
         },
         digests: [1, u64::MAX, 0, 129],
--- a/crates/aspendrum-benchmarks/src/simulated_fleet/agent.rs
+++ b/crates/aspendrum-benchmarks/src/simulated_fleet/agent.rs
@@ -40,8 +40,8 @@
 /// The state that an agent has applied.
 #[derive(Clone, Copy, Default)]
 pub struct AppliedState {
-    /// The version of the configuration.
-    pub config_version: u32,
+    /// The version of the configuration; `None` before the first one.
+    pub config_version: Option<u32>,
     /// The time at which that version was received.
     pub config_received_at: Option<Instant>,
     /// The number of ready proxies.
@@ -53,8 +53,8 @@
 impl AppliedState {
     fn apply(&mut self, section: StateSection, now: Instant) {
         match section {
-            StateSection::Config { version, .. } if version > self.config_version => {
-                self.config_version = version;
+            StateSection::Config { version, .. } if Some(version) > self.config_version => {
+                self.config_version = Some(version);
                 self.config_received_at = Some(now);
             }
             StateSection::Servers { list, .. } => {
--- a/crates/aspendrum-benchmarks/src/simulated_fleet/mod.rs
+++ b/crates/aspendrum-benchmarks/src/simulated_fleet/mod.rs
@@ -195,7 +195,7 @@
     }
 
     fn all_have_config(&self, version: u32) -> bool {
-        self.all_agents(|agent| agent.applied().config_version >= version)
+        self.all_agents(|agent| agent.applied().config_version >= Some(version))
     }
 
     fn all_are_connected(&self) -> bool {
--- a/crates/aspendrum-benchmarks/tests/simulated_agents.rs
+++ b/crates/aspendrum-benchmarks/tests/simulated_agents.rs
@@ -29,7 +29,7 @@
 fn digest_of(config: u32) -> StateDigest {
     StateDigest {
         revision: Revision {
-            config,
+            config: Some(config),
             evacuation: 0,
         },
         ..StateDigest::default()
@@ -84,7 +84,7 @@
     }
     assert_eq!(
         (agents[0].applied().config_version, agents[0].is_connected()),
-        (7, true)
+        (Some(7), true)
     );
     assert_eq!(counters.received_frames[0].load(Relaxed), 1);
     // A newer state was decided but never sent: the agent closes the connection and opens another one.
--- a/crates/aspendrum-client/src/node_table.rs
+++ b/crates/aspendrum-client/src/node_table.rs
@@ -43,13 +43,18 @@
     value.as_str().unwrap_or("")
 }
 
+/// Returns a version of a report, which is null for a state without a configuration.
+fn version_or_none(version: &Value) -> &str {
+    version.as_str().unwrap_or("none")
+}
+
 fn write_control_node(table: &mut String, report: &Value) {
     let majority_age = report["majority-ms-ago"].as_u64();
     let majority_age = majority_age.map_or("never".into(), |ms| format!("{ms} ms ago"));
     let _ = writeln!(
         table,
         "decided {}, evacuation orders {}, majority read {majority_age}{}",
-        str_or_empty(&report["decided"]["gen"]),
+        version_or_none(&report["decided"]["gen"]),
         report["decided"]["evacuations"],
         membership(report)
     );
@@ -85,7 +90,7 @@
         "{:<24} {:<14} {:<8} {:<9} {:>9} {:<24} {}/{}{}",
         str_or_empty(&node["host"]),
         str_or_empty(&node["zone"]),
-        str_or_empty(&node["applied"]["gen"]),
+        version_or_none(&node["applied"]["gen"]),
         str_or_empty(&node["standing"]),
         node["off-ms"].as_u64().unwrap_or(0),
         differing.join(","),
--- a/crates/aspendrum-consensus/src/quorum_operation.rs
+++ b/crates/aspendrum-consensus/src/quorum_operation.rs
@@ -248,11 +248,11 @@
         index: usize,
     ) -> Option<UndecidedVersion> {
         let operation = &mut self.operations[index];
-        let active_version = core.durable.replicated.config.version;
-        let active_version = operation.result.config.version.max(active_version);
+        let active_version = core.durable.replicated.config_version();
+        let active_version = operation.result.config_version().max(active_version);
         let is_read = operation.command == Command::Read;
         let undecided = operation.undecided.take();
-        let undecided = undecided.filter(|u| is_read && u.version > active_version);
+        let undecided = undecided.filter(|u| is_read && Some(u.version) > active_version);
         match &undecided {
             Some(undecided) => {
                 operation.phase = Phase::AwaitingDecision {
--- a/crates/aspendrum-consensus/src/replica.rs
+++ b/crates/aspendrum-consensus/src/replica.rs
@@ -14,7 +14,7 @@
 use crate::replicated_state::{Command, ReplicatedState};
 use crate::state::DurableState;
 use crate::state_transfer::{self, StateTransfer};
-use crate::version_proposal::{ClosedVersion, VersionProposals};
+use crate::version_proposal::{AnswerEffect, ClosedVersion, VersionProposals};
 use crate::versions::{ConfigText, UndecidedVersion};
 use crate::voter;
 
@@ -156,6 +156,7 @@
         // After a suspension of the process the message may belong to an operation whose timeout has passed meanwhile.
         self.expire();
         self.handle(from, message);
+        self.close_superseded_versions();
         self.core.take_effects()
     }
 
@@ -241,11 +242,11 @@
                 answer,
             } => {
                 let core = &mut self.core;
-                let closed = self
-                    .proposals
-                    .on_answer(core, from, version, ballot, *answer);
-                if let Some(closed) = closed {
-                    self.on_version_closed(&closed);
+                let proposals = &mut self.proposals;
+                match proposals.on_answer(core, from, version, ballot, *answer) {
+                    AnswerEffect::None => {}
+                    AnswerEffect::Closed(closed) => self.on_version_closed(&closed),
+                    AnswerEffect::ReadRequired => self.operations.begin(core, Command::Read, None),
                 }
             }
             Reply::Successor { ballot, answer } => {
@@ -266,6 +267,13 @@
         self.operations.expire(&mut self.core);
     }
 
+    /// Ends the proposals for versions that a later one has replaced.
+    fn close_superseded_versions(&mut self) {
+        for closed in self.proposals.close_superseded(&mut self.core) {
+            self.on_version_closed(&closed);
+        }
+    }
+
     /// Completes the proposal of a version that a read found undecided. The read waits for the decision.
     fn complete_undecided_version(&mut self, undecided: Option<UndecidedVersion>) {
         if let Some(undecided) = undecided {
--- a/crates/aspendrum-consensus/src/replica_core.rs
+++ b/crates/aspendrum-consensus/src/replica_core.rs
@@ -142,7 +142,7 @@
     /// Merges another node's state into the durable state.
     pub(crate) fn store(&mut self, state: &ReplicatedState) {
         if self.durable.replicated.merge(state) {
-            let active_version = self.durable.replicated.config.version;
+            let active_version = self.durable.replicated.config_version();
             let versions = &mut self.durable.versions;
             versions.discard_superseded_texts(active_version);
             self.push(Effect::Persist);
--- a/crates/aspendrum-consensus/src/replicated_state.rs
+++ b/crates/aspendrum-consensus/src/replicated_state.rs
@@ -28,15 +28,49 @@
     Read,
 }
 
-/// The decided configuration with the highest version.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+/// A decided configuration.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DecidedConfig {
-    /// The version assigned by the operator; 0 if no configuration has been decided yet.
+    /// The version assigned by the operator. All numbers are versions, 0 included.
     pub version: u32,
-    /// The compressed text.
+    /// The compressed text, which is never empty.
     pub compressed_text: Vec<u8>,
 }
 
+/// The encoding of an optional configuration: a version and a compressed text, both of which are zero or empty without a
+/// configuration. Disks and replicas of versions that had no separate value for "none" use the same bytes.
+pub mod optional_config {
+    use super::DecidedConfig;
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    /// Encodes an optional configuration.
+    ///
+    /// # Errors
+    /// Returns the errors of the serializer.
+    pub fn serialize<S: Serializer>(
+        config: &Option<DecidedConfig>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let none = DecidedConfig {
+            version: 0,
+            compressed_text: Vec::new(),
+        };
+        config.as_ref().unwrap_or(&none).serialize(serializer)
+    }
+
+    /// Decodes an optional configuration.
+    ///
+    /// # Errors
+    /// Returns the errors of the deserializer.
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<DecidedConfig>, D::Error> {
+        let config = DecidedConfig::deserialize(deserializer)?;
+        let is_none = config.version == 0 && config.compressed_text.is_empty();
+        Ok((!is_none).then_some(config))
+    }
+}
+
 /// The last evacuation command for a zone, ordered by revision. If two commands have the same revision, the end of the
 /// evacuation wins: a zone that receives traffic too early does less harm than one that never receives traffic again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -59,18 +93,36 @@
 /// The state that operator commands change.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ReplicatedState {
-    /// The active configuration.
-    pub config: DecidedConfig,
+    /// The decided configuration with the highest version, which is the active one; `None` before the first decision.
+    #[serde(with = "optional_config")]
+    pub config: Option<DecidedConfig>,
     /// The last evacuation command for each zone that was ever evacuated.
     pub evacuations: BTreeMap<String, Evacuation>,
 }
 
 impl ReplicatedState {
+    /// Returns a state that consists of a decided configuration.
+    pub fn of_config(version: u32, compressed_text: Vec<u8>) -> ReplicatedState {
+        let config = DecidedConfig {
+            version,
+            compressed_text,
+        };
+        ReplicatedState {
+            config: Some(config),
+            ..ReplicatedState::default()
+        }
+    }
+
+    /// Returns the version of the active configuration. `None` is less than every version.
+    pub fn config_version(&self) -> Option<u32> {
+        self.config.as_ref().map(|config| config.version)
+    }
+
     /// Replaces this state with the least upper bound of itself and `other`. Returns whether the state changed.
     pub fn merge(&mut self, other: &ReplicatedState) -> bool {
         let before = self.clone();
-        if other.config.version > self.config.version {
-            self.config = other.config.clone();
+        if other.config_version() > self.config_version() {
+            self.config.clone_from(&other.config);
         }
         for (zone, theirs) in &other.evacuations {
             let ours = self.evacuations.entry(zone.clone()).or_default();
@@ -83,8 +135,12 @@
     /// computation must not change.
     pub fn digest(&self) -> u64 {
         let mut bytes = Vec::new();
-        bytes.extend_from_slice(&self.config.version.to_le_bytes());
-        bytes.extend_from_slice(&digest(&self.config.compressed_text).to_le_bytes());
+        let (version, text) = match &self.config {
+            Some(config) => (config.version, config.compressed_text.as_slice()),
+            None => (0, [].as_slice()),
+        };
+        bytes.extend_from_slice(&version.to_le_bytes());
+        bytes.extend_from_slice(&digest(text).to_le_bytes());
         for (zone, evacuation) in &self.evacuations {
             bytes.extend_from_slice(zone.as_bytes());
             bytes.extend_from_slice(&evacuation.revision.to_le_bytes());
@@ -96,8 +152,9 @@
     /// Returns the zones that currently receive no traffic.
     pub fn evacuated_zones(&self) -> EvacuatedZones {
         let active = self.evacuations.iter().filter(|(_, e)| !e.has_ended);
+        let revisions = self.evacuations.values().map(|e| e.revision);
         EvacuatedZones {
-            revision: self.evacuations.values().map(|e| e.revision).sum(),
+            revision: revisions.fold(0, u64::saturating_add),
             zones: active.map(|(zone, _)| zone.clone()).collect(),
         }
     }
@@ -109,21 +166,10 @@
             // A command that matches the current state may be a retry and does not create a new revision.
             if evacuation.revision == 0 || evacuation.has_ended == *is_evacuated {
                 *evacuation = Evacuation {
-                    revision: evacuation.revision + 1,
+                    revision: evacuation.revision.saturating_add(1),
                     has_ended: !is_evacuated,
                 };
             }
         }
     }
-
-    /// Returns this state with the given decided configuration if its version is higher than the contained one.
-    pub fn with_config(mut self, version: u32, compressed_text: Vec<u8>) -> ReplicatedState {
-        if version > self.config.version {
-            self.config = DecidedConfig {
-                version,
-                compressed_text,
-            };
-        }
-        self
-    }
 }
--- a/crates/aspendrum-consensus/src/version_proposal.rs
+++ b/crates/aspendrum-consensus/src/version_proposal.rs
@@ -25,6 +25,29 @@
 struct VersionProposal {
     proposer: Proposer<ConfigText>,
     pending: Vec<PendingCommand>,
+    /// Whether a voter has answered that it dropped the version. The proposal ends once a later version is known to be
+    /// committed.
+    is_reported_compacted: bool,
+}
+
+/// The final state of a version.
+#[derive(Clone, Copy)]
+enum VersionFate {
+    /// The text with this digest was decided.
+    Decided(u64),
+    /// A later version is committed, and the decision of this one has been dropped. Whichever text was decided, the later
+    /// version has replaced it.
+    Superseded,
+}
+
+/// The consequence of a voter's answer to a proposal.
+pub(crate) enum AnswerEffect {
+    /// The proposal continues.
+    None,
+    /// The proposal has ended.
+    Closed(ClosedVersion),
+    /// A voter has dropped the version. A read must show whether a later version is committed.
+    ReadRequired,
 }
 
 /// A version whose proposal has ended. Reads that wait for the version can proceed.
@@ -55,7 +78,8 @@
     ) {
         let digest = text.digest;
         if let Some(decided) = core.durable.versions.decided(version) {
-            return complete_command(core, command_id, digest, Some(decided));
+            let fate = VersionFate::Decided(decided);
+            return complete_command(core, command_id, digest, fate);
         }
         let command = PendingCommand {
             command_id,
@@ -69,6 +93,7 @@
         let proposal = VersionProposal {
             proposer: Proposer::new(core.new_ballot(), text, core.now),
             pending: vec![command],
+            is_reported_compacted: false,
         };
         self.by_version.insert(version, proposal);
         self.send_request(core, version);
@@ -87,6 +112,7 @@
         let proposal = VersionProposal {
             proposer: Proposer::complete(accepted, core.now),
             pending: Vec::new(),
+            is_reported_compacted: false,
         };
         self.by_version.insert(version, proposal);
         self.send_request(core, version);
@@ -163,7 +189,7 @@
             .retain(|version, proposal| !proposal.pending.is_empty() || awaited_by_read(*version));
     }
 
-    /// Handles a voter's answer. Returns the version if its proposal has ended.
+    /// Handles a voter's answer.
     pub(crate) fn on_answer(
         &mut self,
         core: &mut ReplicaCore,
@@ -171,48 +197,71 @@
         version: u32,
         ballot: Ballot,
         answer: VersionAnswer,
-    ) -> Option<ClosedVersion> {
+    ) -> AnswerEffect {
         let voter_count = core.voter_count();
         let quorum = core.quorum();
         let retry_at = core.random_retry_time();
         let proposal = self.by_version.get_mut(&version);
-        let proposal = proposal.filter(|p| p.proposer.ballot() == ballot)?;
+        let Some(proposal) = proposal.filter(|p| p.proposer.ballot() == ballot) else {
+            return AnswerEffect::None;
+        };
         let proposer = &mut proposal.proposer;
         match answer {
             VersionAnswer::Promised(accepted) => {
                 if proposer.on_promise(from, accepted, quorum) {
                     self.send_request(core, version);
                 }
-                None
+                AnswerEffect::None
             }
             VersionAnswer::Accepted => {
-                let is_decided = proposer.on_acceptance(from, quorum);
-                let text = is_decided.then(|| proposer.value().clone())?;
-                Some(self.announce_decision(core, version, text))
+                if !proposer.on_acceptance(from, quorum) {
+                    return AnswerEffect::None;
+                }
+                let text = proposer.value().clone();
+                AnswerEffect::Closed(self.announce_decision(core, version, text))
             }
             VersionAnswer::Preempted(by) => {
                 proposer.on_preempted(from, voter_count, quorum, retry_at);
                 core.ballots.observe(by);
-                None
+                AnswerEffect::None
             }
             VersionAnswer::Decided(digest) => {
                 let own = proposer.value().clone();
                 let text = own.compressed.filter(|_| own.digest == digest);
-                Some(self.learn(core, version, digest, text))
+                AnswerEffect::Closed(self.learn(core, version, digest, text))
             }
-            // The version was superseded and its decision dropped, so the decided text is unknown. The command is
-            // acknowledged: whichever text was decided, a later version has replaced it.
             VersionAnswer::Compacted => {
-                self.close(core, version, None);
-                Some(ClosedVersion {
-                    version,
-                    is_reached: false,
-                    must_persist: false,
-                })
+                let was_reported = std::mem::replace(&mut proposal.is_reported_compacted, true);
+                let is_superseded = Some(version) < core.committed.config_version();
+                if was_reported || is_superseded {
+                    AnswerEffect::None
+                } else {
+                    AnswerEffect::ReadRequired
+                }
             }
         }
     }
 
+    /// Ends the proposals for versions that a voter has dropped, if a later version is committed. A voter's answer alone
+    /// is no evidence: their commands must not be acknowledged unless something is in force.
+    pub(crate) fn close_superseded(&mut self, core: &mut ReplicaCore) -> Vec<ClosedVersion> {
+        let committed = core.committed.config_version();
+        let is_superseded = |(version, proposal): &(&u32, &VersionProposal)| {
+            proposal.is_reported_compacted && Some(**version) < committed
+        };
+        let superseded = self.by_version.iter().filter(is_superseded);
+        let superseded: Vec<u32> = superseded.map(|(version, _)| *version).collect();
+        let close = |version| {
+            self.close(core, version, VersionFate::Superseded);
+            ClosedVersion {
+                version,
+                is_reached: false,
+                must_persist: false,
+            }
+        };
+        superseded.into_iter().map(close).collect()
+    }
+
     /// Announces the decision of `text`, which a majority has accepted, to the other voters and records it.
     fn announce_decision(
         &mut self,
@@ -238,26 +287,26 @@
         compressed_text: Option<Vec<u8>>,
     ) -> ClosedVersion {
         let must_persist = record_decision(core, version, digest, compressed_text);
-        let config = core.durable.replicated.config.clone();
-        let decided =
-            ReplicatedState::default().with_config(config.version, config.compressed_text);
+        let decided = ReplicatedState {
+            config: core.durable.replicated.config.clone(),
+            ..ReplicatedState::default()
+        };
         core.commit(&decided);
-        self.close(core, version, Some(digest));
+        self.close(core, version, VersionFate::Decided(digest));
         ClosedVersion {
             version,
-            is_reached: core.durable.replicated.config.version >= version,
+            is_reached: core.durable.replicated.config_version() >= Some(version),
             must_persist,
         }
     }
 
-    /// Removes the proposal for a version and completes the commands that wait for it. `decided` is the digest of the
-    /// decided text; `None` if the decision has been compacted.
-    fn close(&mut self, core: &mut ReplicaCore, version: u32, decided: Option<u64>) {
+    /// Removes the proposal for a version and completes the commands that wait for it.
+    fn close(&mut self, core: &mut ReplicaCore, version: u32, fate: VersionFate) {
         let Some(proposal) = self.by_version.remove(&version) else {
             return;
         };
         for command in proposal.pending {
-            complete_command(core, command.command_id, command.digest, decided);
+            complete_command(core, command.command_id, command.digest, fate);
         }
     }
 }
@@ -272,31 +321,28 @@
     let durable = &mut core.durable;
     let compressed_text =
         compressed_text.or_else(|| durable.versions.accepted_text(version, digest));
-    let is_newer = version > durable.replicated.config.version;
+    let is_newer = Some(version) > durable.replicated.config_version();
     let mut has_changed = false;
     if let Some(compressed_text) = compressed_text.filter(|_| is_newer) {
-        let decided = ReplicatedState::default().with_config(version, compressed_text);
+        let decided = ReplicatedState::of_config(version, compressed_text);
         has_changed |= durable.replicated.merge(&decided);
-        durable.versions.discard_superseded_texts(version);
+        durable.versions.discard_superseded_texts(Some(version));
     }
-    let active_version = durable.replicated.config.version;
+    let active_version = durable.replicated.config_version();
     has_changed |= durable.versions.decide(version, digest, active_version);
     has_changed
 }
 
-/// Completes a command whose version is closed. `digest` is the digest of the text that the command proposed, `decided`
-/// that of the decided text, or `None` if the decision has been compacted.
+/// Completes a command whose version is closed. `digest` is the digest of the text that the command proposed.
 fn complete_command(
     core: &mut ReplicaCore,
     command_id: Option<CommandId>,
     digest: u64,
-    decided: Option<u64>,
+    fate: VersionFate,
 ) {
-    let takes_effect = decided.is_none_or(|decided| decided == digest);
-    let outcome = if takes_effect {
-        core.committed_outcome()
-    } else {
-        CommandOutcome::VersionConflict
+    let outcome = match fate {
+        VersionFate::Decided(decided) if decided != digest => CommandOutcome::VersionConflict,
+        VersionFate::Decided(_) | VersionFate::Superseded => core.committed_outcome(),
     };
     core.complete(command_id, outcome);
 }
--- a/crates/aspendrum-consensus/src/versions.rs
+++ b/crates/aspendrum-consensus/src/versions.rs
@@ -6,6 +6,8 @@
 use crate::ballot::Ballot;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::num::NonZeroU32;
+use std::ops::Bound;
 
 /// The number of versions up to the active one that are retained, so that a retried command still gets its result.
 /// Covers more than two days at 440 configuration changes per day.
@@ -44,7 +46,8 @@
     Preempted(Ballot),
     /// The version is decided. Carries the digest of the decided text.
     Decided(u64),
-    /// The version is superseded and older than all retained versions.
+    /// The version is superseded and older than all retained versions. A voter of an earlier program version gives this
+    /// answer for version 0 even if it has no configuration, so the proposer confirms it by a read.
     Compacted,
 }
 
@@ -60,17 +63,49 @@
 }
 
 /// The state of all versions on one node. The `active_version` parameter of the methods is the version of the active
-/// configuration of this node.
+/// configuration of this node; `None` if it has no configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct VersionTable {
     slots: BTreeMap<u32, VersionSlot>,
-    /// The highest version that was dropped. No state is retained for versions up to this one.
-    compacted_up_to: u32,
+    /// The highest version that was dropped; `None` if none was. No state is retained for versions up to this one.
+    /// Version 0 is dropped only together with a higher one, because the encoded 0 means that none was dropped.
+    #[serde(with = "optional_watermark")]
+    compacted_up_to: Option<NonZeroU32>,
+}
+
+/// The encoding of [`VersionTable::compacted_up_to`]: a plain number, 0 for `None`.
+mod optional_watermark {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use std::num::NonZeroU32;
+
+    pub(super) fn serialize<S: Serializer>(
+        watermark: &Option<NonZeroU32>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        watermark.map_or(0, NonZeroU32::get).serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<NonZeroU32>, D::Error> {
+        u32::deserialize(deserializer).map(NonZeroU32::new)
+    }
+}
+
+/// Returns the range of the versions above `floor`; all versions if it is `None`.
+fn above(floor: Option<u32>) -> (Bound<u32>, Bound<u32>) {
+    let start = floor.map_or(Bound::Unbounded, Bound::Excluded);
+    (start, Bound::Unbounded)
 }
 
 impl VersionTable {
     /// Handles phase 1 of a proposal for a version.
-    pub fn prepare(&mut self, version: u32, ballot: Ballot, active_version: u32) -> VersionAnswer {
+    pub fn prepare(
+        &mut self,
+        version: u32,
+        ballot: Ballot,
+        active_version: Option<u32>,
+    ) -> VersionAnswer {
         let prepare = |acceptor: &mut Acceptor<ConfigText>| {
             acceptor.prepare(ballot).map(VersionAnswer::Promised)
         };
@@ -83,9 +118,9 @@
         version: u32,
         ballot: Ballot,
         text: ConfigText,
-        active_version: u32,
+        active_version: Option<u32>,
     ) -> VersionAnswer {
-        let is_superseded = version <= active_version;
+        let is_superseded = Some(version) <= active_version;
         let text = if is_superseded {
             ConfigText {
                 compressed: None,
@@ -104,7 +139,7 @@
     fn answer(
         &mut self,
         version: u32,
-        active_version: u32,
+        active_version: Option<u32>,
         request: impl FnOnce(&mut Acceptor<ConfigText>) -> Result<VersionAnswer, Preempted>,
     ) -> VersionAnswer {
         if self.is_compacted(version) {
@@ -114,7 +149,7 @@
             return VersionAnswer::Decided(digest);
         }
         let is_new = !self.slots.contains_key(&version);
-        if version > active_version
+        if Some(version) > active_version
             && is_new
             && self.undecided_above(active_version) >= MAX_UNDECIDED_VERSIONS
         {
@@ -127,8 +162,8 @@
         answer
     }
 
-    fn undecided_above(&self, active_version: u32) -> usize {
-        self.slots.range(active_version.saturating_add(1)..).count()
+    fn undecided_above(&self, active_version: Option<u32>) -> usize {
+        self.slots.range(above(active_version)).count()
     }
 
     /// Imports a text from an on-disk format without ballots. The text counts as accepted under a ballot below all real
@@ -165,7 +200,8 @@
 
     /// Whether the state of a version has been dropped.
     pub fn is_compacted(&self, version: u32) -> bool {
-        version <= self.compacted_up_to
+        self.compacted_up_to
+            .is_some_and(|watermark| version <= watermark.get())
     }
 
     /// Returns the accepted text of a version in compressed form, if it has this digest.
@@ -179,8 +215,8 @@
     ///
     /// Decisions above `active_version` are ignored: a node that lacks the decided text must continue to report the
     /// version as undecided, or reads would miss it.
-    pub fn decide(&mut self, version: u32, digest: u64, active_version: u32) -> bool {
-        if self.is_compacted(version) || version > active_version {
+    pub fn decide(&mut self, version: u32, digest: u64, active_version: Option<u32>) -> bool {
+        if self.is_compacted(version) || Some(version) > active_version {
             return false;
         }
         let slot = self.slots.entry(version).or_default();
@@ -191,8 +227,8 @@
     }
 
     /// Returns the highest version above `floor` with an accepted text that is not known to be decided.
-    pub fn highest_undecided(&self, floor: u32) -> Option<UndecidedVersion> {
-        let mut slots = self.slots.range(floor.saturating_add(1)..).rev();
+    pub fn highest_undecided(&self, floor: Option<u32>) -> Option<UndecidedVersion> {
+        let mut slots = self.slots.range(above(floor)).rev();
         slots.find_map(|(version, slot)| {
             let accepted = slot.acceptor.accepted.clone();
             let accepted = accepted.filter(|_| slot.decided.is_none())?;
@@ -205,8 +241,11 @@
     }
 
     /// Drops the texts of all versions up to `active_version`, and keeps their decisions.
-    pub fn discard_superseded_texts(&mut self, active_version: u32) {
-        for (_, slot) in self.slots.range_mut(..=active_version) {
+    pub fn discard_superseded_texts(&mut self, active_version: Option<u32>) {
+        let Some(highest_superseded) = active_version else {
+            return;
+        };
+        for (_, slot) in self.slots.range_mut(..=highest_superseded) {
             if let Some(accepted) = &mut slot.acceptor.accepted {
                 accepted.value.compressed = None;
             }
@@ -215,13 +254,24 @@
     }
 
     /// Drops the oldest superseded slots beyond [`RETAINED_VERSIONS`].
-    fn compact(&mut self, active_version: u32) {
-        let superseded = self.slots.range(..=active_version).count();
-        for _ in RETAINED_VERSIONS..superseded {
-            let Some((version, _)) = self.slots.pop_first() else {
-                return;
-            };
-            self.compacted_up_to = self.compacted_up_to.max(version);
+    fn compact(&mut self, active_version: Option<u32>) {
+        let Some(highest_superseded) = active_version else {
+            return;
+        };
+        let superseded = self.slots.range(..=highest_superseded).count();
+        let excess = superseded.saturating_sub(RETAINED_VERSIONS);
+        let highest_excess = excess.checked_sub(1);
+        let highest_dropped = highest_excess.and_then(|index| self.slots.keys().nth(index));
+        let Some(watermark) = highest_dropped.and_then(|version| NonZeroU32::new(*version)) else {
+            return;
+        };
+        self.compacted_up_to = self.compacted_up_to.max(Some(watermark));
+        self.drop_compacted();
+    }
+
+    fn drop_compacted(&mut self) {
+        if let Some(watermark) = self.compacted_up_to {
+            self.slots.retain(|version, _| *version > watermark.get());
         }
     }
 
@@ -234,8 +284,7 @@
             ours.acceptor.merge(&theirs.acceptor);
             ours.decided = ours.decided.or(theirs.decided);
         }
-        let compacted_up_to = self.compacted_up_to;
-        self.slots.retain(|version, _| *version > compacted_up_to);
+        self.drop_compacted();
     }
 
     /// Returns the number of retained versions.
--- a/crates/aspendrum-consensus/src/voter.rs
+++ b/crates/aspendrum-consensus/src/voter.rs
@@ -41,7 +41,7 @@
     let replicated = &core.durable.replicated;
     let own_digest = replicated.digest();
     let state = (own_digest != digest).then(|| Box::new(replicated.clone()));
-    let active_version = replicated.config.version;
+    let active_version = replicated.config_version();
     let undecided = core.durable.versions.highest_undecided(active_version);
     Reply::Read(ReadReply {
         request_id,
@@ -58,7 +58,7 @@
 
 fn prepare_version(core: &mut ReplicaCore, version: u32, ballot: Ballot) -> Reply {
     core.ballots.observe(ballot);
-    let active_version = core.durable.replicated.config.version;
+    let active_version = core.durable.replicated.config_version();
     let answer = core
         .durable
         .versions
@@ -68,7 +68,7 @@
 
 fn accept_version(core: &mut ReplicaCore, version: u32, ballot: Ballot, text: ConfigText) -> Reply {
     core.ballots.observe(ballot);
-    let active_version = core.durable.replicated.config.version;
+    let active_version = core.durable.replicated.config_version();
     let versions = &mut core.durable.versions;
     let answer = versions.accept(version, ballot, text, active_version);
     version_reply(core, version, ballot, answer)
--- a/crates/aspendrum-consensus/tests/common/mod.rs
+++ b/crates/aspendrum-consensus/tests/common/mod.rs
@@ -4,6 +4,7 @@
 // Each test binary uses a different part of this module.
 #![allow(dead_code)]
 
+mod earlier_program;
 pub(crate) mod schedule;
 
 use aspendrum_consensus::membership::DiskId;
@@ -71,6 +72,22 @@
     }
 }
 
+/// The result of a read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum ReadResult {
+    /// The read failed.
+    Failed,
+    /// The version that was read; `None` if no configuration was decided.
+    Version(Option<u32>),
+}
+
+impl ReadResult {
+    /// Whether the read succeeded and returned this version or a later one.
+    pub(crate) fn includes(self, version: Option<u32>) -> bool {
+        matches!(self, ReadResult::Version(read) if read >= version)
+    }
+}
+
 /// A message in flight.
 #[derive(Clone, Debug)]
 pub(crate) struct Envelope {
@@ -90,18 +107,20 @@
     unsynced: BTreeMap<NodeId, DurableState>,
     pub(crate) messages: Vec<Envelope>,
     leaving: BTreeSet<NodeId>,
+    /// The nodes that run the program version before version 0 was distinguished from "no configuration".
+    pub(crate) earlier_programs: BTreeSet<NodeId>,
     /// The time since which a node has been down.
     down_since: BTreeMap<NodeId, f64>,
     /// The number of further effects after which a node crashes.
     crash_after: BTreeMap<NodeId, u8>,
     incarnations: u64,
     next_node: u32,
-    /// The highest submitted version.
-    pub(crate) version: u32,
+    /// The version that the next step of a schedule submits.
+    pub(crate) next_version: u32,
     /// All submitted commands.
     pub(crate) submitted: BTreeMap<CommandId, Command>,
     /// The highest acknowledged version.
-    pub(crate) acknowledged_version: u32,
+    pub(crate) acknowledged_version: Option<u32>,
     /// The digests of the acknowledged texts of each version.
     pub(crate) acknowledged: BTreeMap<u32, BTreeSet<u64>>,
     /// The versions and digests that were rejected with a conflict.
@@ -122,13 +141,14 @@
             unsynced: BTreeMap::new(),
             messages: Vec::new(),
             leaving: BTreeSet::new(),
+            earlier_programs: BTreeSet::new(),
             down_since: BTreeMap::new(),
             crash_after: BTreeMap::new(),
             incarnations: 0,
             next_node: 5,
-            version: 0,
+            next_version: 0,
             submitted: BTreeMap::new(),
-            acknowledged_version: 0,
+            acknowledged_version: None,
             acknowledged: BTreeMap::new(),
             rejected: BTreeSet::new(),
             is_first_start: true,
@@ -255,7 +275,7 @@
         };
         match outcome {
             CommandOutcome::Committed(_) => {
-                self.acknowledged_version = self.acknowledged_version.max(*version);
+                self.acknowledged_version = self.acknowledged_version.max(Some(*version));
                 self.acknowledged
                     .entry(*version)
                     .or_default()
@@ -314,15 +334,31 @@
                 return;
             }
         }
-        if let Some(replica) = self.up.get_mut(&to) {
-            let effects = replica.step(self.now, from, message);
-            self.perform_effects(to, effects);
+        let is_earlier = self.earlier_programs.contains(&to);
+        let message = match is_earlier {
+            true => earlier_program::handle(&message),
+            false => earlier_program::Handling::Pass(message),
+        };
+        match message {
+            earlier_program::Handling::Pass(message) => self.handle(to, from, message),
+            earlier_program::Handling::Answer(message) => self.messages.push(Envelope {
+                from: to,
+                to: from,
+                message,
+            }),
         }
         if self.variant == Variant::JoinsBeforeTransfer {
             self.join_without_transfer(to);
         }
     }
 
+    fn handle(&mut self, node: NodeId, from: NodeId, message: Message) {
+        if let Some(replica) = self.up.get_mut(&node) {
+            let effects = replica.step(self.now, from, message);
+            self.perform_effects(node, effects);
+        }
+    }
+
     /// Answers a request of the previous epoch as if that epoch were not sealed ([`Variant::NoSeal`]).
     fn answer_in_sealed_epoch(
         &mut self,
@@ -500,25 +536,30 @@
         }
     }
 
-    /// Cuts the power of all nodes, restarts them, and reads from each. Returns the read versions; `None` where a read
-    /// failed.
-    pub(crate) fn read_after_power_loss(&mut self) -> Vec<Option<u32>> {
+    /// Cuts the power of all nodes, restarts them, and reads from each.
+    pub(crate) fn read_after_power_loss(&mut self) -> Vec<ReadResult> {
         let nodes = self.nodes();
         nodes.iter().for_each(|node| self.cut_power(*node));
         self.stabilize();
         nodes.iter().map(|node| self.read(*node)).collect()
     }
 
-    fn read(&mut self, node: NodeId) -> Option<u32> {
+    /// Reads from a node.
+    pub(crate) fn read(&mut self, node: NodeId) -> ReadResult {
         let command_id = self.submitted.len() as CommandId;
         self.submitted.insert(command_id, Command::Read);
-        let replica = self.up.get_mut(&node)?;
+        let Some(replica) = self.up.get_mut(&node) else {
+            return ReadResult::Failed;
+        };
         let effects = replica.submit(self.now, Command::Read, Some(command_id));
         self.perform_effects(node, effects);
         self.run(COMMAND_TICKS);
-        let replica = self.up.get(&node)?;
-        let version = replica.committed().config.version;
-        replica.committed_as_of().is_some().then_some(version)
+        match self.up.get(&node) {
+            Some(replica) if replica.committed_as_of().is_some() => {
+                ReadResult::Version(replica.committed().config_version())
+            }
+            _ => ReadResult::Failed,
+        }
     }
 
     /// Resubmits all configurations that have been submitted, to alternating nodes.
@@ -541,7 +582,9 @@
                 .any(|digest| self.rejected.contains(&(*version, *digest)))
         };
         let has_acknowledged_text = |replica: &Replica| {
-            let config = &replica.committed().config;
+            let Some(config) = &replica.committed().config else {
+                return true;
+            };
             let is_text = |digest: &u64| digest.to_le_bytes().as_slice() == config.compressed_text;
             let acknowledged = self.acknowledged.get(&config.version);
             acknowledged.is_none_or(|digests| digests.iter().all(is_text))
--- a/crates/aspendrum-consensus/tests/common/schedule.rs
+++ b/crates/aspendrum-consensus/tests/common/schedule.rs
@@ -68,6 +68,13 @@
         nodes[usize::from(n) % nodes.len()]
     }
 
+    /// Returns the next version. The first one is 0, the lowest.
+    fn new_version(&mut self) -> u32 {
+        let version = self.next_version;
+        self.next_version += 1;
+        version
+    }
+
     fn take_message(&mut self, n: u8) -> Option<Envelope> {
         let count = self.messages.len();
         (count > 0).then(|| self.messages.swap_remove(usize::from(n) % count))
@@ -77,13 +84,13 @@
         self.now += STEP_MS;
         match step {
             Step::Submit(n) => {
-                self.version += 1;
-                self.submit(self.chosen_node(*n), config(self.version, u64::from(*n)));
+                let version = self.new_version();
+                self.submit(self.chosen_node(*n), config(version, u64::from(*n)));
             }
             Step::Race(n, m) => {
-                self.version += 1;
-                self.submit(self.chosen_node(*n), config(self.version, 1));
-                self.submit(self.chosen_node(*m), config(self.version, 2));
+                let version = self.new_version();
+                self.submit(self.chosen_node(*n), config(version, 1));
+                self.submit(self.chosen_node(*m), config(version, 2));
             }
             Step::Resubmit(n, m) => self.resubmit(*n, *m),
             Step::Evacuate(n, evacuated) => {
@@ -148,8 +155,7 @@
     }
     let acknowledged = cluster.acknowledged_version;
     let reads = cluster.read_after_power_loss();
-    let is_not_lost = |read: &Option<u32>| read.is_some_and(|version| version >= acknowledged);
-    let none_lost = reads.iter().all(is_not_lost);
+    let none_lost = reads.iter().all(|read| read.includes(acknowledged));
     cluster.resubmit_all();
     none_lost && cluster.has_one_text_per_version()
 }
--- a/crates/aspendrum-consensus/tests/membership.rs
+++ b/crates/aspendrum-consensus/tests/membership.rs
@@ -164,9 +164,7 @@
     cluster.cut_power(slow);
     cluster.disks.insert(slow, None);
     let reads = cluster.read_after_power_loss();
-    reads
-        .iter()
-        .all(|read| read.is_some_and(|version| version >= acknowledged))
+    reads.iter().all(|read| read.includes(acknowledged))
 }
 
 #[test]
@@ -189,7 +187,7 @@
     cluster.submit(lost, config(8, 1));
     cluster.deliver_where(|e| e.from != late && e.to != late);
     cluster.messages.clear();
-    assert_eq!(cluster.acknowledged_version, 8);
+    assert_eq!(cluster.acknowledged_version, Some(8));
     cluster.cut_power(lost);
     cluster.disks.insert(lost, None);
     cluster.start(lost);
@@ -204,7 +202,7 @@
     cluster.run_partition(&[lost, late], 4);
     let reader = &cluster.up[&late];
     assert!(cluster.up.contains_key(&other));
-    reader.committed_as_of().is_some() && reader.committed().config.version < 8
+    reader.committed_as_of().is_some() && reader.committed().config_version() < Some(8)
 }
 
 /// Guards against an empty disk that counts as the voter whose state it lost.
--- a/crates/aspendrum-consensus/tests/versions.rs
+++ b/crates/aspendrum-consensus/tests/versions.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
+use aspendrum_consensus::versions::RETAINED_VERSIONS;
 use aspendrum_consensus::{Command, CommandOutcome, Effect};
 use common::schedule::{run, Step};
-use common::{config, node, Cluster, Variant, SEEDS};
+use common::{config, node, Cluster, ReadResult, Variant, SEEDS};
 use std::collections::BTreeSet;
 
 /// Submits two texts for one version to two nodes concurrently, in 64 random message orders. Returns in how many of
@@ -69,7 +70,7 @@
         )
     };
     assert!(effects.iter().any(without_quorum), "{effects:?}");
-    assert_eq!(cluster.acknowledged_version, 0);
+    assert_eq!(cluster.acknowledged_version, None);
 }
 
 /// If two operators set the same version, all nodes apply the same text.
@@ -79,11 +80,102 @@
     cluster.submit(node(1), config(8, 1));
     cluster.submit(node(3), config(8, 2));
     cluster.stabilize();
-    let text = |node| &cluster.up[node].state().replicated.config.compressed_text;
+    let text = |node| cluster.up[node].state().replicated.config.as_ref();
     let texts: Vec<_> = SEEDS.iter().map(text).collect();
+    assert!(texts.iter().all(Option::is_some));
     assert!(texts.windows(2).all(|pair| pair[0] == pair[1]), "{texts:?}");
 }
 
+/// Guards against a first configuration that is acknowledged and lost: each voter answered for version 0 that it was
+/// dropped, which the proposer acknowledged.
+#[test]
+fn the_lowest_and_the_highest_version_are_decided_and_survive_a_power_loss() {
+    for version in [0, u32::MAX] {
+        let mut cluster = Cluster::new(Variant::Correct);
+        cluster.submit(node(1), config(version, 1));
+        cluster.submit(node(3), config(version, 2));
+        cluster.stabilize();
+        assert_eq!(cluster.acknowledged_version, Some(version));
+        assert_eq!(cluster.rejected.len(), 1, "one of two texts is rejected");
+        cluster.resubmit_all();
+        let reads = cluster.read_after_power_loss();
+        assert_eq!(reads, [ReadResult::Version(Some(version)); 4]);
+        assert!(cluster.has_one_text_per_version());
+    }
+}
+
+/// Guards against an older version that takes the place of a newer one, in any order of the two ends of the range.
+#[test]
+fn the_highest_version_wins_in_any_order() {
+    for versions in [[0, 1, u32::MAX], [u32::MAX, 1, 0], [1, u32::MAX, 0]] {
+        let mut cluster = Cluster::new(Variant::Correct);
+        for version in versions {
+            cluster.submit(node(1), config(version, 1));
+            cluster.stabilize();
+            assert!(cluster.acknowledged.contains_key(&version), "{versions:?}");
+        }
+        let reads = cluster.read_after_power_loss();
+        assert_eq!(reads, [ReadResult::Version(Some(u32::MAX)); 4]);
+    }
+}
+
+/// Guards against an acknowledgement on the word of a single voter: voters of the earlier program version answer that
+/// version 0 was dropped.
+#[test]
+fn nothing_is_acknowledged_that_voters_of_an_earlier_program_do_not_store() {
+    let mut cluster = Cluster::new(Variant::Correct);
+    cluster.earlier_programs = cluster.nodes().into_iter().collect();
+    cluster.submit(node(1), config(0, 1));
+    cluster.stabilize();
+    assert_eq!(cluster.acknowledged_version, None);
+    assert_eq!(
+        cluster.read_after_power_loss(),
+        [ReadResult::Version(None); 4]
+    );
+    // The nodes are updated one after another. Their operator repeats the call until it is acknowledged.
+    for updated in cluster.nodes() {
+        cluster.cut_power(updated);
+        cluster.earlier_programs.remove(&updated);
+        cluster.start(updated);
+        cluster.run(10);
+        cluster.submit(updated, config(0, 1));
+        cluster.run(10);
+        if cluster.acknowledged_version.is_some() {
+            let read = cluster.read(updated);
+            assert_eq!(read, ReadResult::Version(Some(0)), "{updated}");
+        }
+    }
+    assert_eq!(cluster.acknowledged_version, Some(0));
+    let reads = cluster.read_after_power_loss();
+    assert_eq!(reads, [ReadResult::Version(Some(0)); 4]);
+}
+
+/// Guards against a retry that is never answered because its version was dropped: it is acknowledged once a later
+/// version is known to be committed.
+#[test]
+fn a_dropped_version_is_acknowledged_once_a_later_one_is_read() {
+    let mut cluster = Cluster::new(Variant::Correct);
+    let last = RETAINED_VERSIONS as u32 + 1;
+    for version in 0..=last {
+        cluster.submit(node(1), config(version, 1));
+        cluster.run(1);
+    }
+    assert_eq!(cluster.acknowledged_version, Some(last));
+    let versions = &cluster.up[&node(1)].state().versions;
+    assert!(versions.is_compacted(0) && versions.is_compacted(1));
+    assert!(!versions.is_compacted(2));
+    assert_eq!(versions.len(), RETAINED_VERSIONS);
+    // After a restart the node has not read anything yet.
+    cluster.cut_power(node(2));
+    cluster.start(node(2));
+    cluster.acknowledged.clear();
+    cluster.submit(node(2), config(0, 2));
+    cluster.run(3);
+    assert!(cluster.acknowledged.contains_key(&0));
+    let reads = cluster.read_after_power_loss();
+    assert_eq!(reads, [ReadResult::Version(Some(last)); 4]);
+}
+
 #[test]
 fn the_last_evacuation_command_wins_regardless_of_the_node() {
     let mut cluster = Cluster::new(Variant::Correct);
--- a/crates/aspendrum-consensus/tests/wire_bytes.rs
+++ b/crates/aspendrum-consensus/tests/wire_bytes.rs
@@ -43,14 +43,19 @@
         has_ended: true,
     };
     ReplicatedState {
-        config: DecidedConfig {
+        config: Some(DecidedConfig {
             version: 0x0107,
             compressed_text: b"text".to_vec(),
-        },
+        }),
         evacuations: [("z1".to_string(), begun), ("z2".to_string(), finished)].into(),
     }
 }
 
+/// Returns a state with the lowest version, whose bytes differ from those of a state without a configuration.
+fn lowest() -> ReplicatedState {
+    ReplicatedState::of_config(0, b"text".to_vec())
+}
+
 fn voters() -> Voters {
     Voters(
         [
@@ -73,10 +78,10 @@
 /// Returns a table with an undecided version with an accepted text, one with only a promise, and a decided one.
 fn versions() -> VersionTable {
     let mut versions = VersionTable::default();
-    versions.accept(9, ballot(), text(), 7);
-    versions.prepare(10, ballot(), 7);
-    versions.accept(7, ballot(), text(), 7);
-    versions.decide(6, 0x66, 7);
+    versions.accept(9, ballot(), text(), Some(7));
+    versions.prepare(10, ballot(), Some(7));
+    versions.accept(7, ballot(), text(), Some(7));
+    versions.decide(6, 0x66, Some(7));
     versions
 }
 
@@ -239,6 +244,14 @@
         },
     );
     pinned.same("nudge", &Message::CommitNotice);
+    let write = |state: ReplicatedState| {
+        request(Request::Write {
+            request_id: 1,
+            state: Box::new(state),
+        })
+    };
+    pinned.same("request.write.none", &write(ReplicatedState::default()));
+    pinned.same("request.write.lowest", &write(lowest()));
     pinned.assert_complete();
 }
 
@@ -278,6 +291,25 @@
             ..state
         },
     );
+    let mut versions = VersionTable::default();
+    versions.accept(0, ballot(), text(), None);
+    pinned.same(
+        "accepted.lowest",
+        &DurableState {
+            versions,
+            ..DurableState::empty(node(1), 77, false, &[])
+        },
+    );
+    let mut versions = VersionTable::default();
+    versions.decide(0, 0x66, Some(0));
+    pinned.same(
+        "decided.lowest",
+        &DurableState {
+            replicated: lowest(),
+            versions,
+            ..DurableState::empty(node(1), 77, false, &[])
+        },
+    );
     pinned.assert_complete();
 }
 
@@ -287,6 +319,9 @@
     let versions: VersionTable = postcard::from_bytes(&[0, 7]).unwrap();
     assert!(versions.is_empty() && versions.is_compacted(7) && !versions.is_compacted(8));
     assert_eq!(postcard::to_allocvec(&versions).unwrap(), [0, 7]);
+    let none: VersionTable = postcard::from_bytes(&[0, 0]).unwrap();
+    assert!(!none.is_compacted(0), "0 means that none was dropped");
+    assert_eq!(postcard::to_allocvec(&none).unwrap(), [0, 0]);
 }
 
 /// Replicas of different versions exchange digests, so they must compute the same digest for the same state.
@@ -295,5 +330,6 @@
     let mut pinned = Pinned::new("digests.hex", include_str!("fixtures/digests.hex"));
     pinned.assert_bytes("empty", &ReplicatedState::default().digest().to_be_bytes());
     pinned.assert_bytes("held", &replicated().digest().to_be_bytes());
+    assert_ne!(lowest().digest(), ReplicatedState::default().digest());
     pinned.assert_complete();
 }
--- a/crates/aspendrum-control/src/api.rs
+++ b/crates/aspendrum-control/src/api.rs
@@ -235,10 +235,10 @@
 }
 
 fn show_config(state: &ReplicatedState) -> Reply {
-    if state.config.version == 0 {
+    let Some(config) = &state.config else {
         return Reply::empty(503);
-    }
-    match decompress(&state.config.compressed_text) {
+    };
+    match decompress(&config.compressed_text) {
         Some(text) => Reply::json(text),
         None => Reply::empty(500),
     }
--- a/crates/aspendrum-control/src/decided.rs
+++ b/crates/aspendrum-control/src/decided.rs
@@ -83,7 +83,8 @@
         let evacuated = committed.evacuated_zones();
         // Control nodes commit valid configurations only. Proxies would ignore an invalid one, so it is not part of the
         // digest.
-        let text = decompress(&committed.config.compressed_text);
+        let decided = committed.config.as_ref();
+        let text = decided.and_then(|config| decompress(&config.compressed_text));
         let config = text.and_then(|text| Config::read(&text).ok());
         self.digest = state_digest(config.as_ref(), evacuated.revision, &evacuated.zones);
         self.state = committed.clone();
--- a/crates/aspendrum-control/src/legacy.rs
+++ b/crates/aspendrum-control/src/legacy.rs
@@ -4,7 +4,9 @@
 
 use aspendrum_consensus::acceptor::Acceptor;
 use aspendrum_consensus::membership::{DiskId, Epoch};
-use aspendrum_consensus::replicated_state::{DecidedConfig, Evacuation, ReplicatedState};
+use aspendrum_consensus::replicated_state::{
+    optional_config, DecidedConfig, Evacuation, ReplicatedState,
+};
 use aspendrum_consensus::versions::{ConfigText, VersionTable};
 use aspendrum_consensus::{DurableState, NodeId};
 use aspendrum_model::compression::decompress;
@@ -33,7 +35,8 @@
 /// The replicated state, which included the voters in the earlier formats.
 #[derive(Deserialize)]
 struct ReplicatedStateV1 {
-    config: DecidedConfig,
+    #[serde(with = "optional_config")]
+    config: Option<DecidedConfig>,
     evacuations: BTreeMap<String, Evacuation>,
     voters: BTreeSet<NodeId>,
     #[allow(dead_code)]
@@ -118,22 +121,25 @@
     disk: &DiskV1,
     is_complete: bool,
 ) -> DurableState {
-    let DecidedConfig {
-        version,
-        compressed_text,
-    } = std::mem::take(&mut replicated.config);
     let mut versions = VersionTable::default();
-    if let Some(text) = decompress(&compressed_text).filter(|_| version > 0) {
-        let rank = digest(&compressed_text);
-        let accepted = ConfigText {
-            digest: digest(&text),
-            compressed: Some(compressed_text),
-        };
-        versions.import_accepted(version, rank, accepted);
+    if let Some(config) = replicated.config.take() {
+        import_config(&mut versions, config);
     }
     upgrade(replicated, versions, disk, is_complete)
 }
 
+fn import_config(versions: &mut VersionTable, config: DecidedConfig) {
+    let Some(text) = decompress(&config.compressed_text) else {
+        return;
+    };
+    let rank = digest(&config.compressed_text);
+    let accepted = ConfigText {
+        digest: digest(&text),
+        compressed: Some(config.compressed_text),
+    };
+    versions.import_accepted(config.version, rank, accepted);
+}
+
 /// Converts a state to the current format. `is_complete` is whether the disk holds everything that its node has
 /// acknowledged as a voter.
 fn upgrade(
--- a/crates/aspendrum-control/src/node.rs
+++ b/crates/aspendrum-control/src/node.rs
@@ -21,6 +21,7 @@
 use crate::shutdown::Shutdown;
 use aspendrum_consensus::membership_planner::NodeStatus;
 use aspendrum_consensus::{Command, CommandOutcome, Message, Millis, NodeId};
+use aspendrum_model::config::format_version;
 use aspendrum_model::message::{ControlAddress, ToControl};
 use aspendrum_model::settings::Settings;
 use aspendrum_net::frames::FrameSender;
@@ -253,9 +254,9 @@
 
     fn on_committed_advanced(&mut self) {
         let committed = self.replica.replica().committed();
-        let version = committed.config.version;
+        let version = format_version(committed.config_version());
         let zones = committed.evacuated_zones().zones;
-        log::info!("event=committed version={version:08x} evacuated={zones:?}");
+        log::info!("event=committed version={version} evacuated={zones:?}");
         let notice = PeerMessage::Consensus(Message::CommitNotice);
         self.peers.broadcast(&notice);
         self.publish_if_due();
--- a/crates/aspendrum-control/src/report.rs
+++ b/crates/aspendrum-control/src/report.rs
@@ -1,5 +1,5 @@
-//! The JSON reports of a control node for operators. The keys must not change because operators' tools read them. A
-//! control node reports the nodes whose agents are connected to it, and the addresses of the other control nodes.
+//! The JSON reports of a control node for operators. The keys must not change because operators' tools read them. The
+//! version (`gen`) of a state without a configuration is null. A control node reports the nodes whose agents are connected to it, and the addresses of the other control nodes.
 
 use aspendrum_model::config::{Config, Route};
 use aspendrum_model::message::StateDigest;
@@ -47,7 +47,7 @@
 fn digest(digest: &StateDigest) -> Value {
     let digests = digest.digests.iter().map(|d| format!("{d:016x}"));
     json!({
-        "gen": version(digest.revision.config),
+        "gen": digest.revision.config.map(version),
         "evacuations": digest.revision.evacuation,
         "digests": digests.collect::<Vec<String>>(),
     })
--- a/crates/aspendrum-control/src/sections.rs
+++ b/crates/aspendrum-control/src/sections.rs
@@ -27,8 +27,7 @@
         let mut sections = Vec::new();
         // Before the first quorum read, the local state may be older than what another node has sent to an agent.
         if self.majority_age.is_some() {
-            let config = &self.committed.config;
-            if config.version > 0 {
+            if let Some(config) = &self.committed.config {
                 let text = config.compressed_text.clone();
                 sections.push(StateSection::config(config.version, text));
             }
--- a/crates/aspendrum-control/tests/answers.rs
+++ b/crates/aspendrum-control/tests/answers.rs
@@ -1,7 +1,7 @@
 //! The responses of the operator API and the lookup API: statuses, bodies and JSON keys, on which external tools
 //! depend.
 
-use aspendrum_consensus::replicated_state::{DecidedConfig, ReplicatedState};
+use aspendrum_consensus::ReplicatedState;
 use aspendrum_consensus::{Command, CommandOutcome};
 use aspendrum_control::api::{LookupApi, OperatorApi};
 use aspendrum_control::directory::{Directory, REGION_HOLD_TIME};
@@ -87,14 +87,8 @@
 }
 
 fn committed(version: u32, text: &[u8]) -> CommandOutcome {
-    let config = DecidedConfig {
-        version,
-        compressed_text: text.to_vec(),
-    };
-    CommandOutcome::Committed(Box::new(ReplicatedState {
-        config,
-        ..ReplicatedState::default()
-    }))
+    let state = ReplicatedState::of_config(version, text.to_vec());
+    CommandOutcome::Committed(Box::new(state))
 }
 
 #[test]
@@ -131,7 +125,11 @@
     let current = committed(0x0107, &compress(CONFIG.as_bytes()));
     let expected = format!("200 Content-Type: application/json; {CONFIG}");
     assert_eq!(answer(&current, &show), (expected, vec![Command::Read]));
-    assert_eq!(answer(&committed(0, b""), &show).0, "503 ");
+    // Version 0 is a version. Without a configuration there is nothing to show.
+    let lowest = committed(0, &compress(CONFIG.as_bytes()));
+    assert_eq!(answer(&lowest, &show), answer(&current, &show));
+    let none = CommandOutcome::Committed(Box::default());
+    assert_eq!(answer(&none, &show).0, "503 ");
     assert_eq!(answer(&committed(1, b"no packed text"), &show).0, "500 ");
     assert_eq!(answer(&CommandOutcome::NoQuorum, &show).0, "503 ");
 }
@@ -167,6 +165,7 @@
 }
 
 fn state_digest(config: u32, evacuation: u64, digests: [u64; 4]) -> StateDigest {
+    let config = Some(config);
     StateDigest {
         revision: Revision { config, evacuation },
         digests,
--- a/crates/aspendrum-control/tests/decided.rs
+++ b/crates/aspendrum-control/tests/decided.rs
@@ -15,15 +15,12 @@
 "ports":[{{"vhost":"a.example","rules":[{{"name":"r","type":"idem","goal-ms":500,"match":{{"pfx":"/a/"}},
 "action":{{"svc":"s","limit-ms":2000,"tries":2}}}}]}}],"pools":[{{"name":"s","check":"/healthz"}}]}}"#
     );
-    let mut state = ReplicatedState::default();
-    state.config.version = version;
-    state.config.compressed_text = compress(text.as_bytes());
-    state
+    ReplicatedState::of_config(version, compress(text.as_bytes()))
 }
 
 fn revision(config: u32) -> Revision {
     Revision {
-        config,
+        config: Some(config),
         evacuation: 0,
     }
 }
--- a/crates/aspendrum-control/tests/processes.rs
+++ b/crates/aspendrum-control/tests/processes.rs
@@ -228,6 +228,28 @@
     cluster.wait_until_shown(1, &config(7));
 }
 
+/// Guards against a first configuration that is acknowledged and in force nowhere: version 0 stood for "none".
+#[test]
+fn a_first_configuration_with_the_lowest_version_is_shown_sent_and_survives_a_crash() {
+    let mut cluster = Cluster::start(6);
+    cluster.set_config(0, &config(0));
+    (0..3).for_each(|n| cluster.wait_until_shown(n, &config(0)));
+    let mut agent = Agent::connect(&cluster, 1);
+    agent.send(hello());
+    agent.receive_until(|m| config_version(m) == Some(0));
+    // Another text is refused, and the same one is acknowledged again.
+    let other = config(0).replace("500", "700");
+    assert_eq!(cluster.status(1, "POST", "/api/Cfg.Set", &other), 409);
+    cluster.set_config(2, &config(0));
+    (0..3).for_each(|n| cluster.kill(n));
+    (0..3).for_each(|n| cluster.start_node(n));
+    (0..3).for_each(|n| cluster.wait_until_shown(n, &config(0)));
+    // A later version replaces it, and it is acknowledged without an effect after that.
+    cluster.set_config(1, &config(u32::MAX));
+    cluster.set_config(0, &config(0));
+    (0..3).for_each(|n| cluster.wait_until_shown(n, &config(u32::MAX)));
+}
+
 #[test]
 fn a_minority_acknowledges_nothing() {
     let mut cluster = Cluster::start(2);
@@ -330,6 +352,14 @@
     }
 }
 
+fn hello() -> ToControl {
+    ToControl::Hello {
+        host: "e1".into(),
+        proxy_addr: "10.0.0.9:80".parse().unwrap(),
+        zone: "a".into(),
+    }
+}
+
 fn config_version(message: &FromControl) -> Option<u32> {
     match message {
         FromControl::Update {
@@ -356,11 +386,7 @@
     let cluster = Cluster::start(3);
     cluster.set_config(0, &config(4));
     let mut agent = Agent::connect(&cluster, 1);
-    agent.send(ToControl::Hello {
-        host: "e1".into(),
-        proxy_addr: "10.0.0.9:80".parse().unwrap(),
-        zone: "a".into(),
-    });
+    agent.send(hello());
     let message = agent.receive_until(|m| config_version(m) == Some(4));
     let FromControl::Update {
         section: StateSection::Config {
@@ -389,7 +415,7 @@
             majority_age: Some(age),
             decided,
             ..
-        } => *age < 5000 && decided.revision.config == 6,
+        } => *age < 5000 && decided.revision.config == Some(6),
         _ => false,
     });
     assert_eq!(agent.received_versions(), [4, 6]);
@@ -430,11 +456,7 @@
     cluster.set_config(0, &config(1));
     let started = Instant::now();
     let mut agent = Agent::connect(&cluster, 1);
-    agent.send(ToControl::Hello {
-        host: "e1".into(),
-        proxy_addr: "10.0.0.9:80".parse().unwrap(),
-        zone: "a".into(),
-    });
+    agent.send(hello());
     agent.receive_until(|m| config_version(m).is_some());
     (2..=CHANGES).for_each(|version| cluster.set_config(1, &config(version)));
     // The reply to this heartbeat arrives after everything that was sent before it.
--- a/crates/aspendrum-control/tests/wire_bytes.rs
+++ b/crates/aspendrum-control/tests/wire_bytes.rs
@@ -197,9 +197,9 @@
             digest: 5,
             compressed: Some(compress(b"other")),
         },
-        0x0107,
+        Some(0x0107),
     );
-    versions.decide(0x0107, digest(TEXT), 0x0107);
+    versions.decide(0x0107, digest(TEXT), Some(0x0107));
     DurableState {
         replicated: replicated(),
         versions,
@@ -233,7 +233,7 @@
         )
     });
     ReplicatedState {
-        config,
+        config: Some(config),
         evacuations: evacuations.into(),
     }
 }
@@ -295,7 +295,7 @@
         evacuations,
     } = replicated();
     (
-        config,
+        config.unwrap(),
         evacuations.into_iter().collect(),
         vec![1, 2, 3],
         vec![(1, (1, 77)), (2, (4, 78))],
@@ -351,7 +351,7 @@
         include_str!("fixtures/earlier_disks.hex"),
     );
     let (disk, mut versions) = ((2u32, 77u64), VersionTable::default());
-    versions.decide(0x0107, digest(TEXT), 0x0107);
+    versions.decide(0x0107, digest(TEXT), Some(0x0107));
     let third = DurableState {
         replicated: replicated(),
         versions: versions.clone(),
@@ -382,7 +382,7 @@
     };
     versions.import_accepted(0x0107, digest(&compress(TEXT)), accepted);
     let replicated = ReplicatedState {
-        config: DecidedConfig::default(),
+        config: None,
         ..replicated()
     };
     let second = DurableState {
--- a/crates/aspendrum-gossip/tests/node.rs
+++ b/crates/aspendrum-gossip/tests/node.rs
@@ -8,19 +8,29 @@
 const NEIGHBOUR: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
 const OLD: StateDigest = StateDigest {
     revision: Revision {
-        config: 4,
+        config: Some(4),
         evacuation: 1,
     },
     digests: [4, 0, 0, 0],
 };
 const NEW: StateDigest = StateDigest {
     revision: Revision {
-        config: 7,
+        config: Some(7),
         evacuation: 1,
     },
     digests: [7, 0, 0, 0],
 };
 
+fn digest_of_version(version: u32) -> StateDigest {
+    StateDigest {
+        revision: Revision {
+            config: Some(version),
+            evacuation: 0,
+        },
+        digests: [9, 0, 0, 0],
+    }
+}
+
 fn node() -> GossipNode {
     let mut node = GossipNode::new(LOCAL, 1);
     node.add_known_agents(&[NEIGHBOUR]);
@@ -136,6 +146,17 @@
     );
 }
 
+/// Guards against an agent without a configuration that ignores a report of version 0 as another text of its own
+/// version.
+#[test]
+fn an_agent_without_a_configuration_fetches_the_lowest_version() {
+    let (none, lowest) = (StateDigest::default(), digest_of_version(0));
+    assert_eq!(
+        node().handle(1000.0, NEIGHBOUR, report(900, 100, lowest), &none, None),
+        [GossipAction::FetchSnapshot(NEIGHBOUR)]
+    );
+}
+
 /// Guards against a reply to a request of an earlier process, which would confirm a time in the future.
 #[test]
 fn a_reply_to_an_earlier_process_is_ignored() {
--- a/crates/aspendrum-gossip/tests/wire_bytes.rs
+++ b/crates/aspendrum-gossip/tests/wire_bytes.rs
@@ -22,7 +22,7 @@
 
 fn decided() -> StateDigest {
     let revision = Revision {
-        config: 70_000,
+        config: Some(70_000),
         evacuation: 9,
     };
     StateDigest {
--- a/crates/aspendrum-model/src/config.rs
+++ b/crates/aspendrum-model/src/config.rs
@@ -127,6 +127,11 @@
 /// The number of hexadecimal digits in a version.
 const VERSION_DIGITS: usize = 8;
 
+/// Returns a version as eight hexadecimal digits, or `none`. For logs.
+pub fn format_version(version: Option<u32>) -> String {
+    version.map_or("none".into(), |version| format!("{version:08x}"))
+}
+
 fn parse_version(text: &str) -> Result<u32, ConfigError> {
     let version = u32::from_str_radix(text, 16)
         .ok()
--- a/crates/aspendrum-model/src/message.rs
+++ b/crates/aspendrum-model/src/message.rs
@@ -43,10 +43,10 @@
 }
 
 /// The versions of the operator commands that are included in a state.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Revision {
-    /// The version of the configuration.
-    pub config: u32,
+    /// The version of the configuration; `None`, which is less than every version, if the state has none.
+    pub config: Option<u32>,
     /// The sequence number of the last evacuation command.
     pub evacuation: u64,
 }
@@ -64,13 +64,53 @@
 /// Identifies a decided or applied state by its revision and a digest of the canonical form of each section. The
 /// digests distinguish different texts with the same version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "EncodedStateDigest", into = "EncodedStateDigest")]
 pub struct StateDigest {
     /// The versions of the commands included in the state.
     pub revision: Revision,
-    /// A digest of each section.
+    /// A digest of each section. Without a configuration, the digests of its sections are 0.
     pub digests: [u64; DIGEST_SECTIONS],
 }
 
+impl StateDigest {
+    /// The number of sections that belong to the configuration. They precede the others.
+    const CONFIG_SECTIONS: usize = 3;
+}
+
+/// The encoding of a [`StateDigest`]. Without a configuration, its version and the digests of its sections are 0. The
+/// digests distinguish this from the version 0, which program versions without a separate value for "none" also send.
+#[derive(Serialize, Deserialize)]
+struct EncodedStateDigest {
+    config: u32,
+    evacuation: u64,
+    digests: [u64; DIGEST_SECTIONS],
+}
+
+impl From<StateDigest> for EncodedStateDigest {
+    fn from(state: StateDigest) -> EncodedStateDigest {
+        EncodedStateDigest {
+            config: state.revision.config.unwrap_or(0),
+            evacuation: state.revision.evacuation,
+            digests: state.digests,
+        }
+    }
+}
+
+impl From<EncodedStateDigest> for StateDigest {
+    fn from(encoded: EncodedStateDigest) -> StateDigest {
+        let mut config_digests = encoded.digests.iter().take(StateDigest::CONFIG_SECTIONS);
+        let has_config = encoded.config != 0 || config_digests.any(|digest| *digest != 0);
+        let revision = Revision {
+            config: has_config.then_some(encoded.config),
+            evacuation: encoded.evacuation,
+        };
+        StateDigest {
+            revision,
+            digests: encoded.digests,
+        }
+    }
+}
+
 /// The address of a control node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlAddress {
--- a/crates/aspendrum-model/tests/wire_bytes.rs
+++ b/crates/aspendrum-model/tests/wire_bytes.rs
@@ -55,7 +55,7 @@
 
 fn revision() -> Revision {
     Revision {
-        config: 300,
+        config: Some(300),
         evacuation: 7,
     }
 }
@@ -67,6 +67,16 @@
     }
 }
 
+fn digest_of_version(version: u32) -> StateDigest {
+    StateDigest {
+        revision: Revision {
+            config: Some(version),
+            evacuation: 0,
+        },
+        digests: [0, 0, 5, 0],
+    }
+}
+
 fn proxy(readiness: Readiness, is_current: bool) -> ProxyEndpoint {
     ProxyEndpoint {
         addr: "10.1.0.31:8206".parse().unwrap(),
@@ -132,8 +142,15 @@
     check_encoding("proxy.closed", proxy(Readiness::Closed, false));
     check_encoding("proxy.draining", proxy(Readiness::Draining, true));
     check_encoding("proxy.ready", proxy(Readiness::Ready, true));
-    check_encoding("revision", revision());
+    // A revision is only sent as the beginning of a digest.
+    let encoded = postcard::to_allocvec(&state_digest()).unwrap();
+    let revision_bytes = fixture_bytes("revision");
+    assert_eq!(encoded[..revision_bytes.len()], revision_bytes);
     check_encoding("state_digest", state_digest());
+    // Versions of the program without a separate value for "none" send the same bytes.
+    check_encoding("state_digest.none", StateDigest::default());
+    check_encoding("state_digest.lowest", digest_of_version(0));
+    check_encoding("state_digest.highest", digest_of_version(u32::MAX));
     check_encoding("control_address", control_address());
     check_encoding("server", server());
     for (name, section) in sections() {
@@ -218,7 +235,7 @@
 /// Guards against fixture lines that no test reads.
 #[test]
 fn each_line_of_the_fixture_has_its_message() {
-    assert_eq!(MESSAGES.lines().count(), 33);
+    assert_eq!(MESSAGES.lines().count(), 36);
 }
 
 #[test]
@@ -252,23 +269,28 @@
 fn a_revision_covers_those_that_are_newer_in_neither_component() {
     let older = [
         Revision {
-            config: 300,
+            config: Some(300),
             evacuation: 7,
         },
         Revision {
-            config: 299,
+            config: Some(299),
             evacuation: 7,
         },
         Revision::default(),
     ];
     assert!(older.iter().all(|other| revision().covers(other)));
+    let lowest = Revision {
+        config: Some(0),
+        evacuation: 0,
+    };
+    assert!(lowest.covers(&Revision::default()) && !Revision::default().covers(&lowest));
     let newer = [
         Revision {
-            config: 301,
+            config: Some(301),
             evacuation: 7,
         },
         Revision {
-            config: 0,
+            config: Some(0),
             evacuation: 8,
         },
     ];
--- a/crates/aspendrum-proxy/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -192,7 +192,7 @@
     ];
     let report = |version, as_of| {
         let mut decided = proxy.state.consistency.applied();
-        decided.revision.config = version;
+        decided.revision.config = Some(version);
         let consistency = &proxy.state.consistency;
         consistency.record_report(as_of, Some(MajorityReport { decided, as_of }), false);
     };
@@ -239,7 +239,7 @@
     };
     assert_eq!(statuses(), ["413", "431"]);
     let mut decided = proxy.state.consistency.applied();
-    decided.revision.config = 2;
+    decided.revision.config = Some(2);
     let report = Some(MajorityReport {
         decided,
         as_of: 1.0,
@@ -285,7 +285,7 @@
         .state
         .dispatcher
         .apply(StateSection::config(2, compress(excessive.as_bytes())));
-    assert_eq!(proxy.state.dispatcher.applied().revision.config, 2);
+    assert_eq!(proxy.state.dispatcher.applied().revision.config, Some(2));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let thread_state = proxy.state.clone();
@@ -445,7 +445,7 @@
     // A newer configuration or evacuation was decided.
     for newer in [
         Revision {
-            config: 2,
+            config: Some(2),
             ..applied.revision
         },
         Revision {
--- a/crates/aspendrum-proxy/tests/process.rs
+++ b/crates/aspendrum-proxy/tests/process.rs
@@ -26,7 +26,8 @@
 const THREADS_WHEN_FULL: usize = 140;
 /// An upper bound for each wait of the test.
 const TIMEOUT: Duration = Duration::from_secs(30);
-const CONFIG: &str = r#"{"gen":"00000001","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":60000},
+/// A configuration with the lowest version, which must not count as none.
+const CONFIG: &str = r#"{"gen":"00000000","caps":{"hdr-bytes":16384,"body-bytes":1024,"hdr-ms":3000,"idle-ms":60000},
 "ports":[{"vhost":"a.example","rules":[{"name":"r","type":"idem","goal-ms":500,"match":{"pfx":"/a/"},
 "action":{"svc":"s1","limit-ms":2000,"tries":2}}]}],"pools":[{"name":"s1","check":"/healthz"}]}"#;
 
@@ -165,7 +166,10 @@
     else {
         panic!("expected a heartbeat")
     };
-    assert_eq!((readiness, applied.revision.config), (Readiness::Closed, 0));
+    assert_eq!(
+        (readiness, applied.revision.config),
+        (Readiness::Closed, None)
+    );
     let mut acknowledged = Vec::new();
     for (number, section) in (1..).zip(updates(proxy_addr)) {
         agent
@@ -179,7 +183,7 @@
                 readiness: Readiness::Ready,
                 applied,
                 ..
-            } if applied.revision.config == 1 => break,
+            } if applied.revision.config == Some(0) => break,
             _ => {}
         }
     }
--- a/crates/aspendrum-proxy/tests/revisions.rs
+++ b/crates/aspendrum-proxy/tests/revisions.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use aspendrum_model::compression::compress;
 use aspendrum_model::message::StateSection;
-use common::{test_proxy, OK_RESPONSE};
+use aspendrum_reconcile::MajorityReport;
+use common::{test_proxy, CONFIG, OK_RESPONSE, OK_RESPONSE_T2, SEND};
 
 fn evacuated(revision: u64, zones: &[&str]) -> StateSection {
     let zones = zones.iter().map(ToString::to_string).collect();
@@ -27,3 +29,34 @@
     dispatcher.apply(evacuated(3, &["poa-b"]));
     assert_eq!(dispatcher.applied().revision.evacuation, 3);
 }
+
+/// Guards against a proxy that takes the lowest version for "no configuration": it would serve nothing under it.
+#[test]
+fn the_lowest_version_is_served_and_replaced_like_any_other() {
+    let proxy = test_proxy(1, |_| Some(OK_RESPONSE));
+    let dispatcher = &proxy.state.dispatcher;
+    let apply = |version: u32| {
+        let text = CONFIG.replace("00000001", &format!("{version:08x}"));
+        dispatcher.apply(StateSection::config(version, compress(text.as_bytes())));
+        proxy.state.update_applied_digest();
+        dispatcher.applied().revision.config
+    };
+    let report_as_decided = || {
+        let decided = dispatcher.applied();
+        let report = MajorityReport {
+            decided,
+            as_of: 0.0,
+        };
+        let consistency = &proxy.state.consistency;
+        consistency.record_report(1.0, Some(report), false);
+    };
+    assert_eq!(apply(0), Some(1), "an older version is ignored");
+    dispatcher.rebuild_tables();
+    assert_eq!(apply(0), Some(0));
+    report_as_decided();
+    assert_eq!(proxy.request(SEND), OK_RESPONSE_T2);
+    assert_eq!(apply(u32::MAX), Some(u32::MAX));
+    report_as_decided();
+    assert_eq!(proxy.request(SEND), OK_RESPONSE_T2);
+    assert_eq!(apply(0), Some(u32::MAX));
+}
--- a/crates/aspendrum-reconcile/examples/overnight/simulation/mod.rs
+++ b/crates/aspendrum-reconcile/examples/overnight/simulation/mod.rs
@@ -87,7 +87,7 @@
 /// Returns the digest of a configuration version.
 fn digest_of(version: u32) -> StateDigest {
     let revision = Revision {
-        config: version,
+        config: Some(version),
         evacuation: 0,
     };
     StateDigest {
@@ -147,7 +147,7 @@
     }
 
     fn decide(&mut self) {
-        let version = self.decided.revision.config + 1 + self.rng.u32(0..3);
+        let version = self.decided_version() + 1 + self.rng.u32(0..3);
         self.decided = digest_of(version);
         self.history.push(DecidedVersion {
             version,
@@ -155,6 +155,10 @@
         });
     }
 
+    fn decided_version(&self) -> u32 {
+        self.history.last().map_or(0, |decided| decided.version)
+    }
+
     fn inject_fault(&mut self) {
         let until = self.now + faults::random_duration(&mut self.rng);
         let affected = faults::random_affected_nodes(&mut self.rng, self.nodes.len());
@@ -339,7 +343,8 @@
             self.metrics.rejected += 1;
             return;
         }
-        let is_newer = |decided: &&DecidedVersion| decided.version > node.tables.revision.config;
+        let is_newer =
+            |decided: &&DecidedVersion| Some(decided.version) > node.tables.revision.config;
         let replaced_by = self.history.iter().rev().take_while(is_newer).last();
         let staleness = replaced_by.map_or(0.0, |decided| now - decided.acknowledged_at);
         let confirmed_as_of = node.confirmed_as_of.unwrap_or(now);
--- a/crates/aspendrum-reconcile/examples/overnight/simulation/node.rs
+++ b/crates/aspendrum-reconcile/examples/overnight/simulation/node.rs
@@ -71,14 +71,20 @@
         } else if now - self.table_digest.computed_at >= TABLE_DIGEST_INTERVAL {
             // Without its agent, the proxy keeps its last assessment but compares its tables with the received updates.
             self.compute_digest(now);
-            if self.table_digest.digest != digest_of(self.tables.revision.config) {
+            if self.table_digest.digest != self.intact_tables() {
                 self.assessment.status = SyncStatus::Diverged;
             }
         }
-        let is_corrupt = self.tables != digest_of(self.tables.revision.config);
+        let is_corrupt = self.tables != self.intact_tables();
         self.corrupt_since = is_corrupt.then(|| self.corrupt_since.unwrap_or(now));
     }
 
+    /// Returns the digest that the tables of this version have unless they are corrupt.
+    fn intact_tables(&self) -> StateDigest {
+        let version = self.tables.revision.config;
+        version.map(digest_of).unwrap_or_default()
+    }
+
     fn update_from_agent(&mut self, now: Millis, variant: Variant) {
         let validity = ReportValidity::from_limits(APPLY_LIMIT, STRETCH_LIMIT);
         let updates_arrive = now >= self.faults.updates_to_proxy_until;
--- a/crates/aspendrum-reconcile/src/state_digest.rs
+++ b/crates/aspendrum-reconcile/src/state_digest.rs
@@ -88,7 +88,7 @@
     evacuated_zones: &[String],
 ) -> StateDigest {
     let revision = Revision {
-        config: config.map_or(0, |config| config.version),
+        config: config.map(|config| config.version),
         evacuation,
     };
     let [routes, services, tenants] = match config {
--- a/crates/aspendrum-reconcile/tests/model.rs
+++ b/crates/aspendrum-reconcile/tests/model.rs
@@ -68,7 +68,7 @@
 
 fn digest_of(version: u8) -> StateDigest {
     let revision = Revision {
-        config: u32::from(version),
+        config: Some(u32::from(version)),
         evacuation: 0,
     };
     StateDigest {
--- a/crates/aspendrum-reconcile/tests/sync.rs
+++ b/crates/aspendrum-reconcile/tests/sync.rs
@@ -95,7 +95,7 @@
 fn digest_at(config: u32, routes: u64) -> StateDigest {
     StateDigest {
         revision: Revision {
-            config,
+            config: Some(config),
             evacuation: 1,
         },
         digests: [routes, 0, 0, 0],
@@ -140,7 +140,7 @@
     );
     let evacuated = StateDigest {
         revision: Revision {
-            config: 4,
+            config: Some(4),
             evacuation: 2,
         },
         digests: [9, 0, 0, 5],
@@ -156,6 +156,25 @@
     );
 }
 
+/// Guards against a node without a configuration that counts as current, or as diverged, once version 0 is decided.
+#[test]
+fn a_node_without_a_configuration_is_behind_the_lowest_version() {
+    let none = StateDigest::default();
+    let lowest = digest_at(0, 9);
+    let report = |decided| MajorityReport {
+        decided,
+        as_of: 1000.0,
+    };
+    let status = |applied, decided| {
+        SyncAssessment::new(&applied, Some(&report(decided)), false, &VALIDITY).status
+    };
+    assert_eq!(status(none, lowest), SyncStatus::Behind);
+    assert_eq!(status(lowest, none), SyncStatus::Current);
+    assert_eq!(status(lowest, lowest), SyncStatus::Current);
+    assert_eq!(status(lowest, digest_at(1, 9)), SyncStatus::Behind);
+    assert_eq!(status(digest_at(u32::MAX, 9), lowest), SyncStatus::Current);
+}
+
 #[test]
 fn non_idempotent_requests_run_only_on_a_current_node() {
     for (status, is_allowed) in [
--- a/crates/aspendrum-reconcile/tests/update_stream.rs
+++ b/crates/aspendrum-reconcile/tests/update_stream.rs
@@ -15,7 +15,7 @@
 
 fn report(version: u32, as_of: f64) -> MajorityReport {
     let revision = Revision {
-        config: version,
+        config: Some(version),
         evacuation: 0,
     };
     let decided = StateDigest {
--- a/crates/aspendrum-reconcile/tests/wire_bytes.rs
+++ b/crates/aspendrum-reconcile/tests/wire_bytes.rs
@@ -17,7 +17,7 @@
     let revision = &state.revision;
     format!(
         "{name} {} {} {}",
-        revision.config,
+        revision.config.unwrap_or(0),
         revision.evacuation,
         digests.join(" ")
     )
@@ -50,6 +50,9 @@
         ),
     ];
     assert_eq!(lines.join("\n") + "\n", DIGESTS);
+    assert_eq!(state_digest(None, 0, &[]).revision.config, None);
+    let version = state_digest(Some(&config), 0, &[]).revision.config;
+    assert_eq!(version, Some(config.version));
 }
 
 #[test]
