Configurations with a signed version or negative numbers are refused with 400

A tenant's negative `rate-s` was taken for "no limit", and a `prio` of -1 for an infinite importance.

Cause: `u32::from_str_radix` accepts a sign, and numbers of a configuration had no lower bound; "0 = no limit" was tested by "not above 0".

Change: `Config::read_submitted` checks the form of the version and that no number is negative, with the field and its owner in the error. Control and the client use it for what an operator sends. `Config::read` still reads what was decided before, so agents and proxies keep a configuration that an earlier program version has accepted.

--- a/crates/aspendrum-client/src/main.rs
+++ b/crates/aspendrum-client/src/main.rs
@@ -127,7 +127,7 @@
 
 /// Reads a configuration from a file. If it is invalid, prints the reason and returns `None`.
 fn read_valid_config(file: &Path) -> Result<Option<Config>, ClientError> {
-    match Config::read(&read_file(file)?) {
+    match Config::read_submitted(&read_file(file)?) {
         Ok(config) => Ok(Some(config)),
         Err(error) => {
             eprintln!("{}: {error}", file.display());
--- a/crates/aspendrum-control/src/api.rs
+++ b/crates/aspendrum-control/src/api.rs
@@ -129,7 +129,7 @@
         let Some(parsing) = self.parsing.reserve_until(text.len(), deadline) else {
             return Reply::empty(503);
         };
-        let config = match Config::read(text) {
+        let config = match Config::read_submitted(text) {
             Ok(config) => config,
             Err(error) => {
                 log::info!("event=command call=set refused=\"{error}\"");
--- a/crates/aspendrum-control/tests/answers.rs
+++ b/crates/aspendrum-control/tests/answers.rs
@@ -113,6 +113,13 @@
     let invalid = request("POST", "/api/Cfg.Set", &CONFIG.replace("/a/", "a/"));
     let refused = "400 the prefix a/ does not begin with a slash\n".to_string();
     assert_eq!(answer(&committed(1, b""), &invalid), (refused, vec![]));
+    let signed = request(
+        "POST",
+        "/api/Cfg.Set",
+        &CONFIG.replace("00000107", "+0000107"),
+    );
+    let refused = "400 it cannot be read whole: gen +0000107\n".to_string();
+    assert_eq!(answer(&committed(1, b""), &signed), (refused, vec![]));
     assert_eq!(
         answer(&committed(1, b""), &request("GET", "/api/Cfg.Set", CONFIG)).0,
         "405 "
--- a/crates/aspendrum-model/src/config.rs
+++ b/crates/aspendrum-model/src/config.rs
@@ -52,13 +52,26 @@
 type RoutingTable = HashMap<String, Vec<PrefixRoute>>;
 
 impl Config {
-    /// Parses and validates a configuration in JSON.
+    /// Parses and validates a configuration in JSON that was decided before, possibly by an earlier program version.
     ///
     /// # Errors
     /// Returns [`ConfigError`] with the first error found. An invalid configuration is rejected as a whole.
     pub fn read(text: &[u8]) -> Result<Config, ConfigError> {
-        let document: Document =
-            serde_json::from_slice(text).map_err(|e| ConfigError::Unreadable(e.to_string()))?;
+        Config::from_document(Document::parse(text)?)
+    }
+
+    /// Parses and validates a configuration in JSON that an operator submits. In addition to [`Config::read`], rejects
+    /// forms of numbers that earlier program versions accepted: a version with a sign, and negative numbers.
+    ///
+    /// # Errors
+    /// Returns [`ConfigError`] with the first error found.
+    pub fn read_submitted(text: &[u8]) -> Result<Config, ConfigError> {
+        let document = Document::parse(text)?;
+        document.check_forms_of_numbers()?;
+        Config::from_document(document)
+    }
+
+    fn from_document(document: Document) -> Result<Config, ConfigError> {
         let version = parse_version(&document.version)?;
         let (routes, routing_table) = build_routes(&document)?;
         let tenant_by_key = index_keys(document.tenants.as_deref().unwrap_or_default())?;
--- a/crates/aspendrum-model/src/config/document.rs
+++ b/crates/aspendrum-model/src/config/document.rs
@@ -19,6 +19,60 @@
     pub(super) services: Vec<Service>,
 }
 
+/// A number in a configuration document, with what it belongs to.
+struct NamedNumber<'d> {
+    field: &'static str,
+    owner: &'d str,
+    value: f64,
+}
+
+impl<'d> NamedNumber<'d> {
+    fn all_of<const N: usize>(
+        owner: &'d str,
+        fields: [(&'static str, f64); N],
+    ) -> [NamedNumber<'d>; N] {
+        fields.map(|(field, value)| NamedNumber {
+            field,
+            owner,
+            value,
+        })
+    }
+}
+
+impl Document {
+    /// Parses a document.
+    ///
+    /// # Errors
+    /// Returns [`ConfigError::Unreadable`] if the text is not JSON of the expected structure.
+    pub(super) fn parse(text: &[u8]) -> Result<Document, ConfigError> {
+        serde_json::from_slice(text).map_err(|e| ConfigError::Unreadable(e.to_string()))
+    }
+
+    /// Checks that the version consists of digits and that no number is negative. Weights have a check of their own.
+    ///
+    /// # Errors
+    /// Returns the first number of another form.
+    pub(super) fn check_forms_of_numbers(&self) -> Result<(), ConfigError> {
+        // `from_str_radix` accepts a sign as well.
+        if !self.version.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(ConfigError::Unreadable(format!("gen {}", self.version)));
+        }
+        let limits = self.limits.numbers().into_iter();
+        let tenants = self.tenants.iter().flatten().flat_map(Tenant::numbers);
+        let services = self.services.iter().flat_map(Service::numbers);
+        let rules = self.listeners.iter().flat_map(|listener| &listener.rules);
+        let rules = rules.flat_map(Rule::numbers);
+        let mut numbers = limits.chain(tenants).chain(services).chain(rules);
+        match numbers.find(|number| number.value < 0.0) {
+            None => Ok(()),
+            Some(NamedNumber { field, owner, .. }) => Err(ConfigError::NegativeNumber {
+                field,
+                owner: owner.to_string(),
+            }),
+        }
+    }
+}
+
 /// The limits on each client request.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 pub struct RequestLimits {
@@ -36,6 +90,17 @@
     pub idle_timeout_ms: f64,
 }
 
+impl RequestLimits {
+    fn numbers(&self) -> [NamedNumber<'_>; 2] {
+        let owner = "caps";
+        let fields = [
+            ("hdr-ms", self.header_timeout_ms),
+            ("idle-ms", self.idle_timeout_ms),
+        ];
+        NamedNumber::all_of(owner, fields)
+    }
+}
+
 /// A tenant: a customer to which requests are charged, with a quota.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Tenant {
@@ -58,6 +123,18 @@
     pub home_regions: Vec<String>,
 }
 
+impl Tenant {
+    fn numbers(&self) -> [NamedNumber<'_>; 3] {
+        let owner = self.name.as_str();
+        let fields = [
+            ("prio", self.priority),
+            ("rate-s", self.rate_per_second),
+            ("burst", self.burst),
+        ];
+        NamedNumber::all_of(owner, fields)
+    }
+}
+
 /// A service: a set of interchangeable servers.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Service {
@@ -77,6 +154,17 @@
     pub slow_start_rate: f64,
 }
 
+impl Service {
+    fn numbers(&self) -> [NamedNumber<'_>; 2] {
+        let owner = self.name.as_str();
+        let fields = [
+            ("warmup-s", self.slow_start_s),
+            ("warm-rate-s", self.slow_start_rate),
+        ];
+        NamedNumber::all_of(owner, fields)
+    }
+}
+
 /// The rules of a host.
 #[derive(Clone, Debug, Deserialize)]
 pub(super) struct Listener {
@@ -137,6 +225,16 @@
 const MAX_TARGET_ABOVE_TIMEOUT_MS: f64 = 60_000.0;
 
 impl Rule {
+    fn numbers(&self) -> [NamedNumber<'_>; 3] {
+        let owner = self.name.as_str();
+        let fields = [
+            ("goal-ms", self.latency_target_ms),
+            ("prio", self.priority),
+            ("limit-ms", self.action.timeout_ms),
+        ];
+        NamedNumber::all_of(owner, fields)
+    }
+
     /// Validates the rule and returns its route. `known_services` contains the names of the services in the
     /// configuration.
     pub(super) fn validate(&self, known_services: &HashSet<&str>) -> Result<Route, ConfigError> {
--- a/crates/aspendrum-model/src/config/error.rs
+++ b/crates/aspendrum-model/src/config/error.rs
@@ -33,6 +33,14 @@
     /// A route allows no attempts.
     #[display("route {_0} has no tries")]
     NoAttempts(#[error(not(source))] String),
+    /// A number is negative.
+    #[display("{field} of {owner} is below 0")]
+    NegativeNumber {
+        /// The path of the number in the configuration.
+        field: &'static str,
+        /// The name of the tenant, route or service; `caps` for the limits.
+        owner: String,
+    },
     /// A path prefix does not begin with a slash.
     #[display("the prefix {_0} does not begin with a slash")]
     RelativePrefix(#[error(not(source))] String),
--- a/crates/aspendrum-model/tests/config_values.rs
+++ b/crates/aspendrum-model/tests/config_values.rs
@@ -166,3 +166,30 @@
     let error = Config::read(CONFIG.replacen(from, to, 1).as_bytes()).unwrap_err();
     assert_eq!(error.to_string(), text);
 }
+
+/// Guards against numbers in forms that operators do not mean: a version with a sign, and negative numbers, of which a
+/// negative rate was taken for "no quota". A configuration that was decided before stays readable.
+#[test_case("\"0000012c\"", "\"+000012c\"", "it cannot be read whole: gen +000012c" ; "a version with a sign")]
+#[test_case("\"hdr-ms\":3000", "\"hdr-ms\":-1", "hdr-ms of caps is below 0" ; "a negative header time")]
+#[test_case("\"idle-ms\":15000.5", "\"idle-ms\":-0.1", "idle-ms of caps is below 0" ; "a negative idle time")]
+#[test_case("\"rate-s\":61.5", "\"rate-s\":-61.5", "rate-s of ann is below 0" ; "a negative rate")]
+#[test_case("\"burst\":122", "\"burst\":-1e-300", "burst of ann is below 0" ; "a negative burst")]
+#[test_case("\"prio\":3", "\"prio\":-1", "prio of ann is below 0" ; "a negative priority of a tenant")]
+#[test_case("\"goal-ms\":500", "\"goal-ms\":-1e308", "goal-ms of r1 is below 0" ; "a negative target")]
+fn unusual_forms_of_numbers_are_rejected_when_submitted(from: &str, to: &str, text: &str) {
+    assert!(CONFIG.contains(from));
+    let unusual = CONFIG.replacen(from, to, 1);
+    let error = Config::read_submitted(unusual.as_bytes()).unwrap_err();
+    assert_eq!(error.to_string(), text);
+    assert!(Config::read(unusual.as_bytes()).is_ok());
+    assert!(Config::read_submitted(CONFIG.as_bytes()).is_ok());
+}
+
+#[test_case("00000000", 0)]
+#[test_case("ffffffff", u32::MAX)]
+#[test_case("FFFFFFFF", u32::MAX)]
+fn each_number_of_eight_digits_is_a_version(digits: &str, version: u32) {
+    let text = CONFIG.replacen("0000012c", digits, 1);
+    let config = Config::read_submitted(text.as_bytes()).unwrap();
+    assert_eq!(config.version, version);
+}
