A tenant's lowest rates are limits, and only a rate of 0 means none

Cause: the quota of a tenant without a limit was one with the rate 0, and so was that of a tenant with one of the lowest rates: its window, burst over rate, is infinite, and the rate of such a window is 0. It then had no limit at all.

A tenant without a limit stays known to the store of counters as before, so that a limit that is taken away and put back is not granted its window again.

No caller was seen to send such a rate.

--- a/crates/aspendrum-proxy/src/counter/quota.rs
+++ b/crates/aspendrum-proxy/src/counter/quota.rs
@@ -30,30 +30,31 @@
 /// The minimum length of a window, in seconds. With shorter windows, random arrivals alone exceed the window of
 /// a tenant that stays well within its quota.
 const MIN_WINDOW_S: f64 = 0.5;
+/// The maximum length of a window, in seconds: one day. Without it, the window of the lowest rates would be infinite, and
+/// their rate 0.
+const MAX_WINDOW_S: f64 = 86_400.0;
 
 impl Quota {
-    /// Returns the quota with a window of `burst / rate` and the limit per window. The limit is chosen so that no
+    /// Returns the quota of a tenant with this configured rate and burst; `None` if the rate is 0, which means no limit.
+    ///
+    /// The window is `burst / rate`, within bounds. The limit per window is chosen so that no
     /// span of `tolerance.span_s` seconds, at whatever offset to the windows, exceeds
     /// `(span * rate + burst) * (1 + excess) + slack`, where excess and slack are multiplied by
     /// `WINDOW_TOLERANCE_FRACTION`. A span overlaps at most `span / window + 1` windows.
-    pub fn with_tolerance(rate: f64, burst: f64, tolerance: &QuotaTolerance) -> Quota {
+    pub fn with_tolerance(rate: f64, burst: f64, tolerance: &QuotaTolerance) -> Option<Quota> {
         let burst = if burst > 0.0 { burst } else { rate };
         if rate <= 0.0 {
-            return Quota {
-                rate: 0.0,
-                burst: 0.0,
-                window: 0.0,
-            };
+            return None;
         }
-        let window = (burst / rate).max(MIN_WINDOW_S);
+        let window = (burst / rate).clamp(MIN_WINDOW_S, MAX_WINDOW_S);
         let allowed = (tolerance.span_s * rate + burst)
             * (1.0 + WINDOW_TOLERANCE_FRACTION * tolerance.excess)
             + WINDOW_TOLERANCE_FRACTION * tolerance.slack;
         let burst = allowed / (tolerance.span_s / window + 1.0);
-        Quota {
+        Some(Quota {
             rate: burst / window,
             burst,
             window: window * 1000.0,
-        }
+        })
     }
 }
--- a/crates/aspendrum-proxy/src/counter/store.rs
+++ b/crates/aspendrum-proxy/src/counter/store.rs
@@ -19,7 +19,8 @@
 #[derive(Default)]
 pub struct CounterStore {
     windows: HashMap<CounterId, Window>,
-    quotas: HashMap<CounterId, Quota>,
+    /// The quota of each tenant; `None` without a limit.
+    quotas: HashMap<CounterId, Option<Quota>>,
     /// The time since which this proxy owns each counter. It is stored per counter so that a counter whose owner does
     /// not change is not delayed. A handover of a counter that is still waiting can move the time back to when the
     /// sender began to wait. Negative infinity means that no other proxy has ever owned the counter.
@@ -33,7 +34,7 @@
     /// owner, so it grants without delay.
     pub fn set_quotas(
         &mut self,
-        quotas: HashMap<CounterId, Quota>,
+        quotas: HashMap<CounterId, Option<Quota>>,
         is_owned: impl Fn(CounterId) -> bool,
     ) {
         self.windows
@@ -108,11 +109,11 @@
         }
     }
 
-    /// Adds to a counter and returns the total of its window. Returns `None` if the tenant is unknown, or if
+    /// Adds to a counter and returns the total of its window. Returns `None` if the tenant is unknown or has no limit, or if
     /// the previous owner has not handed the counter over and may still grant from it until its window has
     /// ended.
     pub fn add(&mut self, now: Millis, counter: CounterId, amount: f32) -> Option<f32> {
-        let quota = self.quotas.get(&counter)?;
+        let quota = (*self.quotas.get(&counter)?)?;
         if !self.windows.contains_key(&counter) {
             let since = self.owned_since.get(&counter)?;
             if now - since < quota.window + OWNER_LIST_LAG {
--- a/crates/aspendrum-proxy/src/dispatcher/configuration.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration snapshot used by requests, and the decision engine's tables built from it.
 
-use super::engine::{default_group, quota_plan};
+use super::engine::{default_group, plan_with_quota};
 use crate::counter::{CounterId, Quota};
 use aspendrum_core::api::{GroupSettings, PlanSettings, Semantics, TenantId};
 use aspendrum_model::config::{Config, Route};
@@ -84,7 +84,7 @@
     fn default() -> EngineTables {
         EngineTables {
             groups: vec![default_group()],
-            plans: vec![quota_plan(0.0, 0.0)],
+            plans: vec![plan_with_quota(None)],
             group_numbers: HashMap::new(),
             plan_numbers: HashMap::new(),
         }
@@ -121,11 +121,11 @@
         number
     }
 
-    /// Sets the quota of a tenant's plan and returns the plan's number.
-    pub(super) fn set_plan(&mut self, tenant: &str, quota: &Quota) -> u32 {
+    /// Sets the quota of a tenant's plan, `None` for no limit, and returns the plan's number.
+    pub(super) fn set_plan(&mut self, tenant: &str, quota: Option<Quota>) -> u32 {
         let next = self.plans.len() as u32;
         let number = *self.plan_numbers.entry(tenant.to_string()).or_insert(next);
-        let plan = quota_plan(quota.rate, quota.burst);
+        let plan = plan_with_quota(quota);
         match self.plans.get_mut(number as usize) {
             Some(existing) => *existing = plan,
             None => self.plans.push(plan),
--- a/crates/aspendrum-proxy/src/dispatcher/counters.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/counters.rs
@@ -204,7 +204,7 @@
     }
 
     /// Replaces the tenants' quotas.
-    pub(super) fn set_quotas(&mut self, quotas: HashMap<CounterId, Quota>) {
+    pub(super) fn set_quotas(&mut self, quotas: HashMap<CounterId, Option<Quota>>) {
         let (client, local_ip) = (&self.client, self.local_ip);
         self.store
             .set_quotas(quotas, |counter| client.owner(counter) == Some(local_ip));
--- a/crates/aspendrum-proxy/src/dispatcher/engine.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/engine.rs
@@ -1,5 +1,6 @@
 //! Settings of the decision engine in a proxy. The engine's zones are the regions of the deployment.
 
+use crate::counter::Quota;
 use aspendrum_core::api::{
     GroupSettings, LoadReportChannel, LoadValue, Millis, PlanSettings, RepeatGroup, Semantics,
     Settings,
@@ -26,8 +27,9 @@
     }
 }
 
-/// Returns a plan that has a quota and no other limit.
-pub(super) fn quota_plan(rate: f64, burst: f64) -> PlanSettings {
+/// Returns a plan with this quota and no other limit. A rate of 0 means no quota to the engine.
+pub(super) fn plan_with_quota(quota: Option<Quota>) -> PlanSettings {
+    let (rate, burst) = quota.map_or((0.0, 0.0), |quota| (quota.rate, quota.burst));
     PlanSettings {
         is_windowed: true,
         rate,
@@ -50,7 +52,7 @@
         zone: region,
         tick: TICK_MS,
         groups: vec![default_group()],
-        plans: vec![quota_plan(0.0, 0.0)],
+        plans: vec![plan_with_quota(None)],
         load_values: vec![LoadValue::CpuUtilization],
         load_reports: LoadReportChannel::Responses,
         polls_discovery: false,
--- a/crates/aspendrum-proxy/src/dispatcher/state.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/state.rs
@@ -304,7 +304,7 @@
             quotas.insert(CounterId::for_tenant(&tenant.name), quota);
             TenantNumbers {
                 id: tenant_id(&tenant.name),
-                plan: self.tables.set_plan(&tenant.name, &quota),
+                plan: self.tables.set_plan(&tenant.name, quota),
             }
         });
         let numbers = numbers.collect();
--- a/crates/aspendrum-proxy/tests/counter.rs
+++ b/crates/aspendrum-proxy/tests/counter.rs
@@ -18,9 +18,9 @@
 fn store(rate: f64, burst: f64) -> (CounterStore, Quota) {
     let (mut store, quota) = (
         CounterStore::default(),
-        Quota::with_tolerance(rate, burst, &TOLERANCE),
+        Quota::with_tolerance(rate, burst, &TOLERANCE).unwrap(),
     );
-    store.set_quotas(HashMap::from([(COUNTER, quota)]), |_| true);
+    store.set_quotas(HashMap::from([(COUNTER, Some(quota))]), |_| true);
     store.update_ownership(-10_000.0, |_| true);
     (store, quota)
 }
@@ -40,6 +40,22 @@
     grants.iter().map(within).max().unwrap_or(0) as f64
 }
 
+/// Guards against a tenant with one of the lowest rates that is not limited at all: its window was infinite, and the rate
+/// of the window 0, which means no limit.
+#[test]
+fn the_lowest_rates_are_limits_and_only_0_is_none() {
+    for rate in [f64::from_bits(1), 1e-320, f64::MIN_POSITIVE, 1e-9] {
+        for burst in [0.0, 61.0, f64::MAX] {
+            let quota = Quota::with_tolerance(rate, burst, &TOLERANCE).unwrap();
+            assert!(quota.rate > 0.0 && quota.window.is_finite(), "{quota:?}");
+            assert!(quota.burst <= allowed(rate, burst), "{quota:?}");
+        }
+    }
+    assert_eq!(Quota::with_tolerance(0.0, 61.0, &TOLERANCE), None);
+    let highest = Quota::with_tolerance(1e300, 1e300, &TOLERANCE).unwrap();
+    assert!(highest.rate.is_finite() && highest.burst > 0.0);
+}
+
 /// Covers a tenant that sends a request every millisecond for 20 s.
 #[test]
 fn no_span_holds_more_than_the_terms_allow() {
@@ -81,7 +97,7 @@
     for now in (0..30_000).map(f64::from) {
         if now % 3000.0 == 0.0 && now > 0.0 {
             store = CounterStore::default();
-            store.set_quotas(HashMap::from([(COUNTER, quota)]), |_| true);
+            store.set_quotas(HashMap::from([(COUNTER, Some(quota))]), |_| true);
             store.update_ownership(now, |_| true);
         }
         if store
