A server with more than 65535 slots no longer makes the whole server list unreadable

Cause: `slots` was read into 16 bits, and a page of the platform's list is rejected as a whole if a value doesn't fit. The pages give no highest number. No list would have been taken over until that server had gone.

Change: larger numbers count as 65535, which is also the most that the messages between processes can hold.

--- a/crates/aspendrum-model/src/servers.rs
+++ b/crates/aspendrum-model/src/servers.rs
@@ -16,7 +16,7 @@
     pub addr: SocketAddrV4,
     /// The zone in which the server is located.
     pub zone: String,
-    /// The number of requests that the server executes concurrently.
+    /// The number of requests that the server executes concurrently; [`u16::MAX`] also for larger numbers.
     pub slots: u16,
     /// Whether the server accepts no new requests, because it is shutting down gracefully or has terminated.
     pub is_draining: bool,
@@ -54,7 +54,7 @@
     #[serde(rename = "az")]
     zone: String,
     #[serde(default)]
-    slots: u16,
+    slots: u64,
     phase: String,
     #[serde(rename = "warm-left-ms", default)]
     slow_start_left_ms: f64,
@@ -73,7 +73,7 @@
             service: entry.service,
             addr: entry.addr,
             zone: entry.zone,
-            slots: entry.slots,
+            slots: u16::try_from(entry.slots).unwrap_or(u16::MAX),
             slow_start_left_ms: entry.slow_start_left_ms.clamp(0.0, MAX_SLOW_START_MS) as u32,
         }
     }
--- a/crates/aspendrum-model/tests/config.rs
+++ b/crates/aspendrum-model/tests/config.rs
@@ -138,6 +138,17 @@
     assert!(parse_page(text.replace("10.128.0.9:8080", "there").as_bytes()).is_err());
 }
 
+/// Guards against a whole list that is rejected for one large server: the platform gives no highest number of slots.
+#[test_case("0", 0)]
+#[test_case("65535", u16::MAX)]
+#[test_case("65536", u16::MAX)]
+#[test_case("18446744073709551615", u16::MAX)]
+fn any_number_of_slots_is_read(slots: &str, expected: u16) {
+    let text = r#"{"servers":[{"svc":"s1","addr":"10.128.0.9:8080","az":"poa-a","slots":SLOTS,"phase":"up","uid":"i-7"}],"next":null}"#;
+    let page = parse_page(text.replace("SLOTS", slots).as_bytes()).unwrap();
+    assert_eq!(page.servers[0].slots, expected);
+}
+
 fn server(uid: &str, slow_start_left_ms: u32) -> ServerInstance {
     let (service, addr, zone) = (
         "s1".into(),
