A port range at the end of the numbers is refused instead of wrapping around

Cause: the check of `net.port-range` added the offset of the last reserved port to the first port in 16 bits. From 65532 on it panicked in a build with checks; without them it wrapped, the range was taken, and gossip got port 0.

Change: the range is checked with `checked_add`, in a method of its type. Settings with such a range get the error that names them.

Test: [65532,65535] panicked before ("attempt to add with overflow"; 27 passed, 1 failed) and is refused.

--- a/crates/aspendrum-model/src/settings.rs
+++ b/crates/aspendrum-model/src/settings.rs
@@ -104,7 +104,7 @@
         /// The address at which control serves client lookups of proxies.
         directory_addr: Option<SocketAddrV4> = "net.binds.dir", Some(None), any;
         /// The ports reserved for connections within the system; the same on all machines.
-        port_range: PortRange = "net.port-range", required(), |p| p.first > 0 && p.last >= p.first + SNAPSHOT_PORT;
+        port_range: PortRange = "net.port-range", required(), PortRange::is_usable;
         /// The `operator_addr` of some control nodes.
         seeds: Vec<SocketAddrV4> = "net.seeds", Some(Vec::new()), any;
         /// Replacements for the addresses of peers and servers, such as a forwarded port or a simulated link of the
@@ -175,6 +175,14 @@
     pub last: u16,
 }
 
+impl PortRange {
+    /// Whether all ports of the range exist and the reserved ones fit into it.
+    fn is_usable(&self) -> bool {
+        let last_reserved = self.first.checked_add(SNAPSHOT_PORT);
+        self.first > 0 && last_reserved.is_some_and(|port| port <= self.last)
+    }
+}
+
 impl Settings {
     /// Reads the settings file whose path is in [`SETTINGS_VARIABLE`].
     ///
--- a/crates/aspendrum-model/tests/config.rs
+++ b/crates/aspendrum-model/tests/config.rs
@@ -95,6 +95,8 @@
 
 #[test_case("\"10.1.0.31\"", "\"ten\"", "self.ip must be an IP number")]
 #[test_case("[7600,7615]", "[7600,7601]", "net.port-range is out of range")]
+#[test_case("[7600,7615]", "[0,7615]", "net.port-range is out of range")]
+#[test_case("[7600,7615]", "[65532,65535]", "net.port-range is out of range")]
 #[test_case("\"az\":\"poa-a\",", "", "self.az is missing")]
 #[test_case(
     "\"revoke-ms\":5000",
