A reply to a heartbeat of the future extends no lease and no report

Cause: agents and proxies measure majority reports, the credential lease and the counters' lease from the time of the heartbeat that a reply repeats. The number was taken as it came: with a high one nothing that it extends ever expires, so a proxy that is cut off would accept revoked keys and take its configuration for the decided one.

Change: agents and proxies ignore a reply whose time lies ahead of their own clock, as gossip does already, and log `reply_of_the_future`. The proxy handles a reply in one method of its state.

Only a faulty process sends such a number; no caller was seen to.

--- a/crates/aspendrum-agent/src/coordinator/mod.rs
+++ b/crates/aspendrum-agent/src/coordinator/mod.rs
@@ -179,6 +179,10 @@
             control.last_received_at = now;
         }
         match message {
+            // A heartbeat of the future was not sent by this process.
+            FromControl::HeartbeatReply { sent_at_ms, .. } if sent_at_ms as Millis > now => {
+                log::warn!("event=reply_of_the_future sent_at_ms={sent_at_ms}");
+            }
             FromControl::HeartbeatReply {
                 sent_at_ms,
                 majority_age,
--- a/crates/aspendrum-proxy/src/agent.rs
+++ b/crates/aspendrum-proxy/src/agent.rs
@@ -76,15 +76,13 @@
                 decided,
                 control_reachable,
                 half_of_agents_isolated,
-            } => {
-                state.record_control_report(
-                    sent_at_ms,
-                    majority_age,
-                    decided,
-                    half_of_agents_isolated,
-                );
-                state.record_control_reachable(sent_at_ms, control_reachable);
-            }
+            } => state.record_heartbeat_reply(
+                sent_at_ms,
+                majority_age,
+                decided,
+                control_reachable,
+                half_of_agents_isolated,
+            ),
         }
     }
 }
--- a/crates/aspendrum-proxy/src/state.rs
+++ b/crates/aspendrum-proxy/src/state.rs
@@ -156,6 +156,24 @@
         self.revocation_ms.is_none() || self.uptime_ms() < valid_until()
     }
 
+    /// Handles the agent's reply to a heartbeat that was sent at `sent_at_ms` of uptime. A reply to a heartbeat of the future
+    /// is ignored: this process has not sent it, and what it extends would hardly expire.
+    pub fn record_heartbeat_reply(
+        &self,
+        sent_at_ms: u64,
+        majority_age: Option<u32>,
+        decided: StateDigest,
+        control_reachable: bool,
+        half_of_agents_isolated: bool,
+    ) {
+        if sent_at_ms > self.uptime_ms() {
+            log::warn!("event=reply_of_the_future sent_at_ms={sent_at_ms}");
+            return;
+        }
+        self.record_control_report(sent_at_ms, majority_age, decided, half_of_agents_isolated);
+        self.record_control_reachable(sent_at_ms, control_reachable);
+    }
+
     /// Records the agent's report that `age` milliseconds before its reply, a majority of control's disks held
     /// no state above `decided`. The age is counted from `sent_at_ms`, when the heartbeat was sent, so that a
     /// delayed reply does not extend the report's validity.
--- a/crates/aspendrum-proxy/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -420,6 +420,29 @@
     assert_eq!(proxy.request(READ), OK_RESPONSE_T1);
 }
 
+/// Guards against a lease and a decided state that never expire: a reply to a heartbeat that this process has not sent yet
+/// counted from that time.
+#[test]
+fn a_reply_to_a_heartbeat_of_the_future_extends_nothing() {
+    let proxy = test_proxy_with(r#""revoked":true,"revoke-ms":60000"#, 1, |_| {
+        Some(OK_RESPONSE)
+    });
+    let applied = proxy.state.consistency.applied();
+    let report = |sent_at_ms| {
+        proxy
+            .state
+            .record_heartbeat_reply(sent_at_ms, Some(0), applied, true, false)
+    };
+    for sent_at_ms in [u64::MAX, i64::MAX as u64, 3_600_000] {
+        report(sent_at_ms);
+        assert!(!proxy.state.has_credential_lease(), "{sent_at_ms}");
+    }
+    let last = 600_000.0;
+    assert!(!proxy.state.consistency.is_current(last));
+    report(0);
+    assert!(proxy.state.has_credential_lease());
+}
+
 fn assert_retry_on_other_proxy(response: &str) {
     assert!(
         response.starts_with("HTTP/1.1 503 ") && response.contains("Connection: close\n"),
