--- a/crates/aspendrum-checker/src/system/configurations.rs
+++ b/crates/aspendrum-checker/src/system/configurations.rs
@@ -257,7 +257,7 @@
             breaches.push(breach(at, description));
         }
         let newest = self.newest_known_before(call.sent_at);
-        if *number < newest {
+        if let Some(newest) = newest.filter(|newest| number < newest) {
             let description = format!(
                 "control node {node} returned {number:08x}, but {newest:08x} was known before"
             );
@@ -267,15 +267,11 @@
     }
 
     /// Returns the newest number that operators had seen acknowledged or had read before `at`.
-    fn newest_known_before(&self, at: Millis) -> u32 {
+    fn newest_known_before(&self, at: Millis) -> Option<u32> {
         let is_before = |call: &ControlCall| call.is_acknowledged() && call.ended_at < at;
         let acknowledged = self.sent.iter().filter(|sent| is_before(sent.call));
         let shown = self.read.iter().filter(|read| is_before(read.call));
         let shown = shown.filter_map(|read| read.shown.map(|config| config.number));
-        acknowledged
-            .map(|sent| sent.number)
-            .chain(shown)
-            .max()
-            .unwrap_or(0)
+        acknowledged.map(|sent| sent.number).chain(shown).max()
     }
 }
--- a/crates/aspendrum-testbed/src/system/steps/orders.rs
+++ b/crates/aspendrum-testbed/src/system/steps/orders.rs
@@ -21,6 +21,11 @@
     version.routes[1].service = SERVICES[other].into();
 }
 
+/// The number of the first version: the lowest one, which no process may take for "no configuration".
+const FIRST_VERSION: u32 = 0;
+/// The difference between the numbers of consecutive versions.
+const VERSION_STEP: u32 = 2;
+
 /// Returns a first version with two routes, the second of them once-only, and two tenants.
 fn first_version() -> ConfigVersion {
     let route = |service: usize, is_once_only| RouteRule {
@@ -90,11 +95,12 @@
         let mut log = lock(&self.log);
         let last = log.versions.last().cloned();
         let mut next = last.unwrap_or_else(first_version);
-        // Version numbers need not be consecutive. The first is 3 and each further one is higher by 2; invalid texts use
-        // the numbers in between.
+        // Invalid texts use the numbers in between.
         let numbers = log.versions.iter().map(|version| version.number);
-        let newest = numbers.max().unwrap_or(0);
-        next.number = number.unwrap_or(newest + if newest % 2 == 0 { 3 } else { 2 });
+        let following = numbers
+            .max()
+            .map_or(FIRST_VERSION, |newest| newest + VERSION_STEP);
+        next.number = number.unwrap_or(following);
         (next.sent_at, next.acknowledged_at) = (self.now(), None);
         change(&mut next);
         next.text = configuration::config_text(&self.fleet.scenario, &next).into();
