A once-only request is not retried when the numbers of routes' groups have run out

Callers would see (TWICE): a `mutating` request runs on two servers. The engine's groups, one for each combination of time-out, target, type and priority that was ever configured, are numbered in 16 bits, and the 65,537th got the number of the first ones: a once-only route took over the settings of the default group or of an idempotent route, and was retried like that one.

Change: once all numbers are used, further routes share the default group, whose requests are never retried.

--- a/crates/aspendrum-proxy/src/dispatcher/configuration.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/configuration.rs
@@ -70,6 +70,9 @@
     priority: u64,
 }
 
+/// The number of the default group. Its requests are never retried, so it may stand for any other group.
+const DEFAULT_GROUP: u16 = 0;
+
 /// The decision engine's groups and plans. Entries are never removed, so that the numbers held by requests in
 /// flight stay valid.
 pub(super) struct EngineTables {
@@ -92,7 +95,7 @@
 }
 
 impl EngineTables {
-    /// Returns the number of the group for a route, adding the group if needed.
+    /// Returns the number of the group for a route, adding the group if needed; the default group once all numbers are used.
     pub(super) fn group_number(&mut self, route: &Route) -> u16 {
         let key = GroupKey {
             latency_target: route.latency_target_ms.to_bits(),
@@ -103,7 +106,9 @@
         if let Some(number) = self.group_numbers.get(&key) {
             return *number;
         }
-        let number = self.groups.len() as u16;
+        let Ok(number) = u16::try_from(self.groups.len()) else {
+            return DEFAULT_GROUP;
+        };
         self.groups.push(GroupSettings {
             // The engine's latency target is the route's timeout, because a late response still has value. With a
             // target that cannot be met, the engine would leave servers idle.
--- a/crates/aspendrum-proxy/tests/revisions.rs
+++ b/crates/aspendrum-proxy/tests/revisions.rs
@@ -60,3 +60,49 @@
     assert_eq!(proxy.request(SEND), OK_RESPONSE_T2);
     assert_eq!(apply(0), Some(u32::MAX));
 }
+
+/// The routes of each configuration in the test below.
+const ROUTES: usize = 1000;
+/// The number of configurations after which the numbers of the engine's groups have run out.
+const CONFIGURATIONS: usize = 66;
+
+/// Returns a configuration whose routes have time-outs of their own, all idempotent, and a once-only route.
+fn config_with_timeouts(version: usize, once_only_timeout_ms: usize) -> StateSection {
+    let rule = |route: usize| {
+        let timeout_ms = 2000 + version * ROUTES + route;
+        format!(
+            r#"{{"name":"f{route}","type":"idem","goal-ms":800,"match":{{"pfx":"/f{route}/"}},"action":{{"svc":"s1","limit-ms":{timeout_ms},"tries":3}}}},"#
+        )
+    };
+    let rules: String = (0..ROUTES).map(rule).collect();
+    let text = CONFIG
+        .replace("00000001", &format!("{version:08x}"))
+        .replace(r#""rules":["#, &format!(r#""rules":[{rules}"#))
+        .replace(
+            r#"/send/"},"action":{"svc":"s1","limit-ms":2000"#,
+            &format!(r#"/send/"}},"action":{{"svc":"s1","limit-ms":{once_only_timeout_ms}"#),
+        );
+    StateSection::config(version as u32, compress(text.as_bytes()))
+}
+
+/// Guards against a once-only request that is retried: the number of its route's group wrapped around to that of an
+/// idempotent route, after many changes of time-outs.
+#[test]
+fn a_once_only_request_runs_once_when_the_numbers_of_groups_have_run_out() {
+    let proxy = test_proxy(2, |_| None);
+    let dispatcher = &proxy.state.dispatcher;
+    for version in 2..=CONFIGURATIONS + 1 {
+        dispatcher.apply(config_with_timeouts(version, 2000));
+    }
+    dispatcher.apply(config_with_timeouts(CONFIGURATIONS + 2, 2001));
+    proxy.state.update_applied_digest();
+    let consistency = &proxy.state.consistency;
+    let report = MajorityReport {
+        decided: dispatcher.applied(),
+        as_of: 0.0,
+    };
+    consistency.record_report(1.0, Some(report), false);
+    let response = proxy.request(SEND);
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response}");
+    assert_eq!(proxy.run_counts.lock().unwrap()["t2"], 1);
+}
