No two services share a pool when the numbers of pools have run out

Callers would see (ROUTE): a request is sent to a server of another service. Services that were ever configured or listed are numbered in 16 bits, and the 65,537th got the number of the first one, whose servers its requests would have reached.

Change: a service without a free number has no pool.

--- a/crates/aspendrum-proxy/src/dispatcher/state.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/state.rs
@@ -266,16 +266,7 @@
                 .map(|route| self.tables.group_number(route))
                 .collect(),
             tenants: self.apply_tenants(tenants, settings),
-            pools: config
-                .services
-                .iter()
-                .map(|service| {
-                    (
-                        service.name.clone(),
-                        self.endpoints.pool_number(&service.name),
-                    )
-                })
-                .collect(),
+            pools: self.pool_numbers(&config),
             route_regions: config
                 .routes
                 .iter()
@@ -292,6 +283,16 @@
         snapshot
     }
 
+    /// Returns the pool number of each service. A service without a number has no pool, so its requests are not sent.
+    fn pool_numbers(&mut self, config: &Config) -> HashMap<String, u16> {
+        let names = config.services.iter().map(|service| &service.name);
+        let numbers = names.filter_map(|name| {
+            let number = self.endpoints.pool_number(name)?;
+            Some((name.clone(), number))
+        });
+        numbers.collect()
+    }
+
     fn apply_tenants(&mut self, tenants: &[Tenant], settings: &Settings) -> Vec<TenantNumbers> {
         let tolerance = QuotaTolerance {
             span_s: settings.quota_window_s,
--- a/crates/aspendrum-proxy/src/endpoints/set.rs
+++ b/crates/aspendrum-proxy/src/endpoints/set.rs
@@ -109,16 +109,22 @@
         }
     }
 
-    /// Returns the pool number of a service, which is constant for the lifetime of the process.
-    pub fn pool_number(&mut self, service: &str) -> u16 {
-        let next = self.pools.len() as u16;
-        *self.pools.entry(service.to_string()).or_insert(next)
+    /// Returns the pool number of a service, which is constant for the lifetime of the process. Returns `None` once all
+    /// numbers are used by other services.
+    pub fn pool_number(&mut self, service: &str) -> Option<u16> {
+        if let Some(number) = self.pools.get(service) {
+            return Some(*number);
+        }
+        let number = u16::try_from(self.pools.len()).ok()?;
+        self.pools.insert(service.to_string(), number);
+        Some(number)
     }
 
     /// Sets the slow start of a service's servers.
     pub fn set_slow_start(&mut self, service: &str, slow_start: SlowStart) {
-        let pool = self.pool_number(service);
-        self.slow_starts.insert(pool, slow_start);
+        if let Some(pool) = self.pool_number(service) {
+            self.slow_starts.insert(pool, slow_start);
+        }
     }
 
     /// Returns an endpoint.
@@ -145,7 +151,7 @@
         for server in servers {
             let mut location = locate(&server.zone);
             location.cost *= preferred.cost_factor(&server.uid);
-            listed.insert(self.update_server(now, age, server, location));
+            listed.extend(self.update_server(now, age, server, location));
         }
         let unlisted = self
             .endpoints
@@ -154,14 +160,15 @@
         unlisted.for_each(|(_, endpoint)| endpoint.server.is_draining = true);
     }
 
+    /// Adds or updates a server. Returns its id; `None` if its service has no pool.
     fn update_server(
         &mut self,
         now: Millis,
         age: Millis,
         server: ServerInstance,
         location: ZoneLocation,
-    ) -> ServerId {
-        let pool = self.pool_number(&server.service);
+    ) -> Option<ServerId> {
+        let pool = self.pool_number(&server.service)?;
         let id = self.server_id(&server.uid);
         let slow_start_until = match server.slow_start_left_ms {
             0 => 0.0,
@@ -185,7 +192,7 @@
             slow_start_until
         };
         endpoint.server = server;
-        id
+        Some(id)
     }
 
     fn server_id(&mut self, uid: &str) -> ServerId {
--- a/crates/aspendrum-proxy/src/request/filter.rs
+++ b/crates/aspendrum-proxy/src/request/filter.rs
@@ -75,7 +75,7 @@
         .pools
         .get(route_config.select_service(fastrand::f64()))
         .copied();
-    // Every configured service has a pool, so this is not expected.
+    // A service lacks a pool only if this proxy has seen more services than there are pool numbers.
     let pool = pool.ok_or_else(|| ClientResponse::retry_on_other_proxy(head.try_id))?;
     Ok(RequestTarget {
         head,
--- a/crates/aspendrum-proxy/tests/endpoints.rs
+++ b/crates/aspendrum-proxy/tests/endpoints.rs
@@ -214,3 +214,16 @@
     assert!(f64::from(retries) <= bound, "{retries} of {bound}");
     assert!(f64::from(retries) >= bound / 2.0, "{retries} of {bound}");
 }
+
+/// Guards against requests that are sent to another service: the number of its pool wrapped around to that of the first
+/// service.
+#[test]
+fn no_two_services_share_a_pool_when_the_numbers_of_pools_have_run_out() {
+    let mut endpoints = EndpointSet::new(LIMITS, proxy(1));
+    let first = endpoints.pool_number("first");
+    for number in 1..=u32::from(u16::MAX) {
+        endpoints.pool_number(&format!("service-{number}"));
+    }
+    assert_ne!(endpoints.pool_number("one-too-many"), first);
+    assert_eq!(endpoints.pool_number("first"), first);
+}
