Numbers at the end of their range from peers neither panic nor wrap to a meaning of their own

Cause: the number of the next epoch, the revision of an evacuation and request ids were counted up with a plain addition. After the highest number of a peer or a disk, a build with checks panics; without checks epoch and revision wrap to 0, which stand for the founding epoch, in which no command is accepted, and for a zone that was never evacuated.

Change: epochs stay at the highest number, which supersedes nothing; an evacuation command for a zone without a revision left is answered with 503 and not acknowledged, since nothing that it writes could take effect; request ids wrap.

No node counts that far by itself: only a damaged peer or disk gets there.

--- a/crates/aspendrum-consensus/src/membership.rs
+++ b/crates/aspendrum-consensus/src/membership.rs
@@ -88,10 +88,10 @@
         }
     }
 
-    /// Returns the epoch after this one.
+    /// Returns the epoch after this one. After the last number there is none: the result does not supersede this epoch.
     pub fn next(&self, voters: Voters) -> Epoch {
         Epoch {
-            number: self.number + 1,
+            number: self.number.saturating_add(1),
             voters,
             previous_voters: self.voters.clone(),
         }
--- a/crates/aspendrum-consensus/src/quorum_operation.rs
+++ b/crates/aspendrum-consensus/src/quorum_operation.rs
@@ -205,7 +205,12 @@
     ) -> Option<UndecidedVersion> {
         let operation = &mut self.operations[index];
         operation.result.merge(&core.durable.replicated);
-        operation.result.apply(&operation.command);
+        if operation.result.apply(&operation.command).is_err() {
+            // Nothing that is written could take effect, so the command must not be acknowledged.
+            let operation = self.operations.remove(index);
+            core.complete(operation.command_id, CommandOutcome::NoQuorum);
+            return None;
+        }
         let result_digest = operation.result.digest();
         let Phase::Reading { digests } = &operation.phase else {
             return None;
--- a/crates/aspendrum-consensus/src/replica_core.rs
+++ b/crates/aspendrum-consensus/src/replica_core.rs
@@ -82,7 +82,7 @@
     }
 
     pub(crate) fn new_request_id(&mut self) -> u64 {
-        self.last_request_id += 1;
+        self.last_request_id = self.last_request_id.wrapping_add(1);
         self.last_request_id
     }
 
--- a/crates/aspendrum-consensus/src/replicated_state.rs
+++ b/crates/aspendrum-consensus/src/replicated_state.rs
@@ -2,6 +2,7 @@
 //! form a join semilattice, so merges are commutative and writes need no ordering.
 
 use aspendrum_model::hash::digest;
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -81,6 +82,11 @@
     pub has_ended: bool,
 }
 
+/// A zone's evacuation cannot be changed any more, because its last command has the highest revision.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("no revision is left for the zone")]
+pub struct NoRevisionLeft;
+
 /// The zones that receive no traffic.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuatedZones {
@@ -160,16 +166,21 @@
     }
 
     /// Applies an evacuation command; other commands have no effect. `self` must be the merged state of a majority.
-    pub fn apply(&mut self, command: &Command) {
-        if let Command::SetEvacuation { zone, is_evacuated } = command {
-            let evacuation = self.evacuations.entry(zone.clone()).or_default();
-            // A command that matches the current state may be a retry and does not create a new revision.
-            if evacuation.revision == 0 || evacuation.has_ended == *is_evacuated {
-                *evacuation = Evacuation {
-                    revision: evacuation.revision.saturating_add(1),
-                    has_ended: !is_evacuated,
-                };
-            }
+    ///
+    /// # Errors
+    /// [`NoRevisionLeft`] if the zone's last command has the highest revision, so that none can follow it.
+    pub fn apply(&mut self, command: &Command) -> Result<(), NoRevisionLeft> {
+        let Command::SetEvacuation { zone, is_evacuated } = command else {
+            return Ok(());
+        };
+        let evacuation = self.evacuations.entry(zone.clone()).or_default();
+        // A command that matches the current state may be a retry and does not create a new revision.
+        if evacuation.revision == 0 || evacuation.has_ended == *is_evacuated {
+            *evacuation = Evacuation {
+                revision: evacuation.revision.checked_add(1).ok_or(NoRevisionLeft)?,
+                has_ended: !is_evacuated,
+            };
         }
+        Ok(())
     }
 }
--- a/crates/aspendrum-consensus/tests/common/mod.rs
+++ b/crates/aspendrum-consensus/tests/common/mod.rs
@@ -123,6 +123,8 @@
     pub(crate) acknowledged_version: Option<u32>,
     /// The digests of the acknowledged texts of each version.
     pub(crate) acknowledged: BTreeMap<u32, BTreeSet<u64>>,
+    /// The evacuation commands that were acknowledged.
+    pub(crate) acknowledged_evacuations: BTreeSet<CommandId>,
     /// The versions and digests that were rejected with a conflict.
     pub(crate) rejected: BTreeSet<(u32, u64)>,
     is_first_start: bool,
@@ -150,6 +152,7 @@
             submitted: BTreeMap::new(),
             acknowledged_version: None,
             acknowledged: BTreeMap::new(),
+            acknowledged_evacuations: BTreeSet::new(),
             rejected: BTreeSet::new(),
             is_first_start: true,
             rng: fastrand::Rng::with_seed(1),
@@ -267,11 +270,16 @@
     }
 
     fn record_outcome(&mut self, command_id: CommandId, outcome: &CommandOutcome) {
-        let Some(Command::SetConfig {
-            version, digest, ..
-        }) = self.submitted.get(&command_id)
-        else {
-            return;
+        let is_committed = matches!(outcome, CommandOutcome::Committed(_));
+        let (version, digest) = match self.submitted.get(&command_id) {
+            Some(Command::SetConfig {
+                version, digest, ..
+            }) => (version, digest),
+            Some(Command::SetEvacuation { .. }) if is_committed => {
+                self.acknowledged_evacuations.insert(command_id);
+                return;
+            }
+            _ => return,
         };
         match outcome {
             CommandOutcome::Committed(_) => {
--- a/crates/aspendrum-consensus/tests/membership.rs
+++ b/crates/aspendrum-consensus/tests/membership.rs
@@ -3,12 +3,14 @@
 
 mod common;
 
+use aspendrum_consensus::ballot::Ballot;
 use aspendrum_consensus::membership_planner::{
     next_voters, MembershipPlanner, MembershipPolicy, NodeStatus,
 };
 use aspendrum_consensus::message::{Message, Request};
-use aspendrum_consensus::{Command, Epoch, NodeId, Voters};
-use common::{config, node, Cluster, Envelope, Variant};
+use aspendrum_consensus::replicated_state::Evacuation;
+use aspendrum_consensus::{Command, CommandId, Epoch, NodeId, ReplicatedState, Voters};
+use common::{config, node, Cluster, Envelope, ReadResult, Variant};
 use std::collections::BTreeMap;
 
 /// Returns the statuses of running nodes with the given disks and zones.
@@ -56,6 +58,69 @@
     assert_eq!(chosen, Some(voters(&[(1, 11), (2, 12)])));
 }
 
+/// Guards against a panic, or a number that wraps around to "none", after a peer has sent a number at the end of its range.
+#[test]
+fn the_highest_numbers_from_a_peer_are_harmless() {
+    let mut cluster = Cluster::new(Variant::Correct);
+    let (receiver, peer) = (node(1), node(2));
+    let epoch = cluster.epoch();
+    let ballot = Ballot {
+        counter: u32::MAX,
+        node: peer,
+        incarnation: u64::MAX,
+    };
+    let highest = Evacuation {
+        revision: u64::MAX,
+        has_ended: true,
+    };
+    let state = ReplicatedState {
+        evacuations: [("z".to_string(), highest), ("y".to_string(), highest)].into(),
+        ..ReplicatedState::default()
+    };
+    let requests = [
+        Request::Prepare { version: 7, ballot },
+        Request::Write {
+            request_id: u64::MAX,
+            state: Box::new(state),
+        },
+    ];
+    for request in requests {
+        cluster.deliver(Envelope {
+            from: peer,
+            to: receiver,
+            message: Message::Request {
+                epoch: epoch.number,
+                request,
+            },
+        });
+    }
+    cluster.submit(receiver, config(8, 1));
+    let command_id = cluster.submitted.len() as CommandId;
+    cluster.submit(
+        receiver,
+        Command::SetEvacuation {
+            zone: "z".into(),
+            is_evacuated: true,
+        },
+    );
+    cluster.stabilize();
+    assert_eq!(
+        cluster.read(receiver),
+        ReadResult::Version(cluster.acknowledged_version)
+    );
+    let evacuated = cluster.up[&receiver].committed().evacuated_zones();
+    assert_eq!((evacuated.revision, evacuated.zones), (u64::MAX, vec![]));
+    assert!(!cluster.acknowledged_evacuations.contains(&command_id));
+    // An epoch that cannot be followed by another one stays the newest.
+    let last = Epoch {
+        number: u32::MAX,
+        ..epoch
+    };
+    assert!(last.supersedes(&cluster.epoch()));
+    let next = last.next(voters(&[(1, 11)]));
+    assert!(!next.supersedes(&last) && next.accepts_commands());
+}
+
 /// Guards against missing nodes that stay voters, so that each further loss reduces the remaining majority.
 #[test]
 fn a_voter_that_is_gone_is_replaced_by_a_standby() {
--- a/crates/aspendrum-control/src/membership.rs
+++ b/crates/aspendrum-control/src/membership.rs
@@ -39,7 +39,7 @@
         let voters = due.filter(|_| may_propose)?;
         let disks = voters.0.iter().map(|(node, disk)| (node.address(), *disk));
         let disks: BTreeMap<Ipv4Addr, DiskId> = disks.collect();
-        let epoch = replica.epoch().number + 1;
+        let epoch = replica.epoch().number.saturating_add(1);
         log::info!("event=voters_proposed epoch={epoch} voters={disks:?}");
         Some(voters)
     }
