The event loop of a control node is split by what it talks to

The handlers of other control nodes, of agents and of reports are modules of their own below it; the loop, the replicated state, the platform's list and the shutdown stay. Functions were moved without change.

--- a/crates/aspendrum-control/src/node.rs
+++ b/crates/aspendrum-control/src/node.rs
@@ -5,31 +5,28 @@
 //! [`crate::peers`] (other control nodes), [`crate::agents`] (agents and their proxies) and [`crate::server_list`] (the
 //! platform's list of servers).
 
-use crate::agents::{AgentChange, AgentSessions, MajorityView};
+mod agent_handling;
+mod peer_handling;
+mod reporting;
+
+use crate::agents::AgentSessions;
 use crate::clock::Clock;
-use crate::decided::{DecidedState, MAX_MAJORITY_AGE};
+use crate::decided::DecidedState;
 use crate::directory::Directory;
-use crate::event::{ConnectionId, Event, ReportQuery};
+use crate::event::Event;
 use crate::membership::{self, Membership};
-use crate::peer_message::{Hello, PeerMessage};
-use crate::peers::{Contact, PeerTable};
+use crate::peer_message::PeerMessage;
+use crate::peers::PeerTable;
 use crate::proxy_table::MergedProxies;
 use crate::replica_driver::{ReplicaDriver, ReplicaOutput};
-use crate::report::{self, MembershipReport};
-use crate::sections::SectionSources;
 use crate::server_list::{PollSchedule, ServerListPoller};
 use crate::shutdown::Shutdown;
-use aspendrum_consensus::membership_planner::NodeStatus;
 use aspendrum_consensus::{Command, CommandOutcome, Message, Millis, NodeId};
 use aspendrum_model::config::format_version;
-use aspendrum_model::message::{ControlAddress, ToControl};
 use aspendrum_model::settings::Settings;
-use aspendrum_net::frames::FrameSender;
 use aspendrum_net::mailbox::{MailboxReceiver, MailboxSender};
 use aspendrum_reconcile::ReportValidity;
 use crossbeam_channel::Sender;
-use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::{Arc, RwLock};
 use std::time::{Duration, Instant};
@@ -325,204 +322,6 @@
         }
     }
 
-    // Other control nodes.
-
-    fn seeds(&self) -> Vec<NodeId> {
-        let seeds = self.settings.seeds.iter();
-        seeds.map(|seed| NodeId::from(*seed.ip())).collect()
-    }
-
-    /// Ensures that connections to all seeds, all voters and all other known nodes are maintained.
-    fn connect_peers(&mut self) {
-        let voters = self.replica.replica().epoch().voters.nodes();
-        let nodes = self
-            .seeds()
-            .into_iter()
-            .chain(voters)
-            .chain(self.peers.nodes());
-        let nodes: BTreeSet<NodeId> = nodes.filter(|node| *node != self.local_node).collect();
-        for node in nodes {
-            let address = self.settings.control_addr(node.address());
-            self.peers.connect(self.clock.now(), node, address);
-        }
-    }
-
-    fn on_peer_link(&mut self, node: NodeId, link: Option<FrameSender>) {
-        let event = if link.is_some() {
-            "peer_connected"
-        } else {
-            "peer_disconnected"
-        };
-        log::info!("event={event} node={node}");
-        if !self.peers.on_link(node, link) {
-            return;
-        }
-        self.peers.send(node, &self.hello());
-        let proxies = PeerMessage::Proxies(self.agents.proxy_entries());
-        self.peers.send(node, &proxies);
-        if let Some(servers) = self.server_list.peer_message(self.clock.now()) {
-            self.peers.send(node, &servers);
-        }
-    }
-
-    fn on_peer_message(&mut self, from: NodeId, message: PeerMessage) {
-        let now = self.clock.now();
-        let contact = self.peers.on_received(now, from);
-        if contact == Contact::Unknown {
-            // From an unknown node, only a Hello is accepted; it adds the node to the table.
-            if let PeerMessage::Hello(hello) = message {
-                self.peers.insert(now, from);
-                self.on_hello(now, from, *hello);
-            }
-            return;
-        }
-        match message {
-            PeerMessage::Hello(hello) => self.on_hello(now, from, *hello),
-            PeerMessage::Heartbeat { server_list_age } => {
-                self.server_list.observe_age(now, server_list_age);
-            }
-            PeerMessage::Consensus(message) => self.on_consensus_message(now, from, message),
-            PeerMessage::Proxies(proxies) => {
-                self.peers.set_proxies(from, proxies);
-                self.update_proxies();
-            }
-            PeerMessage::Servers { age, list } => {
-                let polled_at = now - f64::from(age);
-                if self.server_list.update(self.clock.now(), list, polled_at) {
-                    self.update_agents();
-                }
-            }
-        }
-        if contact == Contact::BecameReachable {
-            self.update_proxies();
-        }
-    }
-
-    fn on_hello(&mut self, now: Millis, from: NodeId, hello: Hello) {
-        let epoch = hello.epoch.clone();
-        self.peers.on_hello(now, from, hello, self.local_node);
-        self.replica.observe_epoch(now, from, epoch);
-        self.process_outputs();
-        self.connect_peers();
-        self.update_agents();
-    }
-
-    fn on_consensus_message(&mut self, now: Millis, from: NodeId, message: Message) {
-        if message == Message::CommitNotice {
-            // Forces a quorum read at the next tick.
-            self.last_read = None;
-        }
-        let had_read = self.has_read_majority();
-        self.replica.step(now, from, message);
-        self.process_outputs();
-        self.update_agents_after_first_read(had_read);
-    }
-
-    fn heartbeat(&mut self, now: Millis) {
-        let server_list_age = self.server_list.age(now);
-        self.peers
-            .broadcast(&PeerMessage::Heartbeat { server_list_age });
-        let health = self.replica.disk_health();
-        if self.membership.update_announced_health(health) {
-            self.broadcast_hello();
-        }
-        let voters = &self.replica.replica().epoch().voters;
-        self.peers.forget_silent(now, &self.seeds(), voters);
-    }
-
-    fn local_status(&self) -> NodeStatus {
-        membership::local_status(&self.settings, &self.replica, self.shutdown.is_some())
-    }
-
-    fn hello(&self) -> PeerMessage {
-        let status = self.local_status();
-        PeerMessage::Hello(Box::new(Hello {
-            node: self.local_node,
-            zone: status.zone,
-            disk: status.disk,
-            is_leaving: status.is_leaving,
-            epoch: self.replica.replica().epoch().clone(),
-            known_nodes: self.peers.known_nodes(self.clock.now()),
-        }))
-    }
-
-    fn broadcast_hello(&self) {
-        self.peers.broadcast(&self.hello());
-    }
-
-    /// Returns the status of all known control nodes, including this one and all voters.
-    fn node_statuses(&self) -> BTreeMap<NodeId, NodeStatus> {
-        let voters = &self.replica.replica().epoch().voters;
-        let mut statuses = self.peers.statuses(self.clock.now(), voters);
-        statuses.insert(self.local_node, self.local_status());
-        statuses
-    }
-
-    // Agents and proxies.
-
-    fn on_agent_message(&mut self, id: ConnectionId, message: ToControl) {
-        let now = self.clock.now();
-        let majority_age = self.replica.majority_age(now);
-        let view = MajorityView {
-            decided: &self.decided,
-            is_recent: majority_age.is_some_and(|age| age <= MAX_MAJORITY_AGE),
-            report_validity: self.report_validity,
-            max_lag: MAX_LAG_SHARE * self.settings.apply_deadline_ms,
-        };
-        match self.agents.on_message(now, id, message, &view) {
-            AgentChange::Unchanged => {}
-            AgentChange::ProxyChanged => self.on_local_proxies_changed(),
-            AgentChange::Joined => {
-                self.on_local_proxies_changed();
-                self.update_agents();
-            }
-        }
-    }
-
-    /// Sends the proxies of the locally connected agents to the other control nodes, and merges the tables again.
-    fn on_local_proxies_changed(&mut self) {
-        let proxies = PeerMessage::Proxies(self.agents.proxy_entries());
-        self.peers.broadcast(&proxies);
-        self.update_proxies();
-    }
-
-    /// Merges the proxy tables of this node and of all reachable control nodes.
-    fn update_proxies(&mut self) {
-        let now = self.clock.now();
-        let own = self.agents.proxy_entries();
-        let tables = std::iter::once(&own).chain(self.peers.proxy_tables(now));
-        if self.proxies.update(now, tables) {
-            self.update_agents();
-        }
-    }
-
-    fn update_agents(&mut self) {
-        let now = self.clock.now();
-        let sources = SectionSources {
-            committed: self.decided.state(),
-            majority_age: self.replica.majority_age(now),
-            servers: self.server_list.section(now),
-            has_collected_proxies: now >= PROXY_COLLECTION_TIME,
-            proxies: self.proxies.proxies(),
-            control: self.control_addresses(now),
-        };
-        let sections = sources.sections();
-        self.agents
-            .send_updates(now, &sections, self.decided.report());
-    }
-
-    /// Returns the addresses of all known control nodes, this one first.
-    fn control_addresses(&self, now: Millis) -> Vec<ControlAddress> {
-        let own = ControlAddress {
-            ip: self.settings.ip,
-            zone: self.settings.zone.clone(),
-            is_reachable: self.shutdown.is_none(),
-        };
-        std::iter::once(own)
-            .chain(self.peers.addresses(now))
-            .collect()
-    }
-
     // Server list of the platform.
 
     fn poll_server_list_if_due(&mut self, now: Millis) {
@@ -542,39 +341,6 @@
         }
     }
 
-    // Reports.
-
-    fn report(&self, query: &ReportQuery) -> Value {
-        match query {
-            ReportQuery::Nodes => self.report_nodes(),
-            ReportQuery::Explain { host, path } => {
-                report::explain(self.decided.versions(), host, path)
-            }
-        }
-    }
-
-    fn report_nodes(&self) -> Value {
-        let now = self.clock.now();
-        let replica = self.replica.replica();
-        let epoch = replica.epoch();
-        let membership = MembershipReport {
-            epoch: epoch.number,
-            voters: epoch.voters.nodes().map(|node| node.to_string()).collect(),
-            control_nodes: self.peers.nodes().map(|node| node.to_string()).collect(),
-            has_joined: replica.has_joined(),
-        };
-        let majority_age = self.replica.majority_age(now).map(|age| age as u64);
-        let nodes = self.agents.report(now);
-        let decided = self.decided.digest();
-        report::nodes(
-            &self.settings.host_name,
-            &decided,
-            majority_age,
-            &nodes,
-            &membership,
-        )
-    }
-
     // Shutdown.
 
     fn on_shutdown_requested(&mut self, ready: Sender<()>) {
