A read waits for an undecided version though its node stores a later one meanwhile

What callers could see: Cfg.Show answers an older version than one that was acknowledged before the call, and the node publishes that older state as read from a majority.

Cause: a read that finds a version accepted but undecided waits for its decision, unless a later version supersedes it. The later version was taken from this node's durable state. While the read writes its result back, another node's write can put a later version there, which the read's result does not contain: the undecided version, which may have been acknowledged, was dropped, and the result went out without either.

Change: an undecided version is superseded only by a version that the outcome contains, which is that of the result or of the committed state.

Evidence: the new test brings the order of messages about on three replicas (versions 3, 5 and 7). Before the change the read returned Some(3) with 5 acknowledged; after it at least 5. All tests of the crate pass, the random schedules among them.

--- a/crates/aspendrum-consensus/src/quorum_operation.rs
+++ b/crates/aspendrum-consensus/src/quorum_operation.rs
@@ -253,11 +253,13 @@
         index: usize,
     ) -> Option<UndecidedVersion> {
         let operation = &mut self.operations[index];
-        let active_version = core.durable.replicated.config_version();
-        let active_version = operation.result.config_version().max(active_version);
+        // Only what the outcome will contain supersedes the undecided version. The durable state may hold a later
+        // version that was stored after the read phase, and which the outcome lacks.
+        let committed_version = core.committed.config_version();
+        let outcome_version = operation.result.config_version().max(committed_version);
         let is_read = operation.command == Command::Read;
         let undecided = operation.undecided.take();
-        let undecided = undecided.filter(|u| is_read && Some(u.version) > active_version);
+        let undecided = undecided.filter(|u| is_read && Some(u.version) > outcome_version);
         match &undecided {
             Some(undecided) => {
                 operation.phase = Phase::AwaitingDecision {
--- a/crates/aspendrum-consensus/tests/common/mod.rs
+++ b/crates/aspendrum-consensus/tests/common/mod.rs
@@ -127,6 +127,8 @@
     pub(crate) acknowledged_evacuations: BTreeSet<CommandId>,
     /// The versions and digests that were rejected with a conflict.
     pub(crate) rejected: BTreeSet<(u32, u64)>,
+    /// The versions that completed reads returned.
+    pub(crate) read_versions: BTreeMap<CommandId, Option<u32>>,
     is_first_start: bool,
     rng: fastrand::Rng,
 }
@@ -154,6 +156,7 @@
             acknowledged: BTreeMap::new(),
             acknowledged_evacuations: BTreeSet::new(),
             rejected: BTreeSet::new(),
+            read_versions: BTreeMap::new(),
             is_first_start: true,
             rng: fastrand::Rng::with_seed(1),
         };
@@ -279,6 +282,13 @@
                 self.acknowledged_evacuations.insert(command_id);
                 return;
             }
+            Some(Command::Read) => {
+                if let CommandOutcome::Committed(state) = outcome {
+                    self.read_versions
+                        .insert(command_id, state.config_version());
+                }
+                return;
+            }
             _ => return,
         };
         match outcome {
--- a/crates/aspendrum-consensus/tests/versions.rs
+++ b/crates/aspendrum-consensus/tests/versions.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
+use aspendrum_consensus::message::{Message, Reply, Request};
 use aspendrum_consensus::versions::RETAINED_VERSIONS;
-use aspendrum_consensus::{Command, CommandOutcome, Effect};
+use aspendrum_consensus::{Command, CommandOutcome, Effect, NodeId};
 use common::schedule::{run, Step};
 use common::{config, node, Cluster, ReadResult, Variant, SEEDS};
 use std::collections::BTreeSet;
@@ -224,3 +225,79 @@
     let steps: Vec<Step> = steps.chain([Step::Wipe(72)]).collect();
     assert!(run(Variant::Correct, &steps));
 }
+
+/// Delivers the messages between these nodes that match the filter, until none is left.
+fn deliver_between(cluster: &mut Cluster, nodes: [NodeId; 2], matches: fn(&Message) -> bool) {
+    cluster.deliver_where(|envelope| {
+        let is_between = nodes.contains(&envelope.from) && nodes.contains(&envelope.to);
+        is_between && matches(&envelope.message)
+    });
+}
+
+fn is_read(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Request {
+            request: Request::Read { .. },
+            ..
+        } | Message::Reply {
+            reply: Reply::Read(_),
+            ..
+        }
+    )
+}
+
+fn is_write(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Request {
+            request: Request::Write { .. },
+            ..
+        } | Message::Reply {
+            reply: Reply::Written { .. },
+            ..
+        }
+    )
+}
+
+fn is_proposal(message: &Message) -> bool {
+    !is_read(message) && !is_write(message) && !matches!(message, Message::Decided { .. })
+}
+
+/// Guards against a read that returns an older version than one acknowledged before it began: the read finds that
+/// version undecided, and while it writes its result back, its node stores a later version that the result lacks.
+#[test]
+fn a_read_awaits_an_undecided_version_though_its_node_stores_a_later_one_meanwhile() {
+    let [reader, voter, proposer] = SEEDS;
+    let mut cluster = Cluster::new(Variant::Correct);
+    cluster.submit(proposer, config(3, 1));
+    cluster.run(7);
+    // The voter has an evacuation that the reader lacks, so that the read must write its result back.
+    let evacuate = Command::SetEvacuation {
+        zone: "z1".into(),
+        is_evacuated: true,
+    };
+    cluster.submit(proposer, evacuate);
+    deliver_between(&mut cluster, [voter, proposer], |_| true);
+    cluster.submit(proposer, config(5, 2));
+    deliver_between(&mut cluster, [voter, proposer], is_proposal);
+    assert_eq!(cluster.acknowledged_version, Some(5));
+    cluster.messages.clear();
+
+    let read = cluster.submitted.len() as u64;
+    cluster.submit(reader, Command::Read);
+    deliver_between(&mut cluster, [reader, voter], is_read);
+    cluster.submit(proposer, config(7, 3));
+    deliver_between(&mut cluster, [voter, proposer], is_proposal);
+    cluster.submit(proposer, Command::Read);
+    deliver_between(&mut cluster, [reader, proposer], is_read);
+    let is_from_proposer = |from: NodeId, to: NodeId| from == proposer && to == reader;
+    cluster.deliver_where(|e| is_from_proposer(e.from, e.to) && is_write(&e.message));
+    let stored = cluster.up[&reader].state().replicated.config_version();
+    assert_eq!(stored, Some(7));
+
+    deliver_between(&mut cluster, [reader, voter], is_write);
+    cluster.run(7);
+    let version = cluster.read_versions[&read];
+    assert!(version >= Some(5), "the read returned {version:?}");
+}
