Regions beyond the 64th have numbers of their own, so HOME holds with any number

Cause: the regions where a request may run were 64 bits, and a region's number was used modulo 64 (a shift overflow in a debug build). From the 65th region on two regions shared a bit, a zone that the settings don't name counted as region 63, and from the 257th on two regions had one number: a request with home regions would have run in others. Number 0 also stood for the region of a proxy whose own region is unknown.

Change: ZoneSet in the decision engine's interface has room for every zone number, with ALL and EMPTY as values of their own; a region has a number below 255 or none, and UNKNOWN_REGION is a number that no region gets. Servers in regions without a number run only requests without homes.

Nothing on the wire has changed.

--- a/crates/aspendrum-benchmarks/src/components/proxy/admission.rs
+++ b/crates/aspendrum-benchmarks/src/components/proxy/admission.rs
@@ -5,7 +5,7 @@
 use crate::fleet_data::{config_text, proxies, proxy_addr, servers, service};
 use crate::fleet_size::{region, FleetSize};
 use crate::measure::{thread_cpu_ms, Samples};
-use aspendrum_core::api::{LoadReport, Outcome, RequestId};
+use aspendrum_core::api::{LoadReport, Outcome, RequestId, ZoneSet};
 use aspendrum_model::message::StateSection;
 use aspendrum_net::forward::{ForwardHandle, RequestKind};
 use aspendrum_net::mailbox::{self, MailboxReceiver};
@@ -55,7 +55,7 @@
         route: target.route,
         pool: target.pool,
         tenant: Some(target.tenant),
-        regions: u64::MAX,
+        regions: ZoneSet::ALL,
         deadline: Instant::now() + REQUEST_TIMEOUT,
         decisions: sender,
         forward_handle: Arc::new(ForwardHandle::new(RequestKind::Idempotent)),
--- a/crates/aspendrum-core/src/api.rs
+++ b/crates/aspendrum-core/src/api.rs
@@ -5,6 +5,7 @@
 mod event;
 mod server;
 mod settings;
+mod zone_set;
 
 pub use action::Action;
 pub use event::{Event, NewRequest, Outcome};
@@ -12,6 +13,7 @@
 pub use settings::{
     GroupSettings, LoadReportChannel, LoadValue, PlanSettings, RepeatGroup, Semantics, Settings,
 };
+pub use zone_set::ZoneSet;
 
 pub use aspendrum_model::time::Millis;
 
--- a/crates/aspendrum-core/src/api/event.rs
+++ b/crates/aspendrum-core/src/api/event.rs
@@ -1,6 +1,6 @@
 //! Events, the input of the engine.
 
-use super::{ListKind, LoadReport, Millis, RequestId, ServerEntry, ServerId, TenantId};
+use super::{ListKind, LoadReport, Millis, RequestId, ServerEntry, ServerId, TenantId, ZoneSet};
 
 /// The outcome of an attempt, a probe or a counter call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,9 +49,8 @@
     pub is_write: bool,
     /// The pool whose servers may execute it.
     pub pool: u16,
-    /// A bit set of the zones whose servers may execute it; all bits are set if there is no
-    /// restriction.
-    pub allowed_zones: u64,
+    /// The zones whose servers may execute it; [`ZoneSet::ALL`] if there is no restriction.
+    pub allowed_zones: ZoneSet,
     /// The maximum number of attempts.
     pub max_attempts: u8,
 }
--- a/crates/aspendrum-core/src/engine/dispatch.rs
+++ b/crates/aspendrum-core/src/engine/dispatch.rs
@@ -1,7 +1,7 @@
 //! The queue of requests that wait for a server, and their attempts.
 
 use super::DecisionEngine;
-use crate::api::{Action, LoadReport, Millis, Outcome, RequestId};
+use crate::api::{Action, LoadReport, Millis, Outcome, RequestId, ZoneSet};
 use crate::state::request::{ExecutionStatus, Request, RequestStage};
 
 /// A request beyond its tenant's quota is only sent while more than this fraction of the
@@ -11,7 +11,7 @@
 /// The servers that a request may be sent to.
 pub(super) struct ServerScope {
     pool: u16,
-    zones: u64,
+    zones: ZoneSet,
 }
 
 impl ServerScope {
@@ -24,7 +24,7 @@
 
     /// Whether every server in `other` is also in this scope.
     fn covers(&self, other: &ServerScope) -> bool {
-        self.pool == other.pool && other.zones & !self.zones == 0
+        self.pool == other.pool && other.zones.is_subset(&self.zones)
     }
 }
 
--- a/crates/aspendrum-core/src/engine/endpoint_selection.rs
+++ b/crates/aspendrum-core/src/engine/endpoint_selection.rs
@@ -14,11 +14,6 @@
 const MIN_JITTER_FACTOR: f64 = 0.95;
 const JITTER_RANGE: f64 = 0.1;
 
-/// Whether the bit set contains the number. Only the low six bits of the number are used.
-pub(super) fn has_bit(set: u64, number: u16) -> bool {
-    set >> (number & 63) & 1 == 1
-}
-
 impl DecisionEngine {
     /// Returns the index of the server to send the request to.
     pub(super) fn select_server(&mut self, slot: usize) -> Option<usize> {
@@ -27,7 +22,7 @@
         let (mut selected, mut least_cost) = (None, f64::INFINITY);
         for index in 0..self.servers.len() {
             let server = &self.servers[index];
-            if server.pool != request.pool || !has_bit(request.zones, server.zone.into()) {
+            if server.pool != request.pool || !request.zones.contains(server.zone) {
                 continue;
             }
             let cost = self.expected_cost(server)
--- a/crates/aspendrum-core/src/state/request.rs
+++ b/crates/aspendrum-core/src/state/request.rs
@@ -1,6 +1,6 @@
 //! The state of an open request.
 
-use crate::api::{Millis, NewRequest, Outcome, RequestId};
+use crate::api::{Millis, NewRequest, Outcome, RequestId, ZoneSet};
 use crate::peer_message::PeerMessage;
 
 /// The maximum number of attempts per request.
@@ -68,8 +68,8 @@
     pub(crate) group: usize,
     /// The pool whose servers may execute it.
     pub(crate) pool: u16,
-    /// A bit set of the zones whose servers may execute it.
-    pub(crate) zones: u64,
+    /// The zones whose servers may execute it.
+    pub(crate) zones: ZoneSet,
     pub(crate) max_attempts: usize,
     /// The tenant's index.
     pub(crate) tenant: usize,
--- a/crates/aspendrum-core/tests/decisions/harness.rs
+++ b/crates/aspendrum-core/tests/decisions/harness.rs
@@ -3,7 +3,7 @@
 use crate::common::settings;
 use aspendrum_core::api::{
     Action, Event, Health, ListKind, LoadReport, Millis, NewRequest, Outcome, RepeatGroup,
-    RequestId, Semantics, ServerEntry, ServerId, Settings, TenantId,
+    RequestId, Semantics, ServerEntry, ServerId, Settings, TenantId, ZoneSet,
 };
 use aspendrum_core::engine::DecisionEngine;
 
@@ -111,7 +111,7 @@
             is_client_retry: client_repeat,
             is_write: write,
             pool: 0,
-            allowed_zones: u64::MAX,
+            allowed_zones: ZoneSet::ALL,
             max_attempts: u8::MAX,
         };
         self.handle(&Event::Request(q));
--- a/crates/aspendrum-core/tests/pools.rs
+++ b/crates/aspendrum-core/tests/pools.rs
@@ -4,10 +4,11 @@
 
 use aspendrum_core::api::{
     Action, Event, Health, ListKind, Millis, NewRequest, Outcome, PlanSettings, RepeatGroup,
-    RequestId, Semantics, ServerEntry, ServerId,
+    RequestId, Semantics, ServerEntry, ServerId, ZoneSet,
 };
 use aspendrum_core::engine::DecisionEngine;
 use common::settings;
+use test_case::test_case;
 
 struct Harness {
     engine: DecisionEngine,
@@ -61,7 +62,7 @@
     }
 
     /// Sends a request whose counter call fails, and returns the resulting actions.
-    fn request(&mut self, pool: u16, zones: u64, instances: f32) -> Vec<Action> {
+    fn request(&mut self, pool: u16, zones: ZoneSet, instances: f32) -> Vec<Action> {
         let id = self.next;
         self.next += 1;
         let until = self.now + 3000.0;
@@ -107,16 +108,38 @@
     })
 }
 
+fn zones<const N: usize>(numbers: [u8; N]) -> ZoneSet {
+    ZoneSet::from_iter(numbers)
+}
+
 #[test]
 fn a_request_goes_to_its_pool_and_its_zones_only() {
     let mut harness = Harness::new(false, 0.0);
     harness.servers(&[(1, 0, 0), (2, 1, 0), (3, 1, 1), (4, 1, 2)]);
     for _ in 0..3 {
-        assert_eq!(forwarded(&harness.request(1, 1 << 1, 2.0)), Some(3));
+        assert_eq!(forwarded(&harness.request(1, zones([1]), 2.0)), Some(3));
+    }
+    assert_eq!(forwarded(&harness.request(0, ZoneSet::ALL, 2.0)), Some(1));
+    assert_eq!(forwarded(&harness.request(0, zones([2]), 2.0)), None);
+    assert_eq!(forwarded(&harness.request(2, ZoneSet::ALL, 2.0)), None);
+}
+
+/// Guards against zone numbers that wrap around from 64 on: a request that may only run in its home zones would then run
+/// in others too.
+#[test_case(1; "the second zone")]
+#[test_case(63; "the last zone of the first word")]
+#[test_case(64; "the first zone of the second word")]
+#[test_case(u8::MAX; "the highest zone")]
+fn a_request_runs_in_none_of_256_zones_but_its_own(home: u8) {
+    let mut harness = Harness::new(false, 0.0);
+    let servers = (0..=u8::MAX).map(|zone| (u32::from(zone), 0, zone));
+    let servers: Vec<(ServerId, u16, u8)> = servers.collect();
+    harness.servers(&servers);
+    for _ in 0..3 {
+        let request = harness.request(0, zones([home]), 2.0);
+        assert_eq!(forwarded(&request), Some(u32::from(home)));
     }
-    assert_eq!(forwarded(&harness.request(0, u64::MAX, 2.0)), Some(1));
-    assert_eq!(forwarded(&harness.request(0, 1 << 2, 2.0)), None);
-    assert_eq!(forwarded(&harness.request(2, u64::MAX, 2.0)), None);
+    assert_eq!(forwarded(&harness.request(0, ZoneSet::EMPTY, 2.0)), None);
 }
 
 /// Requests queued for a pool without servers must not block the requests of other pools.
@@ -125,9 +148,9 @@
     let mut harness = Harness::new(false, 0.0);
     harness.servers(&[(1, 0, 0)]);
     for _ in 0..5 {
-        assert_eq!(forwarded(&harness.request(1, u64::MAX, 2.0)), None);
+        assert_eq!(forwarded(&harness.request(1, ZoneSet::ALL, 2.0)), None);
     }
-    assert_eq!(forwarded(&harness.request(0, u64::MAX, 2.0)), Some(1));
+    assert_eq!(forwarded(&harness.request(0, ZoneSet::ALL, 2.0)), Some(1));
 }
 
 /// When half of the instances were killed, the number of instances changed five times in a third of
@@ -141,7 +164,7 @@
     let mut granted = 0;
     for instances in [9.0, 8.0, 7.0, 6.0, 5.0, 4.0_f32] {
         for _ in 0..100 {
-            granted += u32::from(forwarded(&harness.request(0, u64::MAX, instances)).is_some());
+            granted += u32::from(forwarded(&harness.request(0, ZoneSet::ALL, instances)).is_some());
         }
     }
     // The even share of the burst for the number of instances at the tenant's first request.
@@ -154,9 +177,9 @@
 fn right_after_a_start_a_windowed_plan_has_only_its_refill() {
     let mut harness = Harness::new(true, 90.0);
     harness.servers(&[(1, 0, 0)]);
-    assert_eq!(forwarded(&harness.request(0, u64::MAX, 9.0)), None);
+    assert_eq!(forwarded(&harness.request(0, ZoneSet::ALL, 9.0)), None);
     harness.now += 200.0;
-    assert_eq!(forwarded(&harness.request(0, u64::MAX, 9.0)), Some(1));
+    assert_eq!(forwarded(&harness.request(0, ZoneSet::ALL, 9.0)), Some(1));
 }
 
 #[test]
@@ -164,7 +187,7 @@
     let mut harness = Harness::new(true, 0.0);
     harness.servers(&[(1, 0, 0)]);
     assert!(
-        forwarded(&harness.request(0, u64::MAX, 1.0)).is_some(),
+        forwarded(&harness.request(0, ZoneSet::ALL, 1.0)).is_some(),
         "no quota"
     );
     let s = settings(Semantics::NonIdempotent, RepeatGroup::All);
@@ -176,11 +199,11 @@
     };
     harness.engine.configure(&s.groups, &[]);
     assert!(
-        forwarded(&harness.request(0, u64::MAX, 1.0)).is_some(),
+        forwarded(&harness.request(0, ZoneSet::ALL, 1.0)).is_some(),
         "a configuration with fewer plans is ignored"
     );
     harness.engine.configure(&s.groups, &[plan]);
-    assert!(forwarded(&harness.request(0, u64::MAX, 1.0)).is_none());
+    assert!(forwarded(&harness.request(0, ZoneSet::ALL, 1.0)).is_none());
 }
 
 /// A request whose zones have no usable server must not block the other requests of its pool.
@@ -190,10 +213,7 @@
 fn a_request_without_a_server_in_its_zones_does_not_block_its_pool() {
     let mut harness = Harness::new(false, 0.0);
     harness.servers(&[(3, 1, 1), (4, 1, 3)]);
-    assert_eq!(forwarded(&harness.request(1, 1 << 2, 2.0)), None);
-    assert_eq!(forwarded(&harness.request(1, 1 << 1, 2.0)), Some(3));
-    assert_eq!(
-        forwarded(&harness.request(1, 1 << 3 | 1 << 2, 2.0)),
-        Some(4)
-    );
+    assert_eq!(forwarded(&harness.request(1, zones([2]), 2.0)), None);
+    assert_eq!(forwarded(&harness.request(1, zones([1]), 2.0)), Some(3));
+    assert_eq!(forwarded(&harness.request(1, zones([2, 3]), 2.0)), Some(4));
 }
--- a/crates/aspendrum-core/tests/quota_owner.rs
+++ b/crates/aspendrum-core/tests/quota_owner.rs
@@ -5,6 +5,7 @@
 use aspendrum_core::api::{
     Action, Event, Health, ListKind, LoadReport, LoadReportChannel, Millis, NewRequest, Outcome,
     PlanSettings, RepeatGroup, RequestId, Semantics, ServerEntry, ServerId, Settings, TenantId,
+    ZoneSet,
 };
 use aspendrum_core::engine::DecisionEngine;
 use aspendrum_core::peer_message::{MessageId, PeerMessage, QuotaRequest, TenantKey};
@@ -197,7 +198,7 @@
                 is_client_retry: false,
                 is_write: false,
                 pool: 0,
-                allowed_zones: u64::MAX,
+                allowed_zones: ZoneSet::ALL,
                 max_attempts: u8::MAX,
             }),
         );
--- a/crates/aspendrum-core/tests/recorded_run.rs
+++ b/crates/aspendrum-core/tests/recorded_run.rs
@@ -9,7 +9,7 @@
 
 use aspendrum_core::api::{
     Action, Event, GroupSettings, Health, ListKind, LoadReport, LoadReportChannel, LoadValue,
-    NewRequest, Outcome, PlanSettings, RepeatGroup, Semantics, ServerEntry, Settings,
+    NewRequest, Outcome, PlanSettings, RepeatGroup, Semantics, ServerEntry, Settings, ZoneSet,
 };
 use aspendrum_core::engine::DecisionEngine;
 use std::collections::HashMap;
@@ -615,7 +615,11 @@
             is_client_retry: self.rng.one_in(10),
             is_write: self.rng.one_in(3),
             pool: u16::from(self.rng.one_in(12)),
-            allowed_zones: if self.rng.one_in(10) { 2 } else { u64::MAX },
+            allowed_zones: if self.rng.one_in(10) {
+                ZoneSet::from_iter([1])
+            } else {
+                ZoneSet::ALL
+            },
             max_attempts: if self.rng.one_in(10) { 1 } else { u8::MAX },
         };
         self.handle(instance, &Event::Request(new));
--- a/crates/aspendrum-model/src/settings.rs
+++ b/crates/aspendrum-model/src/settings.rs
@@ -16,6 +16,9 @@
 /// The environment variable that contains the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "ASPENDRUM_SETTINGS";
 
+/// The number of the region of a zone without a region number. Regions are numbered below it.
+pub const UNKNOWN_REGION: u8 = u8::MAX;
+
 /// Declares the settings, one per line: `field: type = "key.path", default or required(), range check`.
 macro_rules! settings {
     ($(#[$doc:meta])* $name:ident { $($(#[$field_doc:meta])* $field:ident: $type:ty = $key_path:literal, $default:expr,
@@ -247,13 +250,13 @@
         self.dial_addr(SocketAddrV4::new(ip, self.control_port()))
     }
 
-    /// Returns the index of a region in the sorted list of all region names, which is the same on all nodes.
+    /// Returns the index of a region in the sorted list of all region names, which is the same on all nodes. Returns
+    /// `None` for an unknown region, and for those with index [`UNKNOWN_REGION`] or higher.
     pub fn region_number(&self, region: &str) -> Option<u8> {
         let regions: BTreeSet<&String> = self.zone_regions.values().collect();
-        regions
-            .iter()
-            .position(|known| *known == region)
-            .map(|number| number as u8)
+        let number = regions.iter().position(|known| *known == region)?;
+        let number = u8::try_from(number).ok();
+        number.filter(|number| *number < UNKNOWN_REGION)
     }
 
     /// Returns the region number of a zone.
--- a/crates/aspendrum-model/tests/settings_values.rs
+++ b/crates/aspendrum-model/tests/settings_values.rs
@@ -1,7 +1,7 @@
 //! Parsing of every value in a complete settings file, every default, and the error text for every missing or invalid
 //! value.
 
-use aspendrum_model::settings::{PortRange, Settings};
+use aspendrum_model::settings::{PortRange, Settings, UNKNOWN_REGION};
 use serde_json::{json, Value};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -202,6 +202,22 @@
     );
 }
 
+/// Guards against region numbers that wrap around: two regions with one number would share their servers, also for
+/// requests that must stay in one of them.
+#[test]
+fn no_two_of_300_regions_have_the_same_number() {
+    let mut document: Value = serde_json::from_str(SETTINGS).unwrap();
+    let zones = (0..300).map(|n| (format!("zone-{n}"), json!(format!("region-{n:03}"))));
+    document["net"]["zones"] = Value::Object(zones.collect());
+    let settings = read(&document).unwrap();
+    let numbers = (0..300).filter_map(|n| settings.zone_region_number(&format!("zone-{n}")));
+    let numbers: Vec<u8> = numbers.collect();
+    let expected: Vec<u8> = (0..UNKNOWN_REGION).collect();
+    assert_eq!(numbers, expected);
+    assert_eq!(settings.region_number("region-255"), None);
+    assert_eq!(settings.region_number("region-299"), None);
+}
+
 /// Collects the paths of all values in the document, in alphabetical order.
 fn collect_key_paths(value: &Value, key_path: &str, all: &mut Vec<String>) {
     match value {
--- a/crates/aspendrum-proxy/src/dispatcher/admission.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/admission.rs
@@ -1,7 +1,7 @@
 //! Requests scheduled by the decision engine, and the delivery of decisions to their threads.
 
 use super::configuration::ConfigSnapshot;
-use aspendrum_core::api::{Millis, NewRequest, RequestId, ServerId};
+use aspendrum_core::api::{Millis, NewRequest, RequestId, ServerId, ZoneSet};
 use aspendrum_net::forward::ForwardHandle;
 use aspendrum_net::mailbox::MailboxSender;
 use std::collections::HashMap;
@@ -41,8 +41,8 @@
     pub pool: u16,
     /// The index of the tenant in the configuration.
     pub tenant: Option<usize>,
-    /// The regions whose servers may run the request, as a bit set of region numbers.
-    pub regions: u64,
+    /// The numbers of the regions whose servers may run the request.
+    pub regions: ZoneSet,
     /// The time at which the client stops waiting.
     pub deadline: Instant,
     /// Receives the decisions on the request.
--- a/crates/aspendrum-proxy/src/dispatcher/configuration.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/configuration.rs
@@ -2,7 +2,7 @@
 
 use super::engine::{default_group, plan_with_quota};
 use crate::counter::{CounterId, Quota};
-use aspendrum_core::api::{GroupSettings, PlanSettings, Semantics, TenantId};
+use aspendrum_core::api::{GroupSettings, PlanSettings, Semantics, TenantId, ZoneSet};
 use aspendrum_model::config::{Config, Route};
 use aspendrum_model::settings::Settings;
 use aspendrum_reconcile::state_digest;
@@ -14,10 +14,10 @@
     pub config: Config,
     /// The pool number of each service.
     pub pools: HashMap<String, u16>,
-    /// The regions in which each route's requests may be served, as a bit set of region numbers.
-    pub route_regions: Vec<u64>,
-    /// The regions in which each tenant's requests may be served, as a bit set of region numbers.
-    pub tenant_regions: Vec<u64>,
+    /// The numbers of the regions in which each route's requests may be served.
+    pub route_regions: Vec<ZoneSet>,
+    /// The numbers of the regions in which each tenant's requests may be served.
+    pub tenant_regions: Vec<ZoneSet>,
     /// The decision engine's group of each route.
     pub(super) groups: Vec<u16>,
     pub(super) tenants: Vec<TenantNumbers>,
@@ -47,16 +47,16 @@
     }
 }
 
-/// Returns the bit set of the given regions. Regions missing from the settings are ignored; an empty list means
-/// all regions.
-pub(super) fn region_bits(settings: &Settings, regions: &[String]) -> u64 {
-    if regions.is_empty() {
-        return u64::MAX;
+/// Returns the numbers of the regions in which requests with these home regions may be served. Regions missing from
+/// the settings are ignored; an empty list means all regions.
+pub(super) fn allowed_regions(settings: &Settings, home_regions: &[String]) -> ZoneSet {
+    if home_regions.is_empty() {
+        return ZoneSet::ALL;
     }
-    let numbers = regions
+    let numbers = home_regions
         .iter()
         .filter_map(|region| settings.region_number(region));
-    numbers.fold(0, |bits, number| bits | 1 << number)
+    numbers.collect()
 }
 
 /// The settings by which routes are grouped. Routes with equal settings share a group; floating-point values are
--- a/crates/aspendrum-proxy/src/dispatcher/state.rs
+++ b/crates/aspendrum-proxy/src/dispatcher/state.rs
@@ -3,7 +3,9 @@
 
 use super::admission::{new_request, AdmissionRequest, PendingRequests, RequestDecision};
 use super::attempt::start_attempt;
-use super::configuration::{region_bits, tenant_id, ConfigSnapshot, EngineTables, TenantNumbers};
+use super::configuration::{
+    allowed_regions, tenant_id, ConfigSnapshot, EngineTables, TenantNumbers,
+};
 use super::counters::{CounterResult, Counters, ReceiveOutcome};
 use super::engine::engine_settings;
 use super::proxies::ProxyAddresses;
@@ -15,7 +17,7 @@
 use aspendrum_core::engine::DecisionEngine;
 use aspendrum_model::config::{Config, Tenant};
 use aspendrum_model::servers::ServerInstance;
-use aspendrum_model::settings::Settings;
+use aspendrum_model::settings::{Settings, UNKNOWN_REGION};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -54,7 +56,8 @@
         settings: &Settings,
         socket: Arc<CounterSocket>,
     ) -> DispatcherState {
-        let region = settings.region_number(&settings.region).unwrap_or(0);
+        let region = settings.region_number(&settings.region);
+        let region = region.unwrap_or(UNKNOWN_REGION);
         // The engine requests its timer at startup; the proxy runs that timer in any case.
         let mut initial_actions = Vec::new();
         let seed = fastrand::u64(..);
@@ -258,7 +261,7 @@
             );
         }
         let tenants: &[Tenant] = config.tenants.as_deref().unwrap_or(&[]);
-        let regions = |homes: &[String]| region_bits(settings, homes);
+        let regions = |homes: &[String]| allowed_regions(settings, homes);
         let snapshot = ConfigSnapshot {
             groups: config
                 .routes
--- a/crates/aspendrum-proxy/src/endpoints/location.rs
+++ b/crates/aspendrum-proxy/src/endpoints/location.rs
@@ -1,13 +1,11 @@
 //! Relative cost of zones as seen from this proxy.
 
-use aspendrum_model::settings::Settings;
+use aspendrum_model::settings::{Settings, UNKNOWN_REGION};
 
 /// The relative cost of a server in another zone or region, where 1 is the cost in this proxy's zone. Traffic between
 /// regions costs eight times as much as traffic between zones, and for a whole request about a fifth of its revenue.
 const CROSS_ZONE_COST: f32 = 1.3;
 const CROSS_REGION_COST: f32 = 7.0;
-/// The region number of zones that are missing from the settings.
-const UNKNOWN_REGION: u8 = u8::MAX;
 
 /// The region and the relative cost of a zone.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/aspendrum-proxy/src/request/filter.rs
+++ b/crates/aspendrum-proxy/src/request/filter.rs
@@ -4,6 +4,7 @@
 use crate::response::{ClientResponse, ConnectionPolicy};
 use crate::state::ProxyState;
 use crate::wire::RequestHead;
+use aspendrum_core::api::ZoneSet;
 use aspendrum_model::config::Route;
 use aspendrum_net::http1::Request;
 use std::sync::Arc;
@@ -18,8 +19,8 @@
     pub(super) tenant: Option<usize>,
     /// The pool number of the service.
     pub(super) pool: u16,
-    /// The regions whose servers may run the request, as a bit set of region numbers.
-    pub(super) regions: u64,
+    /// The numbers of the regions whose servers may run the request.
+    pub(super) regions: ZoneSet,
     pub(super) policy: ConnectionPolicy,
 }
 
@@ -69,8 +70,8 @@
     if !is_authentic || !may_run() {
         return Err(ClientResponse::retry_on_other_proxy(head.try_id).into());
     }
-    let tenant_regions = tenant.map_or(u64::MAX, |tenant| snapshot.tenant_regions[tenant]);
-    let regions = snapshot.route_regions[route] & tenant_regions;
+    let tenant_regions = tenant.map_or(ZoneSet::ALL, |tenant| snapshot.tenant_regions[tenant]);
+    let regions = snapshot.route_regions[route].intersection(&tenant_regions);
     let pool = snapshot
         .pools
         .get(route_config.select_service(fastrand::f64()))
--- a/crates/aspendrum-simulator-adapter/src/batch.rs
+++ b/crates/aspendrum-simulator-adapter/src/batch.rs
@@ -3,7 +3,9 @@
 
 use crate::error::{FrameError, RecordError};
 use crate::record::RecordReader;
-use aspendrum_core::api::{Event, Health, ListKind, Millis, NewRequest, ServerEntry, Settings};
+use aspendrum_core::api::{
+    Event, Health, ListKind, Millis, NewRequest, ServerEntry, Settings, ZoneSet,
+};
 use aspendrum_core::settings;
 
 const HEADER_BYTES: usize = 16;
@@ -225,7 +227,7 @@
         is_client_retry: false,
         is_write: false,
         pool: 0,
-        allowed_zones: u64::MAX,
+        allowed_zones: ZoneSet::ALL,
         max_attempts: u8::MAX,
     };
     let flags = reader.u8();
--- a/crates/aspendrum-simulator-adapter/tests/frames.rs
+++ b/crates/aspendrum-simulator-adapter/tests/frames.rs
@@ -1,7 +1,7 @@
 //! Checks the encoding of each record type against the bytes in `fixtures/frames.txt`.
 
 use aspendrum_core::api::{
-    Action, Event, Health, ListKind, LoadReport, NewRequest, Outcome, ServerEntry,
+    Action, Event, Health, ListKind, LoadReport, NewRequest, Outcome, ServerEntry, ZoneSet,
 };
 use aspendrum_simulator_adapter::batch::{Batch, Record};
 use aspendrum_simulator_adapter::reply::Reply;
@@ -73,7 +73,7 @@
         is_client_retry: true,
         is_write: true,
         pool: 0,
-        allowed_zones: u64::MAX,
+        allowed_zones: ZoneSet::ALL,
         max_attempts: u8::MAX,
     }
 }
--- a/crates/aspendrum/src/request_handler.rs
+++ b/crates/aspendrum/src/request_handler.rs
@@ -10,7 +10,7 @@
 use crate::http::{ClientRequest, ClientResponse, ServerResponse};
 use crate::sessions::TransactionClaim;
 use crate::state::LimiterState;
-use aspendrum_core::api::{LoadReport, Millis, NewRequest, Outcome, RequestId, ServerId};
+use aspendrum_core::api::{LoadReport, Millis, NewRequest, Outcome, RequestId, ServerId, ZoneSet};
 use aspendrum_net::connection::Connection;
 use aspendrum_net::forward::{ForwardHandle, ForwardStage, RequestKind};
 use aspendrum_net::mailbox::{self, MailboxReceiver};
@@ -138,7 +138,7 @@
             is_client_retry: self.request.is_retry,
             is_write: self.request.is_write,
             pool: 0,
-            allowed_zones: u64::MAX,
+            allowed_zones: ZoneSet::ALL,
             max_attempts: u8::MAX,
         }
     }
