A request that arrives in parts is answered with 408 when hdr-ms is 0, not closed

Cause: the time left of an idle connection and the time for the rest of a request were one value, and 0 or less meant "the idle time is over, close". A configuration's "hdr-ms":0 is such a 0: the client of a request that had begun to arrive lost its connection without an answer, while any value above 0 gives it 408.

Evidence: the_lowest_limits_in_a_configuration_lose_no_request failed before ("failed to fill whole buffer") and passes now. The test beside it uses the same two new functions for its client; its assertions are as before.

--- a/crates/aspendrum-proxy/src/request_buffer.rs
+++ b/crates/aspendrum-proxy/src/request_buffer.rs
@@ -81,13 +81,14 @@
             return reject(stream, 408);
         }
         let timeout_ms = if is_idle {
-            self.remaining_idle_ms(limits)
+            let remaining_ms = self.remaining_idle_ms(limits);
+            if remaining_ms <= 0.0 {
+                return Step::Close;
+            }
+            remaining_ms
         } else {
             limits.header_timeout_ms
         };
-        if timeout_ms <= 0.0 {
-            return Step::Close;
-        }
         self.set_read_timeout(stream, timeout_ms);
         match self.reader.fill(&mut self.buffer, &mut &*stream) {
             Ok(0) => Step::Close,
--- a/crates/aspendrum-proxy/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -9,7 +9,7 @@
 use aspendrum_reconcile::MajorityReport;
 use common::*;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -218,24 +218,11 @@
 #[test]
 fn a_possibly_outdated_proxy_sends_oversized_requests_to_another_proxy() {
     let proxy = test_proxy(1, |_| Some(OK_RESPONSE));
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let thread_state = proxy.state.clone();
-    thread::spawn(move || listener::accept(&thread_state, listener));
+    let address = listen(&proxy);
     let statuses = || {
         let large_body = READ.replace("\n\n", "\nContent-Length: 70000\n\n");
         let large_head = READ.replace("\n\n", &format!("\nX-Large: {}\n\n", "x".repeat(20_000)));
-        [large_body, large_head].map(|request| {
-            let mut client = TcpStream::connect(address).unwrap();
-            client
-                .set_read_timeout(Some(Duration::from_secs(20)))
-                .unwrap();
-            let request = request.replace('\n', "\r\n");
-            client.write_all(request.as_bytes()).unwrap();
-            let mut status = [0; 12];
-            client.read_exact(&mut status).unwrap();
-            String::from_utf8_lossy(&status[9..]).to_string()
-        })
+        [large_body, large_head].map(|request| status_of(address, &[&request]))
     };
     assert_eq!(statuses(), ["413", "431"]);
     let mut decided = proxy.state.consistency.applied();
@@ -281,25 +268,73 @@
         )
         .replace("\"goal-ms\":800", "\"goal-ms\":1e299")
         .replace("\"limit-ms\":2000", "\"limit-ms\":1e300");
-    proxy
-        .state
-        .dispatcher
-        .apply(StateSection::config(2, compress(excessive.as_bytes())));
+    apply_second_version(&proxy, &excessive);
+    let address = listen(&proxy);
+    assert_eq!(status_of(address, &[READ]), "200");
+}
+
+/// Guards against a lowest value that is taken for "none" or divides by 0: with time limits of 0 ms a route still gets
+/// final answers, and a request that arrives in two parts is answered instead of losing its connection.
+#[test]
+fn the_lowest_limits_in_a_configuration_lose_no_request() {
+    let proxy = test_proxy(1, |_| Some(OK_RESPONSE));
+    let lowest = CONFIG
+        .replace("00000001", "00000002")
+        .replace(
+            "\"hdr-ms\":3000,\"idle-ms\":15000",
+            "\"hdr-ms\":0,\"idle-ms\":15000",
+        )
+        .replace("\"rate-s\":0", "\"rate-s\":0,\"burst\":0,\"homes\":[]")
+        .replace("\"goal-ms\":800", "\"goal-ms\":0")
+        .replace(
+            "\"limit-ms\":2000,\"tries\":3}},\n{\"name\":\"open\"",
+            "\"limit-ms\":0,\"tries\":1}},\n{\"name\":\"open\"",
+        )
+        .replace(
+            "\"warmup-s\":3.0,\"warm-rate-s\":10.0",
+            "\"warmup-s\":0,\"warm-rate-s\":0,\"max-conns\":0",
+        );
+    assert!(lowest.contains("\"limit-ms\":0,"));
+    apply_second_version(&proxy, &lowest);
+    let address = listen(&proxy);
+    let (begin, rest) = READ.split_at(READ.len() / 2);
+    for _ in 0..3 {
+        assert_eq!(status_of(address, &[READ]), "200");
+        assert_eq!(status_of(address, &[SEND]), "503");
+        assert_eq!(status_of(address, &[begin]), "408");
+    }
+    assert_eq!(status_of(address, &[READ, rest]), "200");
+}
+
+fn apply_second_version(proxy: &TestProxy, config: &str) {
+    let section = StateSection::config(2, compress(config.as_bytes()));
+    proxy.state.dispatcher.apply(section);
     assert_eq!(proxy.state.dispatcher.applied().revision.config, Some(2));
+}
+
+/// Serves the proxy's clients at the returned address.
+fn listen(proxy: &TestProxy) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let thread_state = proxy.state.clone();
     thread::spawn(move || listener::accept(&thread_state, listener));
+    address
+}
+
+/// Sends text on a new connection and returns the status of the first response.
+fn status_of(address: SocketAddr, parts: &[&str]) -> String {
     let mut client = TcpStream::connect(address).unwrap();
     client
         .set_read_timeout(Some(Duration::from_secs(20)))
         .unwrap();
-    client
-        .write_all(READ.replace('\n', "\r\n").as_bytes())
-        .unwrap();
+    for part in parts {
+        client
+            .write_all(part.replace('\n', "\r\n").as_bytes())
+            .unwrap();
+    }
     let mut status = [0; 12];
     client.read_exact(&mut status).unwrap();
-    assert_eq!(&status[9..], b"200");
+    String::from_utf8_lossy(&status[9..]).to_string()
 }
 
 /// A request that no server can take is rejected while the client can still be served by another proxy.
