--- a/crates/aspendrum-model/tests/config.rs
+++ b/crates/aspendrum-model/tests/config.rs
@@ -151,6 +151,17 @@
     assert_eq!(page.servers[0].slots, expected);
 }
 
+/// Guards against a remaining slow start that wraps around: a cold server would count as one that was never cold.
+#[test_case("-1", 0)]
+#[test_case("-0.0", 0)]
+#[test_case("4294967296", 86_400_000)]
+#[test_case("1e308", 86_400_000)]
+fn any_remaining_slow_start_is_read(left_ms: &str, expected: u32) {
+    let text = r#"{"servers":[{"svc":"s1","addr":"10.128.0.9:8080","az":"poa-a","phase":"up","uid":"i-7","warm-left-ms":LEFT}],"next":null}"#;
+    let page = parse_page(text.replace("LEFT", left_ms).as_bytes()).unwrap();
+    assert_eq!(page.servers[0].slow_start_left_ms, expected);
+}
+
 fn server(uid: &str, slow_start_left_ms: u32) -> ServerInstance {
     let (service, addr, zone) = (
         "s1".into(),
--- a/crates/aspendrum-proxy/tests/exchanges.rs
+++ b/crates/aspendrum-proxy/tests/exchanges.rs
@@ -252,6 +252,37 @@
     }
 }
 
+/// Guards against a panic on the lowest or the highest time that a client may send, and against a time of 0 that is
+/// taken for "none given".
+#[test]
+fn the_lowest_and_the_highest_time_of_a_client_get_a_final_answer() {
+    let proxy = test_proxy(1, |_| Some(OK_RESPONSE));
+    let address = listen(&proxy);
+    let times = ["0", "5e-324", "2000", "18446744073709551615", "1e308"];
+    let statuses = times.map(|time| {
+        let request = READ.replace("Budget-Ms: 2000", &format!("Budget-Ms: {time}"));
+        status_of(address, &[&request])
+    });
+    assert_eq!(statuses, ["503", "503", "200", "200", "200"]);
+}
+
+/// Guards against a server's number at the end of its range that loses its answer or the following ones.
+#[test]
+fn the_lowest_and_the_highest_number_of_a_server_lose_no_response() {
+    let proxy = test_proxy(1, |n| {
+        Some([
+            "HTTP/1.1 200 OK\nTry-Id: {id}\nSeal: 3e1b.07\nKeep-Alive: timeout=0\nWarm-Ms: 0\nServer-Load: 0,0,0\nContent-Length: 4\n\ngood",
+            "HTTP/1.1 200 OK\nTry-Id: {id}\nSeal: 3e1b.07\nKeep-Alive: timeout=18446744073709551615\nWarm-Ms: 1e308\nServer-Load: 4294967295,4294967295,1\nContent-Length: 4\n\ngood",
+            "HTTP/1.1 200 OK\nTry-Id: {id}\nSeal: 3e1b.07\nKeep-Alive: timeout=-1\nWarm-Ms: -1\nServer-Load: -1,-1,-1\nContent-Length: 4\n\ngood",
+            "HTTP/1.1 200 OK\nTry-Id: {id}\nSeal: 3e1b.07\nKeep-Alive: timeout=nan\nWarm-Ms: nan\nServer-Load: nan,nan,nan\nContent-Length: 4\n\ngood",
+        ][n % 4])
+    });
+    for _ in 0..8 {
+        let response = proxy.request(READ);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+}
+
 /// Guards against the same panic on excessive numbers in a valid configuration, which closed every client connection.
 #[test]
 fn excessive_limits_in_a_configuration_lose_no_request() {
