A server's early answer is read while the request is written; a part may have run

Cause: requests were written with blocking writes, each with a time-out of its own, and nothing read meanwhile. A write that failed counted as "did not run", though a server may act on a part.

Change: net::upload sends what the socket accepts and then waits with poll for room or for input; Connection::receive sends the rest while it reads. One deadline holds for both, the request's. A connection whose request was answered before its end is not used again. "Did not run" is one function, Outcome::excludes_execution: no byte was taken, Not-Run, 421. The same code serves the proxy's and the limiter's requests, health checks, discovery, the platform's list and the operators' client. A request that goes out in one write costs the same calls as before, less one setsockopt for each new connection.

--- a/crates/aspendrum-core/src/api/event.rs
+++ b/crates/aspendrum-core/src/api/event.rs
@@ -13,7 +13,7 @@
     Rejected,
     /// It timed out; it may have been executed.
     TimedOut,
-    /// No connection could be opened; it was not executed.
+    /// The server took no byte of it, or refused it as meant for another server; it was not executed.
     ConnectFailed,
     /// The connection was lost; it may have been executed.
     Reset,
@@ -23,6 +23,17 @@
     NotSent,
 }
 
+impl Outcome {
+    /// Whether the outcome proves that the server did not execute the request. Only then may a request that must not run
+    /// twice be sent to another server, or be answered with a promise that it has not run.
+    pub fn excludes_execution(self) -> bool {
+        matches!(
+            self,
+            Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent
+        )
+    }
+}
+
 /// A client's request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NewRequest {
--- a/crates/aspendrum-core/src/state/request.rs
+++ b/crates/aspendrum-core/src/state/request.rs
@@ -45,10 +45,7 @@
     /// Whether the server may have executed the attempt: it is in flight, or its outcome does not
     /// exclude an execution.
     pub(crate) fn may_have_executed(&self) -> bool {
-        !matches!(
-            self.outcome,
-            Some(Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
-        )
+        !self.outcome.is_some_and(Outcome::excludes_execution)
     }
 }
 
--- a/crates/aspendrum-net/src/connection.rs
+++ b/crates/aspendrum-net/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::http1::{MessageSource, Parsed};
 use crate::memory_budget::MemoryBudget;
 use crate::ring_buffer::{is_timeout, RingBuffer};
+use crate::upload::{await_readiness, Upload};
 use aspendrum_core::api::Outcome;
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
@@ -20,8 +21,6 @@
     pub max_buffer_bytes: usize,
     /// The lower bound of socket timeouts. The operating system does not accept a timeout of 0.
     pub min_timeout: Duration,
-    /// The timeout of a single write.
-    pub write_timeout: Duration,
     /// The maximum time that a single read blocks before the deadline is checked again.
     pub read_timeout: Duration,
     /// A connection that has been idle for this long is closed, unless its server announced a different timeout.
@@ -35,12 +34,15 @@
     /// The socket, which another thread may shut down in order to end an exchange.
     pub stream: Arc<TcpStream>,
     incoming: RingBuffer,
-    /// The bytes that [`Connection::send`] writes.
+    /// The bytes that [`Connection::send`] begins to write.
     pub outgoing: RingBuffer,
     pub(crate) idle_since: Instant,
     idle_time: Duration,
     /// The maximum time that the connection may stay idle.
     pub idle_timeout: Duration,
+    /// Whether the last request was sent completely. Otherwise, the server expects the rest of it and would take the next
+    /// request for that.
+    is_request_sent: bool,
     /// The address of the server.
     pub address: SocketAddr,
     /// The read timeout currently set on the socket, cached to avoid a system call for each exchange.
@@ -70,7 +72,6 @@
         SockRef::from(&*stream)
             .connect_timeout(&address.into(), timeout.max(options.min_timeout))?;
         stream.set_nodelay(true)?;
-        stream.set_write_timeout(Some(options.write_timeout))?;
         let buffer = || {
             RingBuffer::new(options.initial_buffer_bytes, options.max_buffer_bytes)
                 .with_budget(&options.memory)
@@ -82,6 +83,7 @@
             idle_since: Instant::now(),
             idle_time: Duration::ZERO,
             idle_timeout: options.idle_timeout,
+            is_request_sent: true,
             address,
             read_timeout: Duration::ZERO,
             _permit: permit,
@@ -125,6 +127,12 @@
         has_no_input && self.stream.set_nonblocking(false).is_ok() && self.incoming.is_empty()
     }
 
+    /// Whether the last request was sent completely. If the server has answered it before, the connection cannot carry
+    /// another request.
+    pub fn is_request_sent(&self) -> bool {
+        self.is_request_sent
+    }
+
     /// Whether the connection has been idle for less than its idle timeout.
     pub(crate) fn is_fresh(&self) -> bool {
         self.idle_since.elapsed() < self.idle_timeout
@@ -135,40 +143,49 @@
         self.idle_time = self.idle_since.elapsed();
     }
 
-    /// Writes the contents of [`Connection::outgoing`].
-    ///
-    /// # Errors
-    /// Returns [`Outcome::ConnectFailed`] if the request was not written completely, so that the server cannot execute
-    /// it.
-    pub fn send(&mut self) -> Result<(), Outcome> {
-        self.outgoing
-            .drain(&mut &*self.stream)
-            .map_err(|_| Outcome::ConnectFailed)
-    }
-
-    /// Writes `bytes` directly, after the contents of [`Connection::outgoing`].
+    /// Begins to send the contents of [`Connection::outgoing`] and the body of `upload`. What the socket does not accept at
+    /// once is sent by [`Connection::receive`].
     ///
     /// # Errors
-    /// Returns [`Outcome::ConnectFailed`] if not everything was written.
-    pub fn send_directly(&mut self, bytes: &[u8]) -> Result<(), Outcome> {
-        self.send()?;
-        (&*self.stream)
-            .write_all(bytes)
-            .map_err(|_| Outcome::ConnectFailed)
+    /// Returns [`Outcome::ConnectFailed`] if nothing was written, so that the server cannot execute the request.
+    pub fn send(&mut self, upload: &mut Upload<'_>) -> Result<(), Outcome> {
+        upload.advance(&mut self.outgoing, &self.stream);
+        self.is_request_sent = upload.is_sent();
+        if upload.has_written() || upload.is_sending() {
+            Ok(())
+        } else {
+            Err(Outcome::ConnectFailed)
+        }
     }
 
-    /// Reads from the connection until `source` finds a complete response.
+    /// Reads from the connection until `source` finds a complete response, and sends the rest of `upload` meanwhile.
     ///
     /// # Errors
     /// Returns `TimedOut` if the deadline passed, `Reset` if the connection ended, `Error` if the received bytes are
-    /// not a valid response, and `Cancelled` if there is no memory for the response.
+    /// not a valid response, and `Cancelled` if there is no memory for the response; but `ConnectFailed` if the deadline
+    /// passed or the connection ended before the server took a byte of the request.
     pub fn receive<T>(
         &mut self,
+        upload: &mut Upload<'_>,
+        deadline: Instant,
+        options: &ConnectionOptions,
+        source: impl MessageSource<T>,
+    ) -> Result<T, Outcome> {
+        let received = self.receive_while_sending(upload, deadline, options, source);
+        self.is_request_sent = upload.is_sent();
+        received.map_err(|outcome| match outcome {
+            Outcome::TimedOut | Outcome::Reset if !upload.has_written() => Outcome::ConnectFailed,
+            _ => outcome,
+        })
+    }
+
+    fn receive_while_sending<T>(
+        &mut self,
+        upload: &mut Upload<'_>,
         deadline: Instant,
         options: &ConnectionOptions,
         mut source: impl MessageSource<T>,
     ) -> Result<T, Outcome> {
-        let mut stream = &*self.stream;
         loop {
             match source.parse(&mut self.incoming) {
                 Parsed::Complete(response) => return Ok(response),
@@ -180,13 +197,17 @@
                 return Err(Outcome::TimedOut);
             }
             let timeout = remaining.clamp(options.min_timeout, options.read_timeout);
-            let timeout_set = if timeout == self.read_timeout {
-                Ok(())
-            } else {
-                stream.set_read_timeout(Some(timeout))
-            };
-            self.read_timeout = timeout;
-            match timeout_set.and_then(|()| source.fill(&mut self.incoming, &mut stream)) {
+            if upload.is_sending() {
+                let ready = await_readiness(&self.stream, timeout).map_err(|_| Outcome::Reset)?;
+                if ready.is_writable {
+                    upload.advance(&mut self.outgoing, &self.stream);
+                }
+                if !ready.is_readable {
+                    continue;
+                }
+            }
+            let timeout_set = self.set_read_timeout(timeout);
+            match timeout_set.and_then(|()| source.fill(&mut self.incoming, &mut &*self.stream)) {
                 Ok(0) => return Err(Outcome::Reset),
                 Ok(_) => {}
                 Err(e) if is_timeout(&e) || e.kind() == ErrorKind::Interrupted => {}
@@ -199,6 +220,15 @@
             }
         }
     }
+
+    /// Sets the read timeout if it has changed, which avoids a system call per read.
+    fn set_read_timeout(&mut self, timeout: Duration) -> io::Result<()> {
+        if timeout != self.read_timeout {
+            self.stream.set_read_timeout(Some(timeout))?;
+            self.read_timeout = timeout;
+        }
+        Ok(())
+    }
 }
 
 /// The size of the pieces in which [`write_until`] writes.
--- a/crates/aspendrum-net/src/http_client.rs
+++ b/crates/aspendrum-net/src/http_client.rs
@@ -4,6 +4,7 @@
 use crate::connection::{Connection, ConnectionOptions};
 use crate::http1::{MessageLimits, MessageReader, Response};
 use crate::memory_budget::MemoryBudget;
+use crate::upload::Upload;
 use aspendrum_core::api::Outcome;
 use derive_more::{Display, Error};
 use std::io::{self, Write};
@@ -49,7 +50,6 @@
             initial_buffer_bytes: 4 << 10,
             max_buffer_bytes: limits.head_bytes + limits.body_bytes,
             min_timeout: Duration::from_millis(1),
-            write_timeout: Duration::from_millis(500),
             read_timeout: Duration::from_millis(500),
             idle_timeout: Duration::from_secs(3),
             memory: MemoryBudget::unlimited(),
@@ -97,11 +97,13 @@
         let buffer = &mut connection.outgoing;
         write_request(buffer, self.server, method, path, body)
             .map_err(HttpClientError::RequestTooLarge)?;
-        connection.send().map_err(HttpClientError::Exchange)?;
+        let mut upload = Upload::without_body();
+        let sent = connection.send(&mut upload);
+        sent.map_err(HttpClientError::Exchange)?;
         let reader = MessageReader::<Response>::new(self.limits, &self.options.memory);
-        let response = connection.receive(deadline, &self.options, reader);
+        let response = connection.receive(&mut upload, deadline, &self.options, reader);
         let response = response.map_err(HttpClientError::Exchange)?;
-        if !response.close {
+        if !response.close && connection.is_request_sent() {
             self.connection = Some(connection);
         }
         Ok(response)
--- a/crates/aspendrum-net/src/lib.rs
+++ b/crates/aspendrum-net/src/lib.rs
@@ -10,7 +10,8 @@
 //!
 //! Received bytes are collected in a [`ring_buffer`]. [`http1`] parses messages from it and rejects messages with
 //! ambiguous framing. The content of a message is stored once, within the [`memory_budget`] of the process. A
-//! [`connection::Connection`] carries one exchange at a time; [`pool`] stores idle connections.
+//! [`connection::Connection`] carries one exchange at a time, and reads the response while the [`upload`] of the request is
+//! still in progress; [`pool`] stores idle connections.
 //!
 //! A thread that waits for a server does not read from its client. [`disconnects`] therefore polls the client
 //! connections from a single thread, and [`disconnect_metrics`] counts late reactions to disconnects.
@@ -18,7 +19,7 @@
 //! # Reading order
 //!
 //! 1. [`threads`], [`mailbox`], [`worker_pool`], [`memory_budget`] and [`ring_buffer`]: the foundations.
-//! 2. [`http1`], then [`connection`] and [`pool`]: messages, and connections to servers.
+//! 2. [`http1`], then [`upload`], [`connection`] and [`pool`]: messages, and connections to servers.
 //! 3. [`forward`], [`disconnects`] and [`disconnect_metrics`]: aborting requests whose clients have disconnected.
 //! 4. [`http_client`], [`http_server`] and [`path_matcher`]: short calls.
 //! 5. [`frames`]: connections between the processes of the system.
@@ -42,4 +43,5 @@
 pub mod process_signals;
 pub mod ring_buffer;
 pub mod threads;
+pub mod upload;
 pub mod worker_pool;
--- a/crates/aspendrum-net/src/pool.rs
+++ b/crates/aspendrum-net/src/pool.rs
@@ -150,10 +150,10 @@
         Ok((address, connection))
     }
 
-    /// Returns a connection to the pool. It is closed instead if it holds surplus bytes, if the server was removed, or
-    /// if the address of the server has changed.
+    /// Returns a connection to the pool. It is closed instead if it holds surplus bytes, if the server expects the rest of
+    /// a request, if the server was removed, or if the address of the server has changed.
     pub fn release(&self, server: ServerId, mut connection: Connection) {
-        if !connection.is_receive_buffer_empty() {
+        if !connection.is_receive_buffer_empty() || !connection.is_request_sent() {
             return;
         }
         connection.idle_since = Instant::now();
--- a/crates/aspendrum-net/src/ring_buffer.rs
+++ b/crates/aspendrum-net/src/ring_buffer.rs
@@ -48,6 +48,11 @@
         self.len == 0
     }
 
+    /// Returns the number of bytes in the buffer.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
     /// Reads once into the free space. `Ok(0)` indicates the end of the input.
     ///
     /// # Errors
--- a/crates/aspendrum-proxy/src/health_check.rs
+++ b/crates/aspendrum-proxy/src/health_check.rs
@@ -5,6 +5,7 @@
 use crate::wire;
 use aspendrum_core::api::{LoadReport, Outcome, ServerId};
 use aspendrum_net::http1::{MessageReader, Response};
+use aspendrum_net::upload::Upload;
 use std::time::{Duration, Instant};
 
 /// A server's response to a health check.
@@ -64,9 +65,10 @@
         &target.path,
         &address.to_string(),
     ));
-    connection.send()?;
+    let mut upload = Upload::without_body();
+    connection.send(&mut upload)?;
     let reader = MessageReader::<Response>::new(wire::RESPONSE_LIMITS, &state.memory.responses);
-    let response = connection.receive(deadline, pool.connection_options(), reader)?;
+    let response = connection.receive(&mut upload, deadline, pool.connection_options(), reader)?;
     // The address may belong to another server by now.
     let is_same_server = wire::server_id(&response) == Some(target.server.uid.as_str());
     let health = HealthResponse {
--- a/crates/aspendrum-proxy/src/request/context.rs
+++ b/crates/aspendrum-proxy/src/request/context.rs
@@ -135,10 +135,7 @@
         let AttemptOutcome { outcome, response } = self.upstream.send(attempt, server, started_at);
         let load = response.as_ref().map(wire::server_load).unwrap_or_default();
         let is_answered = outcome == Outcome::Ok;
-        let did_not_run = matches!(
-            outcome,
-            Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent
-        );
+        let did_not_run = outcome.excludes_execution();
         self.may_have_run |= !did_not_run;
         let rtt = started_at.elapsed().as_secs_f64() * 1000.0;
         let result = AttemptResult { outcome, rtt, load };
--- a/crates/aspendrum-proxy/src/request/upstream.rs
+++ b/crates/aspendrum-proxy/src/request/upstream.rs
@@ -9,6 +9,7 @@
 use aspendrum_net::connection::Connection;
 use aspendrum_net::forward::{ForwardHandle, ForwardStage, RequestKind};
 use aspendrum_net::http1::{MessageReader, Request, Response};
+use aspendrum_net::upload::Upload;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -124,7 +125,7 @@
                 }
                 upstream_response_filter(response)
             }
-            // The request was not sent completely. The server is not to blame for an abort.
+            // The server took nothing of the request. It is not to blame for an abort.
             Err(Outcome::ConnectFailed | Outcome::NotSent) if is_aborted => {
                 AttemptOutcome::failed(Outcome::NotSent)
             }
@@ -199,24 +200,28 @@
                 .disconnect_metrics
                 .record_send(self.forward_handle.kind, disconnected_for);
         }
-        match wire::separate_body(&self.request.body) {
-            Some(body) => peer.connection.send_directly(body)?,
-            None => peer.connection.send()?,
-        }
-        self.forward_handle.advance(attempt, ForwardStage::AtServer);
-        self.read_response(&mut peer.connection, deadline)
+        let on_sent = || {
+            self.forward_handle.advance(attempt, ForwardStage::AtServer);
+        };
+        let body = wire::separate_body(&self.request.body).unwrap_or_default();
+        let mut upload = Upload::new(body, &on_sent);
+        peer.connection.send(&mut upload)?;
+        self.read_response(&mut peer.connection, &mut upload, deadline)
     }
 
-    /// Reads the response to this request, skipping late responses to earlier requests on the connection.
+    /// Reads the response to this request, skipping late responses to earlier requests on the connection. A server may
+    /// respond before the request has been sent completely.
     fn read_response(
         &self,
         connection: &mut Connection,
+        upload: &mut Upload<'_>,
         deadline: Instant,
     ) -> Result<Response, Outcome> {
         let limits = self.state.server_pool.connection_options();
         for _ in 0..=MAX_STALE_RESPONSES {
             let response = connection
                 .receive(
+                    upload,
                     deadline,
                     limits,
                     MessageReader::new(wire::RESPONSE_LIMITS, &self.state.memory.responses),
--- a/crates/aspendrum-proxy/src/state.rs
+++ b/crates/aspendrum-proxy/src/state.rs
@@ -281,7 +281,6 @@
             initial_buffer_bytes: 4 << 10,
             max_buffer_bytes: 128 << 20,
             min_timeout: Duration::from_millis(1),
-            write_timeout: Duration::from_secs(2),
             read_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(4),
             memory: memory.responses.clone(),
--- a/crates/aspendrum-proxy/tests/idle_limit.rs
+++ b/crates/aspendrum-proxy/tests/idle_limit.rs
@@ -38,7 +38,6 @@
             initial_buffer_bytes: 1 << 10,
             max_buffer_bytes: 1 << 12,
             min_timeout: Duration::from_millis(1),
-            write_timeout: second,
             read_timeout: second,
             idle_timeout: 60 * second,
             memory: MemoryBudget::unlimited(),
--- a/crates/aspendrum/src/discovery/client.rs
+++ b/crates/aspendrum/src/discovery/client.rs
@@ -10,6 +10,7 @@
 use crate::state::LimiterState;
 use aspendrum_core::api::{ListKind, Outcome};
 use aspendrum_net::connection::Connection;
+use aspendrum_net::upload::Upload;
 use crossbeam_channel::Receiver;
 use derive_more::{Display, Error};
 use std::io;
@@ -189,11 +190,14 @@
             )
         };
         write_get(&mut connection.outgoing, &path);
-        connection.send().map_err(DiscoveryError::Exchange)?;
+        let mut upload = Upload::without_body();
+        connection
+            .send(&mut upload)
+            .map_err(DiscoveryError::Exchange)?;
         let deadline = Instant::now() + hold + limits.discovery.response_timeout;
         let response = self
             .state
-            .receive(&mut connection, deadline)
+            .receive(&mut connection, &mut upload, deadline)
             .map_err(DiscoveryError::Exchange)?;
         if response.status != OK {
             return Err(DiscoveryError::Status(response.status));
@@ -201,7 +205,7 @@
         let json = serde_json::from_slice(&response.body).map_err(DiscoveryError::NotJson)?;
         let list = ServerList::parse(&json, &self.options.location_names)
             .map_err(DiscoveryError::InvalidList)?;
-        if !response.close {
+        if !response.close && connection.is_request_sent() {
             self.connection = Some(connection);
         }
         Ok(list)
--- a/crates/aspendrum/src/health_check.rs
+++ b/crates/aspendrum/src/health_check.rs
@@ -5,6 +5,7 @@
 use crate::http::{parse_load_report, write_get, HEALTH_CHECK_PATH, LOAD_REPORT_PATH};
 use crate::state::LimiterState;
 use aspendrum_core::api::{Event, LoadReport, Outcome, ServerId};
+use aspendrum_net::upload::Upload;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -65,8 +66,9 @@
         .pool
         .acquire(server, timeout, Duration::MAX, |_| true)?;
     write_get(&mut connection.outgoing, path);
-    connection.send()?;
-    let response = state.receive(&mut connection, deadline)?;
+    let mut upload = Upload::without_body();
+    connection.send(&mut upload)?;
+    let response = state.receive(&mut connection, &mut upload, deadline)?;
     let load = match response.load.count {
         0 => parse_load_report(&response.body, load_values),
         _ => response.load,
--- a/crates/aspendrum/src/limits.rs
+++ b/crates/aspendrum/src/limits.rs
@@ -87,8 +87,6 @@
     pub connect_timeout: Duration,
     /// The timeout of a health check, from connecting to the last byte of the response.
     pub health_check_timeout: Duration,
-    /// The timeout of one write.
-    pub write_timeout: Duration,
     /// The timeout of one read, after which the deadline is checked.
     pub read_timeout: Duration,
     /// How long a connection may be idle before it is closed.
@@ -224,7 +222,6 @@
                 initial_buffer_bytes: self.buffers.initial_bytes,
                 max_buffer_bytes: self.buffers.max_bytes,
                 min_timeout: self.min_socket_timeout,
-                write_timeout: self.servers.write_timeout,
                 read_timeout: self.servers.read_timeout,
                 idle_timeout: self.servers.idle_timeout,
                 // Messages are small, and the number of clients is limited by the memory for each.
@@ -260,7 +257,6 @@
             max_connections: descriptors / 8 * 3,
             connect_timeout: config.connect_timeout,
             health_check_timeout: config.connect_timeout,
-            write_timeout: config.connect_timeout,
             read_timeout: Duration::from_millis(500),
             idle_timeout: config.server_keepalive / 2,
             min_idle: Duration::from_millis(10),
--- a/crates/aspendrum/src/request_handler.rs
+++ b/crates/aspendrum/src/request_handler.rs
@@ -14,6 +14,7 @@
 use aspendrum_net::connection::Connection;
 use aspendrum_net::forward::{ForwardHandle, ForwardStage, RequestKind};
 use aspendrum_net::mailbox::{self, MailboxReceiver};
+use aspendrum_net::upload::Upload;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -166,7 +167,7 @@
         let started_at = Instant::now();
         let (outcome, response) = self.attempt(attempt, server, deadline);
         let rtt = millis_from_duration(started_at.elapsed());
-        self.may_have_run |= !never_ran(outcome);
+        self.may_have_run |= !outcome.excludes_execution();
         let client_error = response
             .as_ref()
             .filter(|response| response.is_client_error());
@@ -243,7 +244,7 @@
         self.state.dispatcher.send(event);
     }
 
-    /// Makes one attempt on one server. The request may have run once its last byte is written, and not before.
+    /// Makes one attempt on one server. The request may have run once the server has taken a byte of it.
     fn attempt(
         &self,
         attempt: u8,
@@ -259,8 +260,14 @@
             Ok(connection) => connection,
             Err(outcome) => return (outcome, None),
         };
-        let sent = self.send(attempt, &mut connection, millis_from_duration(remaining()));
-        let received = sent.and_then(|()| self.state.receive(&mut connection, deadline));
+        let on_sent = || {
+            self.forward.advance(attempt, ForwardStage::AtServer);
+        };
+        let mut upload = Upload::new(&[], &on_sent);
+        let time_left = millis_from_duration(remaining());
+        let sent = self.send(attempt, &mut connection, &mut upload, time_left);
+        let received =
+            sent.and_then(|()| self.state.receive(&mut connection, &mut upload, deadline));
         let is_cancelled = self.forward.end_attempt(attempt);
         match received {
             // A complete response is used even if the attempt was cancelled at the same time.
@@ -301,6 +308,7 @@
         &self,
         attempt: u8,
         connection: &mut Connection,
+        upload: &mut Upload<'_>,
         remaining: Millis,
     ) -> Result<(), Outcome> {
         let since_disconnect = self
@@ -316,27 +324,17 @@
                 .disconnect_metrics
                 .record_send(self.forward.kind, since_disconnect);
         }
-        let sent = if is_sent {
-            connection.send()
+        if is_sent {
+            connection.send(upload)
         } else {
             Err(Outcome::NotSent)
-        };
-        self.forward.advance(attempt, ForwardStage::AtServer);
-        sent
+        }
     }
 }
 
-/// Whether the outcome proves that the request did not run on the server.
-fn never_ran(outcome: Outcome) -> bool {
-    matches!(
-        outcome,
-        Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent
-    )
-}
-
 fn failed_outcome(outcome: Outcome, is_cancelled: bool) -> Outcome {
     match outcome {
-        // The cancellation prevented the last byte from being written; the server did not fail.
+        // The cancellation prevented the request from being sent; the server did not fail.
         Outcome::ConnectFailed | Outcome::NotSent if is_cancelled => Outcome::NotSent,
         Outcome::ConnectFailed | Outcome::NotSent => outcome,
         _ if is_cancelled => Outcome::Cancelled,
--- a/crates/aspendrum/src/state.rs
+++ b/crates/aspendrum/src/state.rs
@@ -11,6 +11,7 @@
 use aspendrum_net::disconnects::DisconnectWatcher;
 use aspendrum_net::pool::Pool;
 use aspendrum_net::ring_buffer::RingBuffer;
+use aspendrum_net::upload::Upload;
 use aspendrum_net::worker_pool::WorkerPool;
 use std::sync::Arc;
 use std::time::Instant;
@@ -48,15 +49,16 @@
         }
     }
 
-    /// Reads one complete response from a server or from discovery.
+    /// Reads one complete response from a server or from discovery, and sends the rest of the request meanwhile.
     pub(crate) fn receive(
         &self,
         connection: &mut Connection,
+        upload: &mut Upload<'_>,
         deadline: Instant,
     ) -> Result<ServerResponse, Outcome> {
         let parse = |buffer: &mut RingBuffer| {
             parse_server_response(buffer, &self.schema, &self.limits.messages)
         };
-        connection.receive(deadline, self.pool.connection_options(), parse)
+        connection.receive(upload, deadline, self.pool.connection_options(), parse)
     }
 }
