The testbed's soak has servers that answer long requests before they have read them

Need: a case of real processes, drawn from seeds, for early answers: alone and among kills, SIGTERM, reloads, stops, cuts and slow or full servers.

Without the habit the same numbers are drawn as before. Messages of the fake services may have 16 MB.

--- a/crates/aspendrum-fake-services/src/http.rs
+++ b/crates/aspendrum-fake-services/src/http.rs
@@ -5,7 +5,8 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 const MAX_HEADERS: usize = 64;
-const MAX_MESSAGE_BYTES: usize = 256 << 10;
+const MAX_HEAD_BYTES: usize = 256 << 10;
+const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// The kind of messages that a connection carries in one direction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -99,16 +100,43 @@
     unread: &mut Vec<u8>,
     kind: MessageKind,
 ) -> io::Result<Option<Message>> {
+    let Some((mut message, length)) = read_head(from, unread, kind).await? else {
+        return Ok(None);
+    };
+    message.body = read_body(from, unread, length).await?;
+    Ok(Some(message))
+}
+
+/// Like [`read_message`], but reads the head only. Returns the message with an empty body, and the length of the body that
+/// follows.
+///
+/// # Errors
+/// As [`read_message`].
+pub async fn read_head(
+    from: &mut (impl AsyncRead + Unpin),
+    unread: &mut Vec<u8>,
+    kind: MessageKind,
+) -> io::Result<Option<(Message, usize)>> {
     let mut first_byte_at = None;
     loop {
         if !unread.is_empty() {
             let first_byte_at = *first_byte_at.get_or_insert_with(Instant::now);
-            if let Some((message, size)) = parse(unread, kind, first_byte_at)? {
-                unread.drain(..size);
-                return Ok(Some(message));
+            if let Some(head) = parse_head(unread, kind)? {
+                let length = content_length(&head.headers)?;
+                if length > MAX_BODY_BYTES {
+                    return Err(invalid("HTTP message is too long"));
+                }
+                unread.drain(..head.end);
+                let message = Message {
+                    start_line: head.start_line,
+                    headers: head.headers,
+                    body: Vec::new(),
+                    first_byte_at,
+                };
+                return Ok(Some((message, length)));
             }
         }
-        if unread.len() > MAX_MESSAGE_BYTES {
+        if unread.len() > MAX_HEAD_BYTES {
             return Err(invalid("HTTP message is too long"));
         }
         if from.read_buf(unread).await? == 0 {
@@ -121,6 +149,23 @@
     }
 }
 
+/// Reads a body of the given length. `unread` holds the bytes that were read behind the head.
+///
+/// # Errors
+/// The error of the read; `UnexpectedEof` if the connection ended within the body.
+pub async fn read_body(
+    from: &mut (impl AsyncRead + Unpin),
+    unread: &mut Vec<u8>,
+    length: usize,
+) -> io::Result<Vec<u8>> {
+    while unread.len() < length {
+        if from.read_buf(unread).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(unread.drain(..length).collect())
+}
+
 /// A parsed head, with its size in bytes.
 struct Head {
     end: usize,
@@ -128,38 +173,6 @@
     headers: Vec<(String, String)>,
 }
 
-/// Parses the message at the start of `bytes`, and returns it with its size. Returns `None` if it is incomplete.
-fn parse(
-    bytes: &[u8],
-    kind: MessageKind,
-    first_byte_at: Instant,
-) -> io::Result<Option<(Message, usize)>> {
-    let Some(Head {
-        end,
-        start_line,
-        headers,
-    }) = parse_head(bytes, kind)?
-    else {
-        return Ok(None);
-    };
-    let length = content_length(&headers)?;
-    if length > MAX_MESSAGE_BYTES {
-        return Err(invalid("HTTP message is too long"));
-    }
-    let size = end + length;
-    if bytes.len() < size {
-        return Ok(None);
-    }
-    let body = bytes[end..size].to_vec();
-    let message = Message {
-        start_line,
-        headers,
-        body,
-        first_byte_at,
-    };
-    Ok(Some((message, size)))
-}
-
 fn parse_head(bytes: &[u8], kind: MessageKind) -> io::Result<Option<Head>> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let not_http = |_| invalid("invalid HTTP/1.1 message");
--- a/crates/aspendrum-fake-services/src/origin.rs
+++ b/crates/aspendrum-fake-services/src/origin.rs
@@ -2,7 +2,7 @@
 //! faults. Every execution is recorded by the id of its attempt.
 
 use crate::fake_process::FakeProcess;
-use crate::http::{encode_response, read_message, Message, MessageKind};
+use crate::http::{encode_response, read_body, read_head, Message, MessageKind};
 use crate::{lock, Clock, MILLIS_PER_SECOND};
 use aspendrum_checker::system::Execution;
 use rand::rngs::SmallRng;
@@ -44,6 +44,9 @@
     pub late_reset_share: f64,
     /// The share of requests that get no response after the work.
     pub no_response_share: f64,
+    /// The share of requests with long bodies that are executed and answered before their body is read. The server reads it
+    /// later, or resets the connection.
+    pub early_answer_share: f64,
     /// The factor by which work takes longer; values below 1 count as 1.
     pub slowdown: f64,
     /// Rejects new requests, completes the accepted ones, and fails health checks.
@@ -127,6 +130,12 @@
 /// The range of a request's duration, as multiples of the mean.
 const WORK_SPREAD: std::ops::Range<f64> = 0.5..1.5;
 
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// The size from which a body is long: a peer that does not read keeps its sender from sending all of it.
+const LONG_BODY_BYTES: usize = 1 << 20;
+/// The time from an early answer until the server reads the rest of the request.
+const LATE_READ_DELAY: Duration = Duration::from_secs(3);
+
 /// The reply to a request.
 enum Reply {
     Response(Vec<u8>),
@@ -232,9 +241,18 @@
     }
 
     async fn serve(self: Arc<OriginServer>, mut stream: TcpStream) {
+        // A larger buffer would take most of a long body that the server does not read.
+        let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
         let mut unread = Vec::new();
         let kind = MessageKind::Request;
-        while let Ok(Some(call)) = read_message(&mut stream, &mut unread, kind).await {
+        while let Ok(Some((mut call, length))) = read_head(&mut stream, &mut unread, kind).await {
+            let answers_early = length >= LONG_BODY_BYTES && self.draw_early_answer();
+            if !answers_early {
+                match read_body(&mut stream, &mut unread, length).await {
+                    Ok(body) => call.body = body,
+                    Err(_) => break,
+                }
+            }
             let reply = match call.target() {
                 "/healthz" => Reply::Response(self.health_response()),
                 _ => self.handle_request(&call, &stream).await,
@@ -248,11 +266,25 @@
                 Reply::Reset => return,
                 Reply::NoResponse => std::future::pending().await,
             }
+            if answers_early {
+                if lock(&self.state).rng.random() {
+                    return;
+                }
+                sleep(LATE_READ_DELAY).await;
+                if read_body(&mut stream, &mut unread, length).await.is_err() {
+                    break;
+                }
+            }
         }
         // Closes the connection without a reset.
         let _ = socket2::SockRef::from(&stream).set_linger(None);
     }
 
+    fn draw_early_answer(&self) -> bool {
+        let share = self.faults().early_answer_share;
+        share > 0.0 && lock(&self.state).rng.random::<f64>() < share
+    }
+
     fn load(&self) -> String {
         let (in_progress, slots) = (lock(&self.state).in_progress, self.options.slots);
         let (running, waiting) = (in_progress.min(slots), in_progress.saturating_sub(slots));
--- a/crates/aspendrum-testbed/src/command_line.rs
+++ b/crates/aspendrum-testbed/src/command_line.rs
@@ -108,6 +108,9 @@
     /// Run configuration storms among faults, instead of faults of all kinds
     #[arg(long)]
     pub(crate) storms: bool,
+    /// Run servers that answer requests with long bodies early among faults, instead of faults of all kinds
+    #[arg(long, conflicts_with = "storms")]
+    pub(crate) long_bodies: bool,
     /// Number of concurrent runs
     #[arg(long, default_value_t = 1)]
     pub(crate) at_once: usize,
--- a/crates/aspendrum-testbed/src/main.rs
+++ b/crates/aspendrum-testbed/src/main.rs
@@ -128,10 +128,10 @@
 
 /// Runs the seeds, up to `at_once` concurrently, and prints a line for each seed when its run ends.
 fn play_soak(args: &SoakArgs) -> bool {
-    let kind = if args.storms {
-        SoakKind::Storms
-    } else {
-        SoakKind::Faults
+    let kind = match (args.storms, args.long_bodies) {
+        (true, _) => SoakKind::Storms,
+        (false, true) => SoakKind::LongBodies,
+        (false, false) => SoakKind::Faults,
     };
     let size = Size {
         cores: args.cores,
--- a/crates/aspendrum-testbed/src/system/client_exchange.rs
+++ b/crates/aspendrum-testbed/src/system/client_exchange.rs
@@ -8,6 +8,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
+/// The size of a long body.
+pub(super) const LONG_BODY_BYTES: usize = 16 << 20;
+
 /// A client request and how the client uses its connection.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestPlan {
@@ -27,6 +30,8 @@
     pub reuses_any_connection: bool,
     /// Whether a second request is sent before the first response arrives.
     pub is_pipelined: bool,
+    /// Whether the request has a long body, which no socket buffers hold.
+    pub has_long_body: bool,
     /// When and how the client disconnects without waiting for the response, if it does.
     pub disconnect: Option<Disconnect>,
 }
@@ -43,6 +48,7 @@
             ignores_lookups: false,
             reuses_any_connection: false,
             is_pipelined: false,
+            has_long_body: false,
             disconnect: None,
         }
     }
@@ -190,10 +196,11 @@
 
 /// Returns the text of a request, including its body.
 pub fn request_text(id: u64, plan: RequestPlan, until: Instant) -> String {
-    let (method, body) = if plan.is_once_only {
-        ("POST", "pay")
-    } else {
-        ("GET", "")
+    let (method, body) = match (plan.has_long_body, plan.is_once_only) {
+        (true, true) => ("POST", "x".repeat(LONG_BODY_BYTES)),
+        (true, false) => ("PUT", "x".repeat(LONG_BODY_BYTES)),
+        (false, true) => ("POST", "pay".to_string()),
+        (false, false) => ("GET", String::new()),
     };
     let left = until.saturating_duration_since(Instant::now()).as_millis();
     format!(
--- a/crates/aspendrum-testbed/src/system/configuration.rs
+++ b/crates/aspendrum-testbed/src/system/configuration.rs
@@ -1,5 +1,6 @@
 //! Configuration texts that the operator sends, both valid and invalid.
 
+use super::client_exchange::LONG_BODY_BYTES;
 use super::fleet::SERVICES;
 use super::scenario::Scenario;
 use aspendrum_checker::system::{ConfigVersion, RouteRule, TenantRule};
@@ -32,8 +33,13 @@
     let tenants: Vec<Value> = tenants.map(|(n, t)| tenant(s, n, t)).collect();
     let pool = |name: &&str| json!({"name": name, "check": "/healthz", "max-conns": 130, "warmup-s": 0.0, "warm-rate-s": 50.0});
     let pools: Vec<Value> = SERVICES.iter().map(pool).collect();
+    let body_bytes = if s.habits.long > 0.0 {
+        LONG_BODY_BYTES
+    } else {
+        64 << 10
+    };
     json!({"gen": format!("{:08x}", version.number), "tenants": tenants, "pools": pools,
-        "caps": {"hdr-bytes": 16384, "body-bytes": 65536, "hdr-ms": 3000, "idle-ms": 15000},
+        "caps": {"hdr-bytes": 16384, "body-bytes": body_bytes, "hdr-ms": 3000, "idle-ms": 15000},
         "ports": [{"vhost": "a.example", "rules": rules}]})
 }
 
--- a/crates/aspendrum-testbed/src/system/scenario.rs
+++ b/crates/aspendrum-testbed/src/system/scenario.rs
@@ -160,6 +160,8 @@
     pub faithful: f64,
     /// The share of requests behind which the client pipelines a second one.
     pub ahead: f64,
+    /// The share of requests with a long body, which no socket buffers hold.
+    pub long: f64,
 }
 
 impl Default for Habits {
@@ -171,6 +173,7 @@
             stubborn: 0.15,
             faithful: 0.0,
             ahead: 0.0,
+            long: 0.0,
         }
     }
 }
@@ -317,6 +320,8 @@
     Hang,
     /// Servers reset the connection of a `share` of requests without reading them.
     Deaf,
+    /// Servers execute and answer a `share` of the requests with long bodies before they read the body.
+    Early,
     /// Servers take `times` as long as usual.
     Slow,
     /// Servers reject all requests.
--- a/crates/aspendrum-testbed/src/system/soak.rs
+++ b/crates/aspendrum-testbed/src/system/soak.rs
@@ -107,6 +107,40 @@
     }
 }
 
+/// The number of periods in which servers answer requests with long bodies early.
+const EARLY_PERIODS: usize = 4;
+
+/// Generates a scenario of long bodies from a seed: servers answer before they have read them, reset the connection or stop,
+/// while processes are killed, terminated, reloaded, stopped and cut off.
+pub fn draw_long_bodies(seed: u64, size: Size) -> Scenario {
+    let mut generator = StepGenerator {
+        rng: SmallRng::seed_from_u64(seed),
+        size,
+        core_free_s: CALM_START_S,
+    };
+    let mut steps: Vec<Step> = (0..EARLY_PERIODS)
+        .map(|_| generator.early_period())
+        .collect();
+    for _ in 0..generator.rng.random_range(1..4) {
+        steps.extend(generator.server_fault());
+    }
+    for _ in 0..generator.rng.random_range(2..6) {
+        steps.extend(generator.process_fault());
+    }
+    Scenario {
+        name: format!("long-bodies-{seed}"),
+        habits: Habits {
+            leave: 0.1,
+            stubborn: 0.2,
+            faithful: 0.4,
+            long: 0.05,
+            ..Habits::default()
+        },
+        steps,
+        ..scenario_without_steps(seed, size)
+    }
+}
+
 /// Returns a scenario of the given size without steps.
 fn scenario_without_steps(seed: u64, size: Size) -> Scenario {
     Scenario {
@@ -393,6 +427,15 @@
         }
     }
 
+    /// Lets some servers answer requests with long bodies before they have read the body.
+    fn early_period(&mut self) -> Step {
+        let of = self.origins();
+        Step {
+            share: self.rng.random_range(0.2..1.0),
+            ..self.timed_step(StepKind::Early, of, 4.0)
+        }
+    }
+
     fn server_fault(&mut self) -> Vec<Step> {
         let of = self.origins();
         let (share, times) = (
@@ -422,6 +465,8 @@
     Faults,
     /// Configuration storms among faults: [`draw_storm`].
     Storms,
+    /// Servers that answer long requests early, among faults: [`draw_long_bodies`].
+    LongBodies,
 }
 
 impl SoakKind {
@@ -429,6 +474,7 @@
         match self {
             SoakKind::Faults => draw(seed, size),
             SoakKind::Storms => draw_storm(seed, size),
+            SoakKind::LongBodies => draw_long_bodies(seed, size),
         }
     }
 
@@ -437,6 +483,7 @@
         match self {
             SoakKind::Faults => "",
             SoakKind::Storms => " --storms",
+            SoakKind::LongBodies => " --long-bodies",
         }
     }
 }
--- a/crates/aspendrum-testbed/src/system/steps/mod.rs
+++ b/crates/aspendrum-testbed/src/system/steps/mod.rs
@@ -125,6 +125,7 @@
             | StepKind::Reset
             | StepKind::Hang
             | StepKind::Deaf
+            | StepKind::Early
             | StepKind::Slow
             | StepKind::Full
             | StepKind::Stall => {
--- a/crates/aspendrum-testbed/src/system/steps/servers.rs
+++ b/crates/aspendrum-testbed/src/system/steps/servers.rs
@@ -22,6 +22,9 @@
                 StepKind::Deaf => {
                     origin.change_faults(|faults| faults.early_reset_share = step.share)
                 }
+                StepKind::Early => {
+                    origin.change_faults(|faults| faults.early_answer_share = step.share)
+                }
                 StepKind::Slow => origin.change_faults(|faults| faults.slowdown = step.times),
                 StepKind::Full => origin.change_faults(|faults| faults.is_full = true),
                 StepKind::Stall => origin.change_faults(|faults| faults.is_stalled = true),
@@ -45,6 +48,7 @@
                 StepKind::Reset => faults.late_reset_share = 0.0,
                 StepKind::Hang => faults.no_response_share = 0.0,
                 StepKind::Deaf => faults.early_reset_share = 0.0,
+                StepKind::Early => faults.early_answer_share = 0.0,
                 StepKind::Slow => faults.slowdown = 1.0,
                 StepKind::Full => faults.is_full = false,
                 StepKind::Stall => faults.is_stalled = false,
--- a/crates/aspendrum-testbed/src/system/traffic.rs
+++ b/crates/aspendrum-testbed/src/system/traffic.rs
@@ -49,11 +49,13 @@
     let reuses_any_connection = draw(habits.faithful);
     let is_pipelined = draw(habits.ahead);
     let disconnects = draw(habits.leave);
+    let has_long_body = draw(habits.long);
     RequestPlan {
         keeps_connection,
         ignores_lookups,
         reuses_any_connection,
         is_pipelined,
+        has_long_body,
         disconnect: disconnects.then(|| draw_disconnect(rng, habits)),
         ..RequestPlan::simple(0)
     }
--- a/crates/aspendrum-testbed/tests/soak.rs
+++ b/crates/aspendrum-testbed/tests/soak.rs
@@ -1,7 +1,7 @@
 //! A short soak of the whole system as processes, with several concurrent faults generated from seeds. Run
 //! `aspendrum-testbed soak` for more seeds.
 
-use aspendrum_testbed::system::soak::{draw, draw_storm, soak, Size, SoakKind};
+use aspendrum_testbed::system::soak::{draw, draw_long_bodies, draw_storm, soak, Size, SoakKind};
 
 const SIZE: Size = Size {
     cores: 3,
@@ -21,6 +21,13 @@
     play_in_two_threads(SoakKind::Storms, [1..=1, 2..=2]);
 }
 
+/// Guards against requests that run twice, are refused though they ran, or get no answer, when servers answer before they
+/// have read a long body.
+#[test]
+fn early_answers_to_long_bodies_break_no_rule() {
+    play_in_two_threads(SoakKind::LongBodies, [1..=1, 2..=2]);
+}
+
 /// Plays two runs concurrently; more would compete for processors.
 fn play_in_two_threads(kind: SoakKind, seeds: [std::ops::RangeInclusive<u64>; 2]) {
     let folder = tempfile::tempdir().unwrap();
@@ -43,7 +50,7 @@
 
 #[test]
 fn the_same_seed_generates_the_same_valid_steps() {
-    for draw in [draw, draw_storm] {
+    for draw in [draw, draw_storm, draw_long_bodies] {
         let text = |seed| format!("{:?}", draw(seed, SIZE));
         assert_eq!(text(7), text(7));
         assert_ne!(text(7), text(8));
