--- a/crates/aspendrum-benchmarks/src/components/mod.rs
+++ b/crates/aspendrum-benchmarks/src/components/mod.rs
@@ -3,6 +3,7 @@
 mod configurations;
 mod consensus;
 mod directory;
+mod exchanges;
 mod gossip;
 mod proxy;
 mod server_lists;
@@ -15,7 +16,7 @@
     run: fn(),
 }
 
-const BENCHMARKS: [Benchmark; 6] = [
+const BENCHMARKS: [Benchmark; 7] = [
     Benchmark {
         name: "model",
         run: configurations::run,
@@ -36,6 +37,10 @@
         name: "consensus",
         run: consensus::run,
     },
+    Benchmark {
+        name: "exchanges",
+        run: exchanges::run,
+    },
     Benchmark {
         name: "finding",
         run: directory::run,
