The testbed's clients read an answer that arrives while they write

Cause, by reading: a body of 16 MB that is not in by the client's deadline gets 408, and the proxy closes after it. The client wrote on, failed, and took the failed write for the result without reading the response that had arrived.

Change: after a failed write the client still reads (RFC 9112, 9.5: a client should watch for a response while it sends). Without a response the outcome is Lost as before, so nothing that had to hold is given up.

--- a/crates/aspendrum-testbed/src/system/client_exchange.rs
+++ b/crates/aspendrum-testbed/src/system/client_exchange.rs
@@ -134,7 +134,9 @@
     let text: String = ids_sent.map(|id| request_text(id, plan, until)).collect();
     let mut unread = Vec::new();
     let response = async {
-        stream.write_all(text.as_bytes()).await?;
+        // A proxy may respond before it has read a long body, and close the connection. The response is read though the
+        // rest of the request cannot be written (RFC 9112, 9.5). Without a response, reading fails as well.
+        let _ = stream.write_all(text.as_bytes()).await;
         http::read_message(&mut stream, &mut unread, MessageKind::Response).await
     };
     let response = match plan.disconnect {
