The testbed's soak is split into kinds, steps and reports, and its result is typed

Change: soak/mod.rs has the kinds of scenarios, soak/steps.rs draws faults and changes, soak/report.rs has SoakReport and SoakResult, whose Display is the same line. The test asserts has_passed of each report in place of the flag, which is as strict.

--- a/crates/aspendrum-testbed/src/main.rs
+++ b/crates/aspendrum-testbed/src/main.rs
@@ -144,9 +144,9 @@
     let play_seeds = || {
         while let Some(seed) = next_seed() {
             let folder = args.out.join(format!("{seed}-{}", size.edges));
-            let (line, is_kept) = soak(kind, seed, size, &folder);
-            println!("{line}");
-            all_kept.fetch_and(is_kept, Ordering::Relaxed);
+            let report = soak(kind, seed, size, &folder);
+            println!("{report}");
+            all_kept.fetch_and(report.has_passed(), Ordering::Relaxed);
         }
     };
     std::thread::scope(|scope| {
--- a/crates/aspendrum-testbed/src/system/soak.rs
+++ b/crates/aspendrum-testbed/src/system/soak/steps.rs
@@ -1,179 +1,17 @@
-//! Soak tests: scenarios that are generated from seeds, with several concurrent and repeated faults, and clients that reuse
-//! open connections, pipeline requests and disconnect early. The same seed always generates the same scenario.
+//! Draws the faults and changes of a generated scenario.
 
-use super::outcome::Outcome;
-use super::play::play;
-use super::scenario::{Bounds, CutForm, Habits, Scenario, Step, StepKind, Terms};
+use super::{Size, CALM_END_S, CALM_START_S, SERVERS, ZONES};
+use crate::system::scenario::{CutForm, Step, StepKind, Terms};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use std::path::Path;
 
-/// The size of a generated system.
-#[derive(Clone, Copy, Debug)]
-pub struct Size {
-    /// The number of control nodes.
-    pub cores: usize,
-    /// The number of edge machines, each with a proxy and an agent.
-    pub edges: usize,
-    /// The duration of the traffic, in seconds.
-    pub seconds: f64,
-}
-
-/// The maximum number of edge machines that are linked through relays. More of them reach each other directly, because each
-/// relay uses file descriptors of the testbed.
-const MAX_LINKED_EDGES: usize = 16;
-const ZONES: usize = 2;
-/// The number of servers of each service in each zone.
-const SERVERS: usize = 2;
-/// Requests per second for each proxy.
-const QUERIES_PER_EDGE: f64 = 20.0;
-/// The maximum number of requests per second in total.
-const MAX_QUERIES_PER_S: f64 = 400.0;
-/// The time without faults at the end of the traffic.
-const CALM_END_S: f64 = 5.0;
-/// The time without faults at the start of the traffic.
-const CALM_START_S: f64 = 0.5;
-/// The number of periods in which all servers are so slow that clients disconnect while their requests run.
-const SLOW_PERIODS: usize = 2;
-/// The minimum share of requests of the last two seconds that must be served.
-const MIN_SERVED_LAST: f64 = 0.8;
-
-/// Generates a scenario with faults of all kinds from a seed.
-pub fn draw(seed: u64, size: Size) -> Scenario {
-    let mut generator = StepGenerator {
-        rng: SmallRng::seed_from_u64(seed),
-        size,
-        core_free_s: CALM_START_S,
-    };
-    let faults = generator.rng.random_range(7..=12);
-    let mut steps: Vec<Step> = (0..faults).flat_map(|_| generator.fault()).collect();
-    steps.extend((0..SLOW_PERIODS).map(|_| generator.slow_period()));
-    let habits = Habits {
-        leave: generator.rng.random_range(0.3..0.8),
-        leave_most_ms: generator.rng.random_range(30.0..700.0),
-        stubborn: 0.2,
-        faithful: 0.4,
-        ahead: 0.1,
-        ..Habits::default()
-    };
-    Scenario {
-        habits,
-        steps,
-        ..scenario_without_steps(seed, size)
-    }
-}
-
-/// The number of routes in each configuration of a storm that receive no requests.
-const FILLER_ROUTES: usize = 600;
 /// One in this many changes of a storm adds a route.
 const ADDS_ROUTE_EVERY: usize = 10;
 
-/// Generates a scenario of configuration storms from a seed: hundreds of changes, with added routes that are probed
-/// immediately, together with races, invalid texts and a credential that is removed and restored. Meanwhile processes are
-/// throttled, killed, terminated, reloaded, stopped and cut off.
-pub fn draw_storm(seed: u64, size: Size) -> Scenario {
-    let mut generator = StepGenerator {
-        rng: SmallRng::seed_from_u64(seed),
-        size,
-        core_free_s: CALM_START_S,
-    };
-    let mut steps = generator.storm();
-    for _ in 0..generator.rng.random_range(0..2) {
-        steps.extend(generator.storm());
-    }
-    steps.extend(generator.contested_changes());
-    for _ in 0..generator.rng.random_range(1..4) {
-        steps.push(generator.throttle());
-    }
-    for _ in 0..generator.rng.random_range(3..8) {
-        steps.extend(generator.process_fault());
-    }
-    if generator.rng.random_bool(0.3) {
-        steps.push(generator.kill_all_control());
-    }
-    Scenario {
-        name: format!("storm-{seed}"),
-        filler_routes: FILLER_ROUTES,
-        habits: Habits {
-            leave: 0.1,
-            stubborn: 0.2,
-            faithful: 0.6,
-            ahead: 0.1,
-            ..Habits::default()
-        },
-        steps,
-        ..scenario_without_steps(seed, size)
-    }
-}
-
-/// The number of periods in which servers answer requests with long bodies early.
-const EARLY_PERIODS: usize = 4;
-
-/// Generates a scenario of long bodies from a seed: servers answer before they have read them, reset the connection or stop,
-/// while processes are killed, terminated, reloaded, stopped and cut off.
-pub fn draw_long_bodies(seed: u64, size: Size) -> Scenario {
-    let mut generator = StepGenerator {
-        rng: SmallRng::seed_from_u64(seed),
-        size,
-        core_free_s: CALM_START_S,
-    };
-    let mut steps: Vec<Step> = (0..EARLY_PERIODS)
-        .map(|_| generator.early_period())
-        .collect();
-    for _ in 0..generator.rng.random_range(1..4) {
-        steps.extend(generator.server_fault());
-    }
-    for _ in 0..generator.rng.random_range(2..6) {
-        steps.extend(generator.process_fault());
-    }
-    Scenario {
-        name: format!("long-bodies-{seed}"),
-        habits: Habits {
-            leave: 0.1,
-            stubborn: 0.2,
-            faithful: 0.4,
-            long: 0.05,
-            ..Habits::default()
-        },
-        steps,
-        ..scenario_without_steps(seed, size)
-    }
-}
-
-/// Returns a scenario of the given size without steps.
-fn scenario_without_steps(seed: u64, size: Size) -> Scenario {
-    Scenario {
-        name: format!("soak-{seed}"),
-        about: format!("drawn from seed {seed}"),
-        seconds: size.seconds,
-        cores: size.cores,
-        edges: size.edges,
-        spares: 0,
-        zones: ZONES,
-        servers: SERVERS,
-        queries_per_s: (QUERIES_PER_EDGE * size.edges as f64).min(MAX_QUERIES_PER_S),
-        quota_per_s: 0.0,
-        hot: 1.0,
-        losses: 1,
-        filler_routes: 0,
-        seed,
-        habits: Habits::default(),
-        edge_links: size.edges <= MAX_LINKED_EDGES,
-        terms: Terms::default(),
-        steps: Vec::new(),
-        bounds: Bounds {
-            served_last: Some(MIN_SERVED_LAST),
-            violations: Some(0),
-            agree: true,
-            ..Bounds::default()
-        },
-    }
-}
-
 /// Generates the steps of a scenario.
-struct StepGenerator {
-    rng: SmallRng,
+pub(super) struct StepGenerator {
+    pub(super) rng: SmallRng,
     size: Size,
     /// The earliest time of the next fault of a control node, so that only one of them is faulty at a time and each has
     /// recovered before the next fault.
@@ -181,8 +19,16 @@
 }
 
 impl StepGenerator {
+    pub(super) fn new(seed: u64, size: Size) -> StepGenerator {
+        StepGenerator {
+            rng: SmallRng::seed_from_u64(seed),
+            size,
+            core_free_s: CALM_START_S,
+        }
+    }
+
     /// Generates one fault or change of any kind.
-    fn fault(&mut self) -> Vec<Step> {
+    pub(super) fn fault(&mut self) -> Vec<Step> {
         match self.rng.random_range(0..100) {
             0..=9 => self.kill(),
             10..=24 => self.terminate(),
@@ -345,7 +191,7 @@
     }
 
     /// Sends 40 to 199 changes, some of which add a route.
-    fn storm(&mut self) -> Vec<Step> {
+    pub(super) fn storm(&mut self) -> Vec<Step> {
         let of = self.any_core();
         let count = self.rng.random_range(40..200);
         let gap_s = self.rng.random_range(0.02..0.1);
@@ -362,7 +208,7 @@
     }
 
     /// Races between changes, invalid texts, and a credential that is removed and restored.
-    fn contested_changes(&mut self) -> Vec<Step> {
+    pub(super) fn contested_changes(&mut self) -> Vec<Step> {
         let all = format!("core 0-{}", self.size.cores - 1);
         let race = Step {
             count: self.rng.random_range(2..6),
@@ -388,7 +234,7 @@
     }
 
     /// Throttles edge machines, or one control node.
-    fn throttle(&mut self) -> Step {
+    pub(super) fn throttle(&mut self) -> Step {
         let of = match self.rng.random_range(0..4) {
             0 => self.any_core(),
             1 => self.edges(),
@@ -401,7 +247,7 @@
     }
 
     /// Generates a fault of edge processes or of a control node.
-    fn process_fault(&mut self) -> Vec<Step> {
+    pub(super) fn process_fault(&mut self) -> Vec<Step> {
         match self.rng.random_range(0..6) {
             0 => self.kill(),
             1 => self.terminate(),
@@ -413,13 +259,13 @@
     }
 
     /// Kills all control nodes at the same time.
-    fn kill_all_control(&mut self) -> Step {
+    pub(super) fn kill_all_control(&mut self) -> Step {
         let all = format!("core 0-{}", self.size.cores - 1);
         self.timed_step(StepKind::Kill, all, 1.5)
     }
 
     /// Slows down all servers for a time.
-    fn slow_period(&mut self) -> Step {
+    pub(super) fn slow_period(&mut self) -> Step {
         let all = format!("origin 0-{}", 2 * ZONES * SERVERS - 1);
         Step {
             times: self.rng.random_range(20.0..60.0),
@@ -428,7 +274,7 @@
     }
 
     /// Lets some servers answer requests with long bodies before they have read the body.
-    fn early_period(&mut self) -> Step {
+    pub(super) fn early_period(&mut self) -> Step {
         let of = self.origins();
         Step {
             share: self.rng.random_range(0.2..1.0),
@@ -436,7 +282,7 @@
         }
     }
 
-    fn server_fault(&mut self) -> Vec<Step> {
+    pub(super) fn server_fault(&mut self) -> Vec<Step> {
         let of = self.origins();
         let (share, times) = (
             self.rng.random_range(0.1..0.5),
@@ -457,93 +303,3 @@
         }]
     }
 }
-
-/// The kind of scenario that is generated from a seed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SoakKind {
-    /// Faults of all kinds: [`draw`].
-    Faults,
-    /// Configuration storms among faults: [`draw_storm`].
-    Storms,
-    /// Servers that answer long requests early, among faults: [`draw_long_bodies`].
-    LongBodies,
-}
-
-impl SoakKind {
-    fn draw(self, seed: u64, size: Size) -> Scenario {
-        match self {
-            SoakKind::Faults => draw(seed, size),
-            SoakKind::Storms => draw_storm(seed, size),
-            SoakKind::LongBodies => draw_long_bodies(seed, size),
-        }
-    }
-
-    /// Returns the command-line option of the kind, with a leading space.
-    fn option(self) -> &'static str {
-        match self {
-            SoakKind::Faults => "",
-            SoakKind::Storms => " --storms",
-            SoakKind::LongBodies => " --long-bodies",
-        }
-    }
-}
-
-/// Plays the scenario of a seed. Returns a summary line and whether all rules and bounds held. A failed run leaves its logs in
-/// `folder`.
-pub fn soak(kind: SoakKind, seed: u64, size: Size, folder: &Path) -> (String, bool) {
-    let scenario = kind.draw(seed, size);
-    let _ = std::fs::remove_dir_all(folder);
-    let intro = format!(
-        "seed {seed}: {} control nodes, {} proxies, {} steps",
-        size.cores,
-        size.edges,
-        scenario.steps.len()
-    );
-    let rerun = format!(
-        "to run it again: aspendrum-testbed soak{} --seeds {seed} --cores {} --edges {} --seconds {}; logs: {}",
-        kind.option(),
-        size.cores,
-        size.edges,
-        size.seconds,
-        folder.display()
-    );
-    match play(&scenario, folder, &|_| {}) {
-        Err(error) => (format!("{intro}; FAILED: {error}; {rerun}"), false),
-        Ok(outcome) => {
-            let broken = outcome.broken(&scenario);
-            let summary = summary(&outcome);
-            if broken.is_empty() {
-                let _ = std::fs::remove_dir_all(folder);
-                (format!("{intro}; {summary}; passed"), true)
-            } else {
-                // The times of the steps are needed to read the logs.
-                let _ = std::fs::write(folder.join("scenario.txt"), format!("{scenario:#?}\n"));
-                (
-                    format!("{intro}; {summary}; FAILED: {}; {rerun}", broken.join("; ")),
-                    false,
-                )
-            }
-        }
-    }
-}
-
-/// Summarizes the outcome of a run in one line.
-fn summary(outcome: &Outcome) -> String {
-    let disconnects = outcome.disconnect_counts();
-    let (median, max) = outcome.times_in_force();
-    let in_force = match outcome.in_force.len() {
-        0 => String::new(),
-        added => format!(
-            "; {added} routes added, in force after {median:.0} ms (median), {max:.0} ms (maximum)"
-        ),
-    };
-    format!(
-        "{} attempts, {:.2} served, {} clients disconnected, {} of their requests sent late, {} of {} runs not aborted{in_force}",
-        outcome.record.attempts.len(),
-        outcome.verdict.all.share(),
-        disconnects.disconnected,
-        disconnects.sent_late,
-        disconnects.not_aborted,
-        disconnects.abortable
-    )
-}
--- a/crates/aspendrum-testbed/tests/soak.rs
+++ b/crates/aspendrum-testbed/tests/soak.rs
@@ -1,7 +1,9 @@
 //! A short soak of the whole system as processes, with several concurrent faults generated from seeds. Run
 //! `aspendrum-testbed soak` for more seeds.
 
-use aspendrum_testbed::system::soak::{draw, draw_long_bodies, draw_storm, soak, Size, SoakKind};
+use aspendrum_testbed::system::soak::{
+    draw, draw_long_bodies, draw_storm, soak, Size, SoakKind, SoakReport,
+};
 
 const SIZE: Size = Size {
     cores: 3,
@@ -40,12 +42,12 @@
         }
     };
     let threads = seeds.map(|seeds| std::thread::spawn(play(seeds)));
-    let played: Vec<(String, bool)> = threads
+    let reports: Vec<SoakReport> = threads
         .into_iter()
         .flat_map(|thread| thread.join().unwrap())
         .collect();
-    played.iter().for_each(|(line, _)| println!("{line}"));
-    assert!(played.iter().all(|(_, passed)| *passed), "{played:#?}");
+    reports.iter().for_each(|report| println!("{report}"));
+    assert!(reports.iter().all(SoakReport::has_passed), "{reports:#?}");
 }
 
 #[test]
