--- a/crates/aspendrum-net/src/upload.rs
+++ b/crates/aspendrum-net/src/upload.rs
@@ -1,5 +1,5 @@
 //! The sending side of an exchange. It never blocks, so that a response which arrives before the request has been sent
-//! completely is read at once (RFC 9112, 9.3: a server may respond early).
+//! completely is read at once (RFC 9112, 9.5: a client monitors the connection while it sends a body).
 
 use crate::ring_buffer::{is_timeout, RingBuffer};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
